Lay the skeleton: core values, operator objects, interfaces, build and checks

Cause: the repository is empty, and several people are about to work side by side. Change: the design page, the build with CMake and Ninja, formatter and linter set to the KDE Frameworks style, the core values (Error, Clock, Endpoint, hashes), the operator objects as immutable values, and the interfaces between modules (Platform, PartSource, ConfigListener, MemberListener, EventSink, MetricSource). Conclusion: modules can be written in parallel against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The commands of the project; CMake and Ninja do the work. CONTRIBUTING.md describes each.
+BUILD_DIR ?= build
+export BUILD_DIR
+
+.PHONY: all deps configure build test lint format demo faults bench bench-quick clean
+
+all: build
+
+deps:
+	@tools/install-deps.sh
+
+configure: deps
+	@cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >$(BUILD_DIR).configure.log 2>&1 || { cat $(BUILD_DIR).configure.log; exit 1; }
+	@rm -f $(BUILD_DIR).configure.log
+
+build: configure
+	@cmake --build $(BUILD_DIR)
+
+format:
+	@tools/format.sh
+
+lint: build
+	@tools/format.sh --check
+	@tools/lint.sh
+
+test: build
+	@tools/format.sh --check
+	@tools/lint.sh
+	@ctest --test-dir $(BUILD_DIR) --output-on-failure -j 4
+
+clean:
+	@rm -rf $(BUILD_DIR)
--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,37 @@
+#include "core/clock.h"
+
+namespace Samphirepitch
+{
+
+namespace
+{
+// 2026-01-01T00:00:00Z, so that wall times of tests look like real ones.
+constexpr std::chrono::milliseconds manualEpoch { 1767225600000 };
+} // namespace
+
+TimePoint SteadyClock::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime SteadyClock::wallNow() const
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+TimePoint ManualClock::now() const
+{
+    return TimePoint(std::chrono::seconds(1000) + m_elapsed);
+}
+
+WallTime ManualClock::wallNow() const
+{
+    return WallTime(manualEpoch + std::chrono::duration_cast<std::chrono::milliseconds>(m_elapsed));
+}
+
+void ManualClock::advance(std::chrono::nanoseconds step)
+{
+    m_elapsed += step;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/core/endpoint.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/error.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Samphirepitch
+{
+
+/** An IPv4 address and a port, both in host byte order. */
+class Endpoint
+{
+public:
+    /** An unset endpoint: 0.0.0.0:0. */
+    Endpoint() = default;
+
+    /**
+     * @param address IPv4 address in host byte order
+     * @param port TCP or UDP port
+     */
+    constexpr Endpoint(std::uint32_t address, std::uint16_t port)
+        : m_address(address)
+        , m_port(port)
+    {
+    }
+
+    /**
+     * Reads "a.b.c.d:port" with a port of 1..65535.
+     * @return the endpoint, or Malformed
+     */
+    static Result<Endpoint> parse(std::string_view text);
+
+    std::uint32_t address() const;
+    std::uint16_t port() const;
+
+    /** Returns whether address and port are both zero. */
+    bool isUnset() const;
+
+    /** Returns "a.b.c.d:port". */
+    std::string toString() const;
+
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+
+private:
+    std::uint32_t m_address = 0;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/core/hash.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Samphirepitch
+{
+
+/** Returns the 64-bit XXH3 hash of @p bytes; the same on every instance. */
+std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
+
+/** Returns a well mixed hash of two numbers. */
+std::uint64_t mix64(std::uint64_t left, std::uint64_t right);
+
+/** The name of an immutable part of the configuration: the 128-bit hash of its content. */
+class ContentName
+{
+public:
+    static constexpr std::size_t size = 16; /**< bytes */
+
+    ContentName() = default;
+    explicit ContentName(const std::array<std::uint8_t, size> &bytes);
+
+    /** Returns the name of @p content. */
+    static ContentName of(std::string_view content);
+
+    const std::array<std::uint8_t, size> &bytes() const;
+
+    /** Returns whether all bytes are zero, which means "no part". */
+    bool isUnset() const;
+
+    /** Returns 32 lower-case hexadecimal digits. */
+    std::string toHex() const;
+
+    friend auto operator<=>(const ContentName &, const ContentName &) = default;
+
+private:
+    std::array<std::uint8_t, size> m_bytes {};
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/model/backendpool.cpp
@@ -0,0 +1,28 @@
+#include "model/backendpool.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+BackendPool::BackendPool(Fields fields)
+    : m_fields(std::move(fields))
+{
+}
+
+const std::string &BackendPool::name() const
+{
+    return m_fields.name;
+}
+
+const std::vector<BackendServer> &BackendPool::servers() const
+{
+    return m_fields.servers;
+}
+
+const std::vector<std::string> &BackendPool::domains() const
+{
+    return m_fields.domains;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/tools/install-deps.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Installs the declared Debian packages that are missing. Runs as root or through sudo.
+set -euo pipefail
+packages=(
+    g++ make cmake ninja-build ccache clang-format clang-tidy
+    libasio-dev libboost-dev libmsgpack-cxx-dev libgflags-dev liblog4cxx-dev
+    libexpected-dev libtrompeloeil-cpp-dev catch2 libtomlplusplus-dev
+    nlohmann-json3-dev libhttp-parser-dev libxxhash-dev
+)
+missing=()
+for package in "${packages[@]}"; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+sudo=""
+[ "$(id -u)" -eq 0 ] || sudo="sudo"
+export DEBIAN_FRONTEND=noninteractive
+$sudo apt-get update -qq
+$sudo apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
