Encode head records and the configuration tree

Publisher and Distributor need parts that any instance can name, verify and read.

One changed object gives one new leaf and one new index.

--- /dev/null
+++ b/tests/model/configtreetests.cpp
@@ -0,0 +1,128 @@
+#include "model/configtree.h"
+#include "model/objectcodec.h"
+#include "model/sampleset.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+namespace
+{
+
+class MapSource : public PartSource
+{
+public:
+    explicit MapSource(std::map<ContentName, std::string> parts)
+        : m_parts(std::move(parts))
+    {
+    }
+
+    std::shared_ptr<const std::string> part(const ContentName &name) const override
+    {
+        const auto found = m_parts.find(name);
+        return found == m_parts.end() ? nullptr : std::make_shared<const std::string>(found->second);
+    }
+
+private:
+    std::map<ContentName, std::string> m_parts;
+};
+
+HeadRecord headOf(const ConfigTree &tree)
+{
+    return HeadRecord({ .generation = 7,
+        .indexes = tree.indexes(),
+        .changeId = "c-1",
+        .author = "bola",
+        .acceptedAt = WallTime(std::chrono::milliseconds(5)) });
+}
+
+} // namespace
+
+TEST_CASE("a head record and a head pointer are read as they were written", "[model][headrecord]")
+{
+    const HeadRecord record = headOf(ConfigTree::of(ConfigSet(sampleFields())));
+    CHECK(HeadRecord::decode(record.encode()) == record);
+    const HeadPointer pointer { 7, ContentName::of(record.encode()) };
+    CHECK(HeadPointer::decode(pointer.encode()) == pointer);
+}
+
+TEST_CASE("each truncation and each extension of a head record is refused", "[model][headrecord]")
+{
+    // Guards against reading behind the end of a part that a peer sent.
+    const std::string bytes = headOf(ConfigTree::of(ConfigSet(sampleFields()))).encode();
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(HeadRecord::decode(std::string_view(bytes).substr(0, size)).has_value());
+    }
+    CHECK_FALSE(HeadRecord::decode(bytes + "x").has_value());
+}
+
+TEST_CASE("a set is assembled from its parts", "[model][configtree]")
+{
+    const ConfigSet set(sampleFields());
+    const ConfigTree tree = ConfigTree::of(set);
+    const HeadRecord head = headOf(tree);
+    CHECK(ConfigTree::assemble(head, MapSource(tree.parts())) == set);
+    CHECK(ConfigTree::missingParts(head, MapSource(tree.parts()))->empty());
+    CHECK(ConfigTree::referencedParts(head, MapSource(tree.parts()))->size() == tree.parts().size());
+}
+
+TEST_CASE("the order in which objects are given does not change the parts", "[model][configtree]")
+{
+    // Guards against two operators publishing the same set under different names.
+    ConfigSet::Fields fields = sampleFields();
+    const auto parts = ConfigTree::of(ConfigSet(fields)).parts();
+    std::reverse(fields.failureDomains.begin(), fields.failureDomains.end());
+    CHECK(ConfigTree::of(ConfigSet(fields)).parts() == parts);
+}
+
+TEST_CASE("a change of one object makes one new leaf and one new index", "[model][configtree]")
+{
+    // Guards the limit of four writes for one change.
+    ConfigSet::Fields fields = sampleFields();
+    const auto before = ConfigTree::of(ConfigSet(fields)).parts();
+    fields.failureDomains[0] = FailureDomain({ "okene", "kwara" });
+    const auto after = ConfigTree::of(ConfigSet(fields)).parts();
+    const auto added = std::count_if(after.begin(), after.end(), [&before](const auto &part) { return !before.contains(part.first); });
+    CHECK(added == 2);
+}
+
+TEST_CASE("parts that are not held are listed and not assembled", "[model][configtree]")
+{
+    const ConfigTree tree = ConfigTree::of(ConfigSet(sampleFields()));
+    const HeadRecord head = headOf(tree);
+    for (const auto &[name, content] : tree.parts()) {
+        auto parts = tree.parts();
+        parts.erase(name);
+        CHECK(ConfigTree::missingParts(head, MapSource(parts)) == std::vector { name });
+        const auto set = ConfigTree::assemble(head, MapSource(parts));
+        REQUIRE_FALSE(set.has_value());
+        CHECK(set.error().kind() == ErrorKind::NotFound);
+    }
+}
+
+TEST_CASE("counts above their limit are refused before memory is taken", "[model][objectcodec]")
+{
+    // Guards against a hostile part that announces 4 billion objects, servers or bytes.
+    const std::string_view views[] { { "\xdd\xff\xff\xff\xff", 5 }, { "\x91\x94\x01\xa1p\xdd\xff\xff\xff\xff", 10 },
+        { "\x91\x93\x00\xdb\xff\xff\xff\xff", 8 } };
+    for (const std::string_view view : views) {
+        ConfigSet::Fields fields;
+        const auto status = ObjectCodec::decodeLeaf(view, fields);
+        REQUIRE_FALSE(status.has_value());
+        CHECK(status.error().kind() == ErrorKind::TooLarge);
+    }
+}
+
+TEST_CASE("each truncation of a leaf is refused", "[model][objectcodec]")
+{
+    const std::string leaf = "\x91" + ObjectCodec::encode(ConfigSet(sampleFields()).pools()[0]);
+    for (std::size_t size = 0; size < leaf.size(); ++size) {
+        ConfigSet::Fields fields;
+        CHECK_FALSE(ObjectCodec::decodeLeaf(std::string_view(leaf).substr(0, size), fields).has_value());
+    }
+    ConfigSet::Fields fields;
+    CHECK(ObjectCodec::decodeLeaf(leaf, fields).has_value());
+}
