Add HTTP/1.1 connection and server on Asio coroutines

Cause: access to the platform, metrics and health endpoints speak HTTP/1.1. Change: HttpConnection (client, keep-alive, deadline for each exchange), HttpServer with a handler interface, and a parser on libhttp-parser that enforces header and body limits while bytes arrive. Conclusion: base for HttpPlatform and the stand-ins.

--- /dev/null
+++ b/src/platform/httprequest.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "platform/httpheaders.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Samphirepitch
+{
+
+/** One HTTP request. */
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target = "/"; /**< path and query as on the request line */
+    HttpHeaders headers; /**< without host, content-length and connection, which the connection adds */
+    std::string body;
+
+    /** Returns the target up to the query. */
+    std::string_view path() const;
+
+    /** Returns the value of the query parameter @p name as it stands in the target (no percent-decoding). */
+    std::optional<std::string> query(std::string_view name) const;
+
+    /** Returns the query parameter @p name as a decimal number, or nothing if it is missing or not a number. */
+    std::optional<std::uint64_t> queryNumber(std::string_view name) const;
+
+    friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/httpresponse.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "platform/httpheaders.h"
+
+#include <string>
+
+namespace Samphirepitch
+{
+
+/** One HTTP response. */
+struct HttpResponse {
+    int status = 200; /**< 100..599 */
+    HttpHeaders headers; /**< without content-length and connection, which the server adds */
+    std::string body;
+
+    /** Returns a response with a body of type @p contentType. */
+    static HttpResponse of(int status, std::string contentType, std::string body);
+
+    /** Returns a response without a body. */
+    static HttpResponse empty(int status);
+
+    friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/httpserver.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/error.h"
+#include "platform/httphandler.h"
+#include "platform/httplimits.h"
+
+#include <asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace Samphirepitch
+{
+
+/** An HTTP/1.1 listener with one coroutine for each connection. */
+class HttpServer
+{
+public:
+    /**
+     * Binds @p address and starts to accept connections.
+     * @param executor runs all operations; single-threaded
+     * @param address address to bind; port 0 takes a free port
+     * @param handler must outlive the executor's last operation
+     * @param limits what is accepted from clients
+     * @return the server, or InputOutput if the address cannot be bound
+     */
+    static Result<std::unique_ptr<HttpServer>> listen(
+        asio::any_io_executor executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits = {});
+
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** Returns the bound address. */
+    Endpoint address() const;
+
+    /** Returns the number of open connections. */
+    std::size_t connectionCount() const;
+
+    /** Closes the listener and all connections; the handler is not called afterwards. */
+    void stop();
+
+private:
+    class State;
+
+    explicit HttpServer(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/internal/httpparser.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/error.h"
+#include "platform/httplimits.h"
+#include "platform/httprequest.h"
+#include "platform/httpresponse.h"
+
+#include <http_parser.h>
+
+#include <optional>
+
+namespace Samphirepitch
+{
+
+/** Parses one HTTP message with libhttp-parser and enforces the limits while the bytes arrive. */
+class HttpParser
+{
+public:
+    HttpParser(http_parser_type type, const HttpLimits &limits);
+    HttpParser(const HttpParser &) = delete;
+    HttpParser &operator=(const HttpParser &) = delete;
+
+    /**
+     * Parses the next bytes of the stream, up to the end of the message.
+     * @return the number of bytes consumed, Malformed or TooLarge
+     */
+    Result<std::size_t> feed(std::string_view bytes);
+
+    /** Tells the parser that the stream has ended. @return Malformed if the message is not complete */
+    Result<void> finish();
+
+    bool hasStarted() const;
+    bool isComplete() const;
+
+    /** Returns whether the connection can carry another message after this one. */
+    bool keepsAlive() const;
+
+    HttpRequest takeRequest();
+    HttpResponse takeResponse();
+
+private:
+    static HttpParser &self(http_parser *parser);
+    static int onUrl(http_parser *parser, const char *at, std::size_t length);
+    static int onField(http_parser *parser, const char *at, std::size_t length);
+    static int onValue(http_parser *parser, const char *at, std::size_t length);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *at, std::size_t length);
+    static int onMessageComplete(http_parser *parser);
+    static const http_parser_settings &settings();
+
+    int takeHeaderBytes(std::string &target, const char *at, std::size_t length);
+    int refuse(ErrorKind kind, std::string detail);
+    void endField();
+    Result<void> status() const;
+
+    HttpLimits m_limits;
+    http_parser m_parser {};
+    std::optional<Error> m_refusal;
+    std::string m_target;
+    std::string m_name;
+    std::string m_value;
+    HttpHeaders m_headers;
+    std::string m_body;
+    std::size_t m_headerSize = 0;
+    bool m_inValue = false;
+    bool m_started = false;
+    bool m_complete = false;
+    bool m_keepAlive = false;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/internal/socketdeadline.cpp
@@ -0,0 +1,32 @@
+#include "platform/internal/socketdeadline.h"
+
+namespace Samphirepitch
+{
+
+SocketDeadline::SocketDeadline(asio::ip::tcp::socket &socket, std::chrono::nanoseconds remaining)
+    : m_state(std::make_shared<State>())
+    , m_timer(socket.get_executor())
+{
+    m_state->socket = &socket;
+    m_timer.expires_after(remaining);
+    m_timer.async_wait([state = m_state](const std::error_code &error) {
+        if (error || state->socket == nullptr) {
+            return;
+        }
+        state->expired = true;
+        std::error_code ignored;
+        state->socket->close(ignored);
+    });
+}
+
+SocketDeadline::~SocketDeadline()
+{
+    m_state->socket = nullptr;
+}
+
+bool SocketDeadline::expired() const
+{
+    return m_state->expired;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/internal/socketdeadline.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+
+namespace Samphirepitch
+{
+
+/** Closes a socket when a deadline passes, which ends its pending operations; the destructor ends the observation. */
+class SocketDeadline
+{
+public:
+    /**
+     * @param socket must outlive this object
+     * @param remaining time until the deadline
+     */
+    SocketDeadline(asio::ip::tcp::socket &socket, std::chrono::nanoseconds remaining);
+    ~SocketDeadline();
+    SocketDeadline(const SocketDeadline &) = delete;
+    SocketDeadline &operator=(const SocketDeadline &) = delete;
+
+    /** Returns whether the deadline passed and closed the socket. */
+    bool expired() const;
+
+private:
+    struct State {
+        asio::ip::tcp::socket *socket = nullptr;
+        bool expired = false;
+    };
+
+    // Shared with the timer's handler, which may already be queued when this object ends.
+    std::shared_ptr<State> m_state;
+    asio::steady_timer m_timer;
+};
+
+} // namespace Samphirepitch
