Add HttpPlatform, the platform's object API over HTTP

Cause: instances and clients reach the platform through the Platform interface. Change: HttpPlatform with one error kind for each status; a write whose request was sent and whose answer did not come is OutcomeUnknown, a read never is.

--- /dev/null
+++ b/src/platform/httpplatform.cpp
@@ -0,0 +1,246 @@
+#include "platform/httpplatform.h"
+
+#include "platform/decimal.h"
+#include "platform/httpconnection.h"
+#include "platform/platformcodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::size_t maxIdleConnections = 8;
+constexpr std::chrono::milliseconds maxPoll { 25000 }; // below the usual idle timeouts of proxies
+// The platform answers "not changed" this long before the caller's deadline, so that the connection can be kept.
+constexpr std::chrono::milliseconds pollMargin { 100 };
+
+std::string objectTarget(const std::string &key)
+{
+    return "/v1/objects/" + key;
+}
+
+/** Reads the version of an ETag, which is a decimal number in quotes. */
+std::optional<std::uint64_t> versionOf(const HttpResponse &response)
+{
+    const std::string *const tag = response.headers.find("etag");
+    if (tag == nullptr || tag->size() < 3 || tag->front() != '"' || tag->back() != '"') {
+        return std::nullopt;
+    }
+    return readDecimal(std::string_view(*tag).substr(1, tag->size() - 2));
+}
+
+/** Returns the error of a response other than success. */
+Error statusError(const std::string &subject, const HttpResponse &response)
+{
+    switch (response.status) {
+    case 400:
+        return Error(ErrorKind::InvalidArgument, subject, "the platform does not accept the request: " + response.body.substr(0, 200));
+    case 404:
+        return Error(ErrorKind::NotFound, subject, "the object does not exist");
+    case 412: {
+        const auto version = versionOf(response);
+        return Error(ErrorKind::VersionConflict, subject,
+            version ? "the current version is " + std::to_string(*version) : "the object does not exist");
+    }
+    case 413:
+        return Error(ErrorKind::TooLarge, subject, "above the platform's limit of 1 MB");
+    case 429:
+        return Error(ErrorKind::RateLimited, subject, "the platform's rate limit is reached");
+    case 503:
+        return Error(ErrorKind::Unavailable, subject, "the platform reports an outage");
+    default:
+        return Error(ErrorKind::Malformed, subject, "unexpected HTTP status " + std::to_string(response.status));
+    }
+}
+
+Result<PlatformObject> objectOf(std::string key, HttpResponse response)
+{
+    if (response.status != 200) {
+        return tl::unexpected(statusError(key, response));
+    }
+    const auto version = versionOf(response);
+    if (!version) {
+        return failure(ErrorKind::Malformed, std::move(key), "the answer has no version in its ETag");
+    }
+    if (response.body.size() > HttpPlatform::maxBodySize) {
+        return failure(ErrorKind::TooLarge, std::move(key), "the object is larger than 1 MB");
+    }
+    return PlatformObject { std::move(key), std::move(response.body), *version };
+}
+
+Result<std::uint64_t> writtenVersion(const std::string &key, const HttpResponse &response)
+{
+    if (response.status == 200 || response.status == 201) {
+        const auto version = versionOf(response);
+        if (version) {
+            return *version;
+        }
+        return failure(ErrorKind::OutcomeUnknown, key, "the answer has no version in its ETag");
+    }
+    const Error error = statusError(key, response);
+    if (error.kind() == ErrorKind::Malformed) {
+        return failure(ErrorKind::OutcomeUnknown, key, error.detail());
+    }
+    return tl::unexpected(error);
+}
+
+/** Only these errors of an exchange say that nothing was sent; after any other one the write may have taken effect. */
+bool isBeforeSend(ErrorKind kind)
+{
+    return kind == ErrorKind::Unavailable || kind == ErrorKind::DeadlineExceeded;
+}
+
+Error invalidKey(const std::string &key)
+{
+    return Error(ErrorKind::InvalidArgument, key.substr(0, 200), "a key has 1..200 bytes of a-z, 0-9, '-', '.', '/'");
+}
+
+} // namespace
+
+Result<std::unique_ptr<HttpPlatform>> HttpPlatform::create(asio::any_io_executor executor, const Clock &clock, Endpoint address)
+{
+    if (address.address() == 0 || address.port() == 0) {
+        return failure(ErrorKind::InvalidArgument, address.toString(), "the platform's address needs an IPv4 address and a port");
+    }
+    return std::unique_ptr<HttpPlatform>(new HttpPlatform(std::move(executor), clock, address));
+}
+
+HttpPlatform::HttpPlatform(asio::any_io_executor executor, const Clock &clock, Endpoint address)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_address(address)
+{
+}
+
+HttpPlatform::~HttpPlatform() = default;
+
+asio::awaitable<Result<HttpResponse>> HttpPlatform::call(HttpRequest request, TimePoint deadline)
+{
+    std::unique_ptr<HttpConnection> connection;
+    if (m_idle.empty()) {
+        connection = std::make_unique<HttpConnection>(m_executor, m_clock, m_address);
+    } else {
+        connection = std::move(m_idle.back());
+        m_idle.pop_back();
+    }
+    Result<HttpResponse> response = co_await connection->exchange(std::move(request), deadline);
+    if (response && m_idle.size() < maxIdleConnections) {
+        m_idle.push_back(std::move(connection));
+    }
+    co_return response;
+}
+
+Result<HttpResponse> HttpPlatform::readFailure(Error error, TimePoint deadline) const
+{
+    // A read has no effect, so a missing answer is never an unknown outcome.
+    if (error.kind() == ErrorKind::OutcomeUnknown) {
+        const ErrorKind kind = m_clock.now() >= deadline ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable;
+        return failure(kind, error.subject(), error.detail());
+    }
+    return tl::unexpected(std::move(error));
+}
+
+asio::awaitable<Result<HttpResponse>> HttpPlatform::get(std::string target, TimePoint deadline)
+{
+    HttpRequest request;
+    request.target = std::move(target);
+    Result<HttpResponse> response = co_await call(std::move(request), deadline);
+    if (!response) {
+        co_return readFailure(response.error(), deadline);
+    }
+    co_return response;
+}
+
+asio::awaitable<Result<PlatformObject>> HttpPlatform::read(std::string key, TimePoint deadline)
+{
+    if (!PlatformCodec::isKey(key)) {
+        co_return tl::unexpected(invalidKey(key));
+    }
+    Result<HttpResponse> response = co_await get(objectTarget(key), deadline);
+    if (!response) {
+        co_return tl::unexpected(response.error());
+    }
+    co_return objectOf(std::move(key), std::move(*response));
+}
+
+asio::awaitable<Result<std::uint64_t>> HttpPlatform::write(
+    std::string key, std::string body, std::uint64_t expectedVersion, TimePoint deadline)
+{
+    if (!PlatformCodec::isKey(key)) {
+        co_return tl::unexpected(invalidKey(key));
+    }
+    if (body.size() > maxBodySize) {
+        co_return failure(ErrorKind::TooLarge, std::move(key), "an object has at most 1 MB");
+    }
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = objectTarget(key);
+    request.body = std::move(body);
+    if (expectedVersion == mustNotExist) {
+        request.headers.add("if-none-match", "*");
+    } else {
+        request.headers.add("if-match", '"' + std::to_string(expectedVersion) + '"');
+    }
+    const Result<HttpResponse> response = co_await call(std::move(request), deadline);
+    if (!response) {
+        const ErrorKind kind = isBeforeSend(response.error().kind()) ? response.error().kind() : ErrorKind::OutcomeUnknown;
+        co_return failure(kind, std::move(key), response.error().detail());
+    }
+    co_return writtenVersion(key, *response);
+}
+
+asio::awaitable<Result<PlatformObject>> HttpPlatform::watch(std::string key, std::uint64_t knownVersion, TimePoint deadline)
+{
+    if (!PlatformCodec::isKey(key)) {
+        co_return tl::unexpected(invalidKey(key));
+    }
+    while (m_clock.now() < deadline) {
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
+        const auto poll = std::min(maxPoll, std::max(remaining - pollMargin, remaining / 2));
+        Result<HttpResponse> response = co_await get(
+            objectTarget(key) + "?watch=" + std::to_string(knownVersion) + "&timeout_ms=" + std::to_string(poll.count()), deadline);
+        if (!response) {
+            co_return tl::unexpected(response.error());
+        }
+        if (response->status != 304) {
+            co_return objectOf(std::move(key), std::move(*response));
+        }
+        if (poll < maxPoll) {
+            break;
+        }
+    }
+    co_return failure(ErrorKind::DeadlineExceeded, std::move(key), "the object did not change before the deadline");
+}
+
+asio::awaitable<Result<std::vector<PlatformObject>>> HttpPlatform::list(std::string prefix, TimePoint deadline)
+{
+    if (!PlatformCodec::isPrefix(prefix)) {
+        co_return tl::unexpected(invalidKey(prefix));
+    }
+    const Result<HttpResponse> response = co_await get("/v1/list?prefix=" + prefix, deadline);
+    if (!response) {
+        co_return tl::unexpected(response.error());
+    }
+    if (response->status != 200) {
+        co_return tl::unexpected(statusError(prefix, *response));
+    }
+    co_return PlatformCodec::decodeObjects(response->body);
+}
+
+asio::awaitable<Result<std::vector<ListedInstance>>> HttpPlatform::instances(TimePoint deadline)
+{
+    const Result<HttpResponse> response = co_await get("/v1/instances", deadline);
+    if (!response) {
+        co_return tl::unexpected(response.error());
+    }
+    if (response->status != 200) {
+        co_return tl::unexpected(statusError("instances", *response));
+    }
+    co_return PlatformCodec::decodeInstances(response->body);
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/platformcodec.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "platform/platform.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** The JSON of the platform's lists (docs/platform-api.md). */
+class PlatformCodec
+{
+public:
+    static std::string encodeObjects(const std::vector<PlatformObject> &objects);
+
+    /** Reads the answer of /v1/list. @return the objects, or Malformed */
+    static Result<std::vector<PlatformObject>> decodeObjects(std::string_view json);
+
+    static std::string encodeInstance(const ListedInstance &instance);
+    static std::string encodeInstances(const std::vector<ListedInstance> &instances);
+
+    /** Reads one entry of the instance list. @return the entry, or Malformed */
+    static Result<ListedInstance> decodeInstance(std::string_view json);
+
+    /** Reads the answer of /v1/instances. @return the list, or Malformed */
+    static Result<std::vector<ListedInstance>> decodeInstances(std::string_view json);
+
+    /** Returns whether @p key has 1..200 bytes of a-z, 0-9, '-', '.', '/'. */
+    static bool isKey(std::string_view key);
+
+    /** Returns whether @p prefix is empty or a key. */
+    static bool isPrefix(std::string_view prefix);
+};
+
+} // namespace Samphirepitch
