Add placement: lookup table, flow table, service table and router

Cause: the data path needs a decision for each packet that every instance computes alike. Change: LookupTable fills buckets by the Maglev method with weights; FlowTable holds flows in 16-byte entries; ServerRegistry keeps server indexes across generations; ServiceTable shares unchanged services; Router decides and hands exceptions of moved buckets to owner and successor through ExceptionTransport. Conclusion: the Router itself is not tested yet; tests with several routers follow.

--- /dev/null
+++ b/src/routing/flowexceptions.cpp
@@ -0,0 +1,67 @@
+#include "routing/flowexceptions.h"
+
+namespace Samphirepitch
+{
+
+FlowExceptions::FlowExceptions(std::size_t maxFlows)
+    : m_maxFlows(maxFlows)
+{
+}
+
+bool FlowExceptions::insert(std::uint64_t service, std::uint64_t key, ServerIndex server, TimePoint deadline)
+{
+    FlowMap &flows = m_services[service];
+    const auto known = flows.find(key);
+    if (known != flows.end()) {
+        known->second = { server, deadline };
+        return true;
+    }
+    if (m_size == m_maxFlows) {
+        return false;
+    }
+    flows.emplace(key, Held { server, deadline });
+    ++m_size;
+    return true;
+}
+
+ServerIndex FlowExceptions::find(std::uint64_t service, std::uint64_t key, TimePoint now) const
+{
+    const auto flows = m_services.find(service);
+    if (flows == m_services.end()) {
+        return noServer;
+    }
+    const auto held = flows->second.find(key);
+    return held == flows->second.end() || now >= held->second.deadline ? noServer : held->second.server;
+}
+
+void FlowExceptions::erase(std::uint64_t service, std::uint64_t key)
+{
+    const auto flows = m_services.find(service);
+    if (flows != m_services.end()) {
+        m_size -= flows->second.erase(key);
+    }
+}
+
+void FlowExceptions::expire(TimePoint now)
+{
+    for (auto &[service, flows] : m_services) {
+        m_size -= std::erase_if(flows, [now](const auto &entry) { return now >= entry.second.deadline; });
+    }
+    std::erase_if(m_services, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void FlowExceptions::forEach(const std::function<void(std::uint64_t, std::uint64_t, ServerIndex)> &visit) const
+{
+    for (const auto &[service, flows] : m_services) {
+        for (const auto &[key, held] : flows) {
+            visit(service, key, held.server);
+        }
+    }
+}
+
+std::size_t FlowExceptions::size() const
+{
+    return m_size;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/routing/flowkey.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <cstdint>
+
+namespace Samphirepitch
+{
+
+/**
+ * Returns the key of the flow between a caller and a service address; the same on every instance and never 0.
+ *
+ * Two of 300,000 flows share a key with a probability of about 3e-9.
+ */
+std::uint64_t flowKey(Endpoint caller, Endpoint service);
+
+/** Returns the key of one request of a caller; the same on every instance and never 0. */
+std::uint64_t requestKey(Endpoint caller, Endpoint service, std::uint32_t id);
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/routing/lookuptable.cpp
@@ -0,0 +1,113 @@
+#include "routing/lookuptable.h"
+
+#include "core/hash.h"
+#include "model/backendpool.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::array<std::uint32_t, 5> tableSizes { 251, 1021, 4093, 16381, 65521 }; // primes, as the permutations need
+constexpr std::size_t bucketsPerServer = 50; // keeps the share of a server within about 2% of its weight
+
+/** The order in which a server asks for buckets, and how far it has come. */
+struct Candidate {
+    std::uint16_t position;
+    std::uint32_t weight;
+    std::uint32_t next;
+    std::uint32_t skip;
+    std::uint32_t credit;
+};
+
+std::vector<Candidate> candidates(const BackendPool &pool, std::uint32_t size)
+{
+    std::vector<Candidate> result;
+    for (std::size_t position = 0; position < pool.servers().size(); ++position) {
+        const BackendServer &server = pool.servers()[position];
+        if (server.state() != ServerState::Active || server.weight() == 0) {
+            continue;
+        }
+        result.push_back(
+            { static_cast<std::uint16_t>(position), server.weight(), static_cast<std::uint32_t>(hash64(server.name(), 1) % size),
+                static_cast<std::uint32_t>(hash64(server.name(), 2) % (size - 1) + 1), 0 });
+    }
+    return result;
+}
+
+std::uint32_t maxWeight(const std::vector<Candidate> &candidates)
+{
+    std::uint32_t weight = 0;
+    for (const Candidate &candidate : candidates) {
+        weight = std::max(weight, candidate.weight);
+    }
+    return weight;
+}
+
+void takeBucket(Candidate &candidate, std::vector<std::uint16_t> &buckets)
+{
+    const auto size = static_cast<std::uint32_t>(buckets.size());
+    while (buckets[candidate.next] != LookupTable::noPosition) {
+        candidate.next = (candidate.next + candidate.skip) % size;
+    }
+    buckets[candidate.next] = candidate.position;
+}
+
+} // namespace
+
+LookupTable::LookupTable(std::vector<std::uint16_t> buckets)
+    : m_buckets(std::move(buckets))
+{
+}
+
+std::uint32_t LookupTable::sizeFor(std::size_t servers)
+{
+    for (const std::uint32_t size : tableSizes) {
+        if (size >= servers * bucketsPerServer) {
+            return size;
+        }
+    }
+    return tableSizes.back();
+}
+
+LookupTable LookupTable::of(const BackendPool &pool)
+{
+    std::vector<std::uint16_t> buckets(sizeFor(pool.servers().size()), noPosition);
+    std::vector<Candidate> servers = candidates(pool, static_cast<std::uint32_t>(buckets.size()));
+    const std::uint32_t heaviest = maxWeight(servers);
+    std::size_t filled = 0;
+    while (!servers.empty() && filled < buckets.size()) {
+        for (Candidate &candidate : servers) {
+            candidate.credit += candidate.weight;
+            if (candidate.credit < heaviest || filled == buckets.size()) {
+                continue;
+            }
+            candidate.credit -= heaviest;
+            takeBucket(candidate, buckets);
+            ++filled;
+        }
+    }
+    return LookupTable(std::move(buckets));
+}
+
+std::uint32_t LookupTable::bucket(std::uint64_t key) const
+{
+    return static_cast<std::uint32_t>(key % m_buckets.size());
+}
+
+std::uint16_t LookupTable::position(std::uint64_t key) const
+{
+    return m_buckets[bucket(key)];
+}
+
+const std::vector<std::uint16_t> &LookupTable::buckets() const
+{
+    return m_buckets;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/routing/lookuptable.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class BackendPool;
+
+/**
+ * Maps the keys of flows to the active backend servers of a pool, in proportion to their weights.
+ *
+ * The table is filled by the Maglev method from the pool alone, so that it is the same on every instance. Its size depends on
+ * the number of all servers of the pool, so that a drain doesn't change it.
+ */
+class LookupTable
+{
+public:
+    static constexpr std::uint16_t noPosition = 0xffff; /**< no server takes new flows */
+
+    /** Builds the table of @p pool; servers that drain or have the weight 0 get no bucket. */
+    static LookupTable of(const BackendPool &pool);
+
+    /** Returns the number of buckets for a pool of @p servers backend servers. */
+    static std::uint32_t sizeFor(std::size_t servers);
+
+    /** Returns the bucket of a flow. */
+    std::uint32_t bucket(std::uint64_t key) const;
+
+    /** Returns the position of the flow's server in BackendPool::servers(), or noPosition. */
+    std::uint16_t position(std::uint64_t key) const;
+
+    /** Positions by bucket. */
+    const std::vector<std::uint16_t> &buckets() const;
+
+private:
+    explicit LookupTable(std::vector<std::uint16_t> buckets);
+
+    std::vector<std::uint16_t> m_buckets;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,387 @@
+#include "routing/router.h"
+
+#include "core/hash.h"
+#include "membership/memberview.h"
+#include "routing/internal/ownercache.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::size_t ownerCount = 2; // owner and successor
+constexpr std::uint64_t anyGeneration = std::numeric_limits<std::uint64_t>::max();
+
+bool counts(const Member &member)
+{
+    return member.state() == MemberState::Alive || member.state() == MemberState::Suspect;
+}
+
+std::vector<std::string> countedIds(const MemberView &view)
+{
+    std::vector<std::string> ids;
+    for (const Member &member : view.members()) {
+        if (counts(member)) {
+            ids.push_back(member.id());
+        }
+    }
+    return ids;
+}
+
+bool contains(const std::vector<const Member *> &members, const std::string &id)
+{
+    return std::any_of(members.begin(), members.end(), [&id](const Member *member) { return member->id() == id; });
+}
+
+} // namespace
+
+Router::Router(RouterSettings settings, ExceptionTransport *transport)
+    : m_settings(std::move(settings))
+    , m_transport(transport)
+    , m_flows(m_settings.maxFlows)
+    , m_exceptions(m_settings.maxFlows)
+    , m_services(std::make_shared<const ServiceTable>())
+    , m_view(std::make_shared<const MemberView>())
+{
+}
+
+void Router::configurationChanged(const ConfigGeneration &generation, TimePoint now)
+{
+    const std::uint64_t before = m_services->generation();
+    const std::uint64_t held = generation.head.generation;
+    if (held <= before) {
+        return;
+    }
+    m_services = ServiceTable::build(generation, *m_services, m_servers, now);
+    const auto &services = m_services->services();
+    const bool moves = std::any_of(services.begin(), services.end(),
+        [held](const auto &entry) { return !entry.second->changes.empty() && entry.second->changes.front().generation == held; });
+    if (before == 0 || (!moves && m_active == before)) {
+        m_active = held;
+    }
+    if (moves) {
+        handOver(nullptr, held, now);
+    }
+    updatePrepared();
+}
+
+void Router::memberViewChanged(std::shared_ptr<const MemberView> view, TimePoint now)
+{
+    const std::shared_ptr<const MemberView> before = std::exchange(m_view, std::move(view));
+    std::erase_if(m_undelivered, [this](const auto &entry) {
+        const Member *member = m_view->member(entry.first);
+        return !member || !counts(*member);
+    });
+    if (countedIds(*before) != countedIds(*m_view)) {
+        handOver(before.get(), 0, now);
+    }
+    updatePrepared();
+}
+
+void Router::activate(std::uint64_t generation)
+{
+    m_active = std::max(m_active, std::min(generation, m_services->generation()));
+}
+
+void Router::exceptionsReceived(const ExceptionBatch &batch, TimePoint now)
+{
+    const RoutedService *service = m_services->service(ServerRegistry::serviceId(batch.service));
+    if (!service) {
+        return;
+    }
+    ServerIndex server = m_servers.find(service->id, batch.server);
+    if (server == noServer) {
+        server = m_servers.addFormer(service->service, service->policy, batch.server, batch.failureDomain, now);
+    }
+    const TimePoint deadline = std::min(m_servers.server(server).drainDeadline, now + service->policy.drainTimeout());
+    for (const std::uint64_t key : batch.keys) {
+        m_counters.exceptionsLost += m_exceptions.insert(service->id, key, server, deadline) ? 0 : 1;
+    }
+}
+
+void Router::exceptionsDelivered(const std::string &instance, std::uint64_t sequence)
+{
+    m_undelivered.erase({ instance, sequence });
+    updatePrepared();
+}
+
+RouteDecision Router::route(const RoutedService &service, std::uint64_t key, TimePoint now, std::uint8_t hops)
+{
+    const auto held = m_flows.touch(key, now);
+    if (!held || m_servers.server(*held).service != service.id) {
+        return routeUnknown(service, key, now, hops);
+    }
+    if (isUsable(service, *held, now)) {
+        return RouteDecision::send(*held);
+    }
+    const ServerIndex server = healthyServer(service, key, service.serverAt(key, m_active), now);
+    if (server == noServer) {
+        return RouteDecision::refuse(RefusalReason::NoServer);
+    }
+    if (server != *held) {
+        ++m_counters.brokenFlows;
+        m_exceptions.erase(service.id, key);
+        m_flows.insert(key, server, now);
+    }
+    return RouteDecision::send(server);
+}
+
+RouteDecision Router::routeUnknown(const RoutedService &service, std::uint64_t key, TimePoint now, std::uint8_t hops)
+{
+    const ServerIndex excepted = m_exceptions.find(service.id, key, now);
+    if (excepted != noServer && isUsable(service, excepted, now)) {
+        m_flows.insert(key, excepted, now);
+        return RouteDecision::send(excepted);
+    }
+    const auto newest = service.lastMove(key, anyGeneration, now);
+    const bool isPending = newest && newest->generation > m_active;
+    // Until this instance is prepared, its new flows are still part of what it hands over.
+    if (newest && (!isPending || newest->generation <= m_prepared)) {
+        const RouteDecision asked = askOwner(service, *newest, hops);
+        if (asked.action != RouteAction::Send) {
+            m_counters.forwarded += asked.action == RouteAction::Forward ? 1 : 0;
+            return asked;
+        }
+    }
+    if (isPending) {
+        const auto earlier = service.lastMove(key, m_active, now);
+        const RouteDecision asked = earlier ? askOwner(service, *earlier, hops) : RouteDecision::send(noServer);
+        if (asked.action != RouteAction::Send) {
+            m_counters.forwarded += asked.action == RouteAction::Forward ? 1 : 0;
+            return asked;
+        }
+    }
+    const RouteDecision decision = place(service, key, now);
+    if (isPending && decision.action == RouteAction::Send) {
+        rememberException(service, key, decision.server, now);
+    }
+    return decision;
+}
+
+/** Returns Send without a server if this instance decides itself. */
+RouteDecision Router::askOwner(const RoutedService &service, const FlowMove &move, std::uint8_t hops) const
+{
+    if (m_view->members().empty()) {
+        return RouteDecision::send(noServer);
+    }
+    const Owners ranked = owners(*m_view, service.id, move);
+    if (ranked.empty()) {
+        return RouteDecision::refuse(RefusalReason::PlacementUnknown);
+    }
+    // The successor holds the same exceptions, so it is asked while the owner misses its heartbeats.
+    const bool useSuccessor = ranked.size() > 1 && ranked[0]->state() == MemberState::Suspect && ranked[1]->state() == MemberState::Alive;
+    const Member *owner = ranked[useSuccessor ? 1 : 0];
+    if (owner->id() == m_settings.instance || (hops > 0 && contains(ranked, m_settings.instance))) {
+        return RouteDecision::send(noServer);
+    }
+    return hops < maxHops ? RouteDecision::forward(owner) : RouteDecision::refuse(RefusalReason::TooManyHops);
+}
+
+RouteDecision Router::place(const RoutedService &service, std::uint64_t key, TimePoint now)
+{
+    const ServerIndex preferred = service.serverAt(key, m_active);
+    const ServerIndex server = healthyServer(service, key, preferred, now);
+    if (server == noServer) {
+        return RouteDecision::refuse(RefusalReason::NoServer);
+    }
+    if (!m_flows.insert(key, server, now)) {
+        // The calculation gives the same server again, so such a flow needs no entry.
+        const bool calculated = server == preferred && server == service.placement->server(key);
+        return calculated ? RouteDecision::send(server) : RouteDecision::refuse(RefusalReason::FlowTableFull);
+    }
+    ++m_counters.newFlows;
+    return RouteDecision::send(server);
+}
+
+/** Returns the preferred server unless it is down; then the healthy server with the highest rendezvous rank. */
+ServerIndex Router::healthyServer(const RoutedService &service, std::uint64_t key, ServerIndex preferred, TimePoint now) const
+{
+    if (preferred != noServer && isUsable(service, preferred, now)) {
+        return preferred;
+    }
+    ServerIndex best = noServer;
+    std::uint64_t bestRank = 0;
+    for (const ServerIndex index : service.placement->servers()) {
+        const RoutedServer &server = m_servers.server(index);
+        const std::uint64_t rank = mix64(server.nameHash, key);
+        if (server.takesNewWork && server.weight > 0 && m_health.isUp(server.machine, now) && (best == noServer || rank > bestRank)) {
+            best = index;
+            bestRank = rank;
+        }
+    }
+    // If all servers look down, the observation is more likely wrong than a packet to the preferred server is harmful.
+    return best != noServer || preferred == noServer || now >= m_servers.server(preferred).drainDeadline ? best : preferred;
+}
+
+bool Router::isUsable(const RoutedService &service, ServerIndex server, TimePoint now) const
+{
+    const RoutedServer &record = m_servers.server(server);
+    return record.service == service.id && now < record.drainDeadline && m_health.isUp(record.machine, now);
+}
+
+Router::Owners Router::owners(const MemberView &view, std::uint64_t service, const FlowMove &move) const
+{
+    const std::string &domain = m_servers.server(move.before).failureDomain;
+    const std::uint64_t key = mix64(service, move.bucket);
+    const bool hasInstances = std::any_of(
+        view.members().begin(), view.members().end(), [&domain](const Member &member) { return member.failureDomain() == domain; });
+    return view.ranked(key, ownerCount, hasInstances ? std::string_view(domain) : std::string_view());
+}
+
+void Router::rememberException(const RoutedService &service, std::uint64_t key, ServerIndex server, TimePoint now)
+{
+    const auto move = service.lastMove(key, anyGeneration, now);
+    if (!move || server == service.placement->server(key)) {
+        return;
+    }
+    for (const Member *owner : owners(*m_view, service.id, *move)) {
+        if (owner->id() == m_settings.instance) {
+            m_counters.exceptionsLost += m_exceptions.insert(service.id, key, server, move->deadline) ? 0 : 1;
+        } else {
+            m_queue[{ owner->id(), server }].push_back(key);
+        }
+    }
+    flushQueue();
+}
+
+/**
+ * Sends the flows of moved buckets to owner and successor.
+ * @param before view before a change of membership: only members that were neither owner nor successor get flows; else null
+ * @param onlyGeneration only flows that this generation moved; 0 for all
+ */
+void Router::handOver(const MemberView *before, std::uint64_t onlyGeneration, TimePoint now)
+{
+    const auto rank = [this](const MemberView &view) {
+        return [this, &view](std::uint64_t id, const FlowMove &move) { return owners(view, id, move); };
+    };
+    OwnerCache current(rank(*m_view));
+    OwnerCache former(rank(before ? *before : *m_view));
+    std::vector<std::pair<std::uint64_t, std::pair<std::uint64_t, ServerIndex>>> own;
+    const auto offer = [&](std::uint64_t id, std::uint64_t key, ServerIndex server) {
+        const RoutedService *service = m_services->service(id);
+        if (!service || service->changes.empty() || server == service->placement->server(key)) {
+            return;
+        }
+        const auto move = service->lastMove(key, anyGeneration, now);
+        if (!move || (onlyGeneration != 0 && move->generation != onlyGeneration)) {
+            return;
+        }
+        for (const Member *member : current.owners(id, *move)) {
+            if (member->id() == m_settings.instance) {
+                own.push_back({ id, { key, server } });
+            } else if (!before || !contains(former.owners(id, *move), member->id())) {
+                m_queue[{ member->id(), server }].push_back(key);
+            }
+        }
+    };
+    for (const FlowTable::Entry &entry : m_flows.slots()) {
+        if (entry.key != 0) {
+            offer(m_servers.server(entry.value).service, entry.key, entry.value);
+        }
+    }
+    m_exceptions.forEach([&](std::uint64_t id, std::uint64_t key, ServerIndex server) {
+        if (m_flows.find(key) != server) {
+            offer(id, key, server);
+        }
+    });
+    for (const auto &[id, flow] : own) {
+        const TimePoint deadline = now + m_services->service(id)->policy.drainTimeout();
+        m_counters.exceptionsLost += m_exceptions.insert(id, flow.first, flow.second, deadline) ? 0 : 1;
+    }
+    flushQueue();
+}
+
+void Router::flushQueue()
+{
+    for (auto &[target, keys] : m_queue) {
+        const RoutedServer &server = m_servers.server(target.second);
+        const RoutedService *service = m_services->service(server.service);
+        for (std::size_t start = 0; m_transport && service && start < keys.size(); start += ExceptionBatch::maxKeys) {
+            const auto first = keys.begin() + static_cast<std::ptrdiff_t>(start);
+            const auto last = first + static_cast<std::ptrdiff_t>(std::min(ExceptionBatch::maxKeys, keys.size() - start));
+            const ExceptionBatch batch { ++m_sequence, service->service.name(), m_services->generation(), server.address,
+                server.failureDomain, { first, last } };
+            m_counters.exceptionsSent += batch.keys.size();
+            m_undelivered.insert({ target.first, batch.sequence });
+            m_transport->sendExceptions(target.first, batch);
+        }
+    }
+    m_queue.clear();
+}
+
+void Router::updatePrepared()
+{
+    if (m_undelivered.empty()) {
+        m_prepared = m_services->generation();
+    }
+    const std::vector<std::string> ids = countedIds(*m_view);
+    const bool alone = std::all_of(ids.begin(), ids.end(), [this](const std::string &id) { return id == m_settings.instance; });
+    if (alone && m_view->members().size() <= 1) {
+        activate(m_prepared);
+    }
+}
+
+void Router::sweep(TimePoint now, std::size_t slots)
+{
+    m_flows.sweep(now, slots, m_servers.idleTicks());
+    if (now >= m_nextExpiry) {
+        m_exceptions.expire(now);
+        m_nextExpiry = now + expiryInterval;
+    }
+}
+
+const ServiceTable &Router::services() const
+{
+    return *m_services;
+}
+
+const ServerRegistry &Router::servers() const
+{
+    return m_servers;
+}
+
+const FlowTable &Router::flows() const
+{
+    return m_flows;
+}
+
+const MemberView &Router::view() const
+{
+    return *m_view;
+}
+
+ServerHealth &Router::health()
+{
+    return m_health;
+}
+
+const RouterCounters &Router::counters() const
+{
+    return m_counters;
+}
+
+std::size_t Router::exceptionCount() const
+{
+    return m_exceptions.size();
+}
+
+std::uint64_t Router::heldGeneration() const
+{
+    return m_services->generation();
+}
+
+std::uint64_t Router::preparedGeneration() const
+{
+    return m_prepared;
+}
+
+std::uint64_t Router::activeGeneration() const
+{
+    return m_active;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/routing/serverhealth.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/**
+ * Which backend servers an instance holds for down. What the instance saw on its own flows counts more than states that were
+ * spread by other instances, as long as it is recent; both carry the time at which they were seen.
+ */
+class ServerHealth
+{
+public:
+    /** Own observations are believed for this time; after it the spread state counts again. */
+    static constexpr std::chrono::seconds ownObservationAge { 5 };
+
+    /** Requests in a row without an answer that make a server down. One can be lost with its datagram. */
+    static constexpr std::uint32_t failuresUntilDown = 3;
+
+    /** Notes that the server answered. */
+    void answered(std::uint32_t machine, TimePoint now);
+
+    /** Notes that a request of this instance got no answer in time. */
+    void notAnswered(std::uint32_t machine, TimePoint now);
+
+    /**
+     * Takes a state that was spread by a prober.
+     * @param at when the prober saw it; an older state than the held one is ignored
+     */
+    void stateSpread(std::uint32_t machine, bool up, WallTime at);
+
+    bool isUp(std::uint32_t machine, TimePoint now) const;
+
+private:
+    struct State {
+        TimePoint seenAt {}; /**< when the own observation was made */
+        WallTime spreadAt {};
+        std::uint32_t failures = 0;
+        bool answers = false;
+        bool spreadUp = true;
+    };
+
+    State &state(std::uint32_t machine);
+
+    std::vector<State> m_states;
+};
+
+} // namespace Samphirepitch
