Share the fields of pools, policies and services between copies

Cause: an instance holds each pool twice, in the configuration set and in the service table. Change: BackendPool, Policy and Service hold their immutable fields by a shared pointer; comparison looks at the pointer first.

--- a/src/model/backendpool.h
+++ b/src/model/backendpool.h
@@ -2,6 +2,7 @@
 
 #include "model/backendserver.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,10 +28,11 @@
     const std::vector<BackendServer> &servers() const;
     const std::vector<std::string> &domains() const;
 
-    friend bool operator==(const BackendPool &, const BackendPool &) = default;
+    /** Compares by value; copies of one object share their fields, so that comparing them is cheap. */
+    friend bool operator==(const BackendPool &left, const BackendPool &right);
 
 private:
-    Fields m_fields;
+    std::shared_ptr<const Fields> m_fields;
 };
 
 } // namespace Samphirepitch
--- a/src/model/policy.cpp
+++ b/src/model/policy.cpp
@@ -6,53 +6,58 @@
 {
 
 Policy::Policy(Fields fields)
-    : m_fields(std::move(fields))
+    : m_fields(std::make_shared<const Fields>(std::move(fields)))
 {
 }
 
 const std::string &Policy::name() const
 {
-    return m_fields.name;
+    return m_fields->name;
 }
 
 const std::string &Policy::fallback() const
 {
-    return m_fields.fallback;
+    return m_fields->fallback;
 }
 
 std::chrono::milliseconds Policy::requestTimeout() const
 {
-    return m_fields.requestTimeout;
+    return m_fields->requestTimeout;
 }
 
 std::chrono::milliseconds Policy::repeatWindow() const
 {
-    return m_fields.repeatWindow;
+    return m_fields->repeatWindow;
 }
 
 std::uint32_t Policy::queueLimit() const
 {
-    return m_fields.queueLimit;
+    return m_fields->queueLimit;
 }
 
 std::uint32_t Policy::retryBudgetPercent() const
 {
-    return m_fields.retryBudgetPercent;
+    return m_fields->retryBudgetPercent;
 }
 
 const std::vector<std::string> &Policy::idempotentMethods() const
 {
-    return m_fields.idempotentMethods;
+    return m_fields->idempotentMethods;
 }
 
 std::chrono::milliseconds Policy::drainTimeout() const
 {
-    return m_fields.drainTimeout;
+    return m_fields->drainTimeout;
 }
 
 std::chrono::milliseconds Policy::flowIdleTimeout() const
 {
-    return m_fields.flowIdleTimeout;
+    return m_fields->flowIdleTimeout;
+}
+
+bool operator==(const Policy &left, const Policy &right)
+{
+    return left.m_fields == right.m_fields || *left.m_fields == *right.m_fields;
 }
 
 } // namespace Samphirepitch
--- a/src/model/policy.h
+++ b/src/model/policy.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -39,10 +40,11 @@
     std::chrono::milliseconds drainTimeout() const;
     std::chrono::milliseconds flowIdleTimeout() const;
 
-    friend bool operator==(const Policy &, const Policy &) = default;
+    /** Compares by value; copies of one object share their fields, so that comparing them is cheap. */
+    friend bool operator==(const Policy &left, const Policy &right);
 
 private:
-    Fields m_fields;
+    std::shared_ptr<const Fields> m_fields;
 };
 
 } // namespace Samphirepitch
--- a/src/model/service.cpp
+++ b/src/model/service.cpp
@@ -6,38 +6,43 @@
 {
 
 Service::Service(Fields fields)
-    : m_fields(std::move(fields))
+    : m_fields(std::make_shared<const Fields>(std::move(fields)))
 {
 }
 
 const std::string &Service::name() const
 {
-    return m_fields.name;
+    return m_fields->name;
 }
 
 Endpoint Service::address() const
 {
-    return m_fields.address;
+    return m_fields->address;
 }
 
 Protocol Service::protocol() const
 {
-    return m_fields.protocol;
+    return m_fields->protocol;
 }
 
 Affinity Service::affinity() const
 {
-    return m_fields.affinity;
+    return m_fields->affinity;
 }
 
 const std::string &Service::pool() const
 {
-    return m_fields.pool;
+    return m_fields->pool;
 }
 
 const std::string &Service::policy() const
 {
-    return m_fields.policy;
+    return m_fields->policy;
+}
+
+bool operator==(const Service &left, const Service &right)
+{
+    return left.m_fields == right.m_fields || *left.m_fields == *right.m_fields;
 }
 
 } // namespace Samphirepitch
--- a/src/model/service.h
+++ b/src/model/service.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 
+#include <memory>
 #include <string>
 
 namespace Samphirepitch
@@ -44,10 +45,11 @@
     const std::string &pool() const;
     const std::string &policy() const;
 
-    friend bool operator==(const Service &, const Service &) = default;
+    /** Compares by value; copies of one object share their fields, so that comparing them is cheap. */
+    friend bool operator==(const Service &left, const Service &right);
 
 private:
-    Fields m_fields;
+    std::shared_ptr<const Fields> m_fields;
 };
 
 } // namespace Samphirepitch
