Publish configurations by conditional update of the head

Adds Publisher and ConfigLoader on the Platform interface. A lost answer of the head write is resolved by reading the head again and following the previous records; a lost race names the winner; everything that fails before the head is written is "not accepted". Backoff and Timer carry retries, so that tests run on a manual clock.

One changed object costs four writes.

--- a/src/model/configdiff.cpp
+++ b/src/model/configdiff.cpp
@@ -118,7 +118,8 @@
         }
         json.push_back({ { "change", wordsOf(change.kind).name }, { "object", change.object }, { "fields", fields } });
     }
-    return json.dump(2);
+    // Names of a foreign writer may hold bytes that are not UTF-8; they are shown, not thrown.
+    return json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/configloader.cpp
@@ -0,0 +1,162 @@
+#include "platform/configloader.h"
+
+#include "model/configtree.h"
+#include "model/partmap.h"
+#include "platform/backoff.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+bool mayRetryRead(ErrorKind kind)
+{
+    return kind == ErrorKind::Unavailable || kind == ErrorKind::RateLimited || kind == ErrorKind::DeadlineExceeded
+        || kind == ErrorKind::OutcomeUnknown;
+}
+
+} // namespace
+
+ConfigLoader::ConfigLoader(Platform &platform, const Clock &clock, Timer &timer, RandomSource &random)
+    : m_platform(platform)
+    , m_clock(clock)
+    , m_timer(timer)
+    , m_random(random)
+{
+}
+
+std::string ConfigLoader::partKey(const ContentName &name)
+{
+    return "parts/" + name.toHex();
+}
+
+asio::awaitable<Result<PlatformObject>> ConfigLoader::read(std::string key, TimePoint deadline)
+{
+    Backoff backoff(m_clock, m_timer, m_random, deadline);
+    while (true) {
+        auto object = co_await m_platform.read(key, backoff.attemptDeadline());
+        if (object || !mayRetryRead(object.error().kind())) {
+            co_return object;
+        }
+        const bool again = co_await backoff.wait();
+        if (!again) {
+            co_return object;
+        }
+    }
+}
+
+asio::awaitable<Result<VersionedHead>> ConfigLoader::head(TimePoint deadline)
+{
+    const auto object = co_await read("head", deadline);
+    if (!object) {
+        if (object.error().kind() == ErrorKind::NotFound) {
+            co_return VersionedHead();
+        }
+        co_return tl::unexpected(object.error());
+    }
+    const auto pointer = HeadPointer::decode(object->body);
+    if (!pointer) {
+        co_return tl::unexpected(pointer.error());
+    }
+    VersionedHead head;
+    head.pointer = *pointer;
+    head.version = object->version;
+    co_return head;
+}
+
+asio::awaitable<Result<std::string>> ConfigLoader::part(ContentName name, TimePoint deadline)
+{
+    auto object = co_await read(partKey(name), deadline);
+    if (!object) {
+        co_return tl::unexpected(object.error());
+    }
+    if (ContentName::of(object->body) != name) {
+        co_return failure(ErrorKind::Malformed, object->key, "the content does not match the name");
+    }
+    co_return std::move(object->body);
+}
+
+asio::awaitable<Result<HeadRecord>> ConfigLoader::record(ContentName name, TimePoint deadline)
+{
+    const auto content = co_await part(name, deadline);
+    if (!content) {
+        co_return tl::unexpected(content.error());
+    }
+    co_return HeadRecord::decode(*content);
+}
+
+asio::awaitable<Result<ConfigSet>> ConfigLoader::set(HeadRecord head, TimePoint deadline)
+{
+    PartMap parts;
+    auto missing = ConfigTree::missingParts(head, parts);
+    while (missing && !missing->empty()) {
+        for (const ContentName &name : *missing) {
+            auto content = co_await part(name, deadline);
+            if (!content) {
+                co_return tl::unexpected(content.error());
+            }
+            parts.add(name, std::move(*content));
+        }
+        missing = ConfigTree::missingParts(head, parts);
+    }
+    if (!missing) {
+        co_return tl::unexpected(missing.error());
+    }
+    co_return ConfigTree::assemble(head, parts);
+}
+
+asio::awaitable<Result<HeadRecord>> ConfigLoader::recordOf(HeadPointer head, std::uint64_t generation, TimePoint deadline)
+{
+    ContentName name = head.generation >= generation ? head.record : ContentName();
+    while (!name.isUnset()) {
+        auto found = co_await record(name, deadline);
+        if (!found || found->generation() == generation) {
+            co_return found;
+        }
+        // Names are hashes of content, so a chain cannot contain itself and ends.
+        name = found->generation() > generation ? found->previous() : ContentName();
+    }
+    co_return failure(ErrorKind::NotFound, "generation " + std::to_string(generation),
+        "the platform holds generation " + std::to_string(head.generation));
+}
+
+asio::awaitable<Result<std::vector<HeadRecord>>> ConfigLoader::history(std::size_t count, TimePoint deadline)
+{
+    const auto newest = co_await head(deadline);
+    if (!newest) {
+        co_return tl::unexpected(newest.error());
+    }
+    std::vector<HeadRecord> records;
+    ContentName name = newest->pointer.record;
+    while (!name.isUnset() && records.size() < count) {
+        auto found = co_await record(name, deadline);
+        if (!found) {
+            co_return tl::unexpected(found.error());
+        }
+        name = found->previous();
+        records.push_back(std::move(*found));
+    }
+    co_return records;
+}
+
+asio::awaitable<Result<HeadRecord>> ConfigLoader::findChange(std::string changeId, TimePoint deadline)
+{
+    const auto newest = co_await head(deadline);
+    if (!newest) {
+        co_return tl::unexpected(newest.error());
+    }
+    ContentName name = newest->pointer.record;
+    while (!name.isUnset()) {
+        auto found = co_await record(name, deadline);
+        if (!found || found->changeId() == changeId) {
+            co_return found;
+        }
+        name = found->previous();
+    }
+    co_return failure(ErrorKind::NotFound, "change " + changeId, "no accepted change carries this id");
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/configloader.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "model/configset.h"
+#include "model/headrecord.h"
+#include "platform/platform.h"
+#include "platform/timer.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** The platform object "head" and its version. */
+struct VersionedHead {
+    HeadPointer pointer;
+    std::uint64_t version = Platform::mustNotExist; /**< mustNotExist if there is no head yet */
+
+    friend bool operator==(const VersionedHead &, const VersionedHead &) = default;
+};
+
+/** Reads generations from the platform. Every call retries with backoff until its deadline and verifies parts by their hash. */
+class ConfigLoader
+{
+public:
+    /** All arguments outlive the object. */
+    ConfigLoader(Platform &platform, const Clock &clock, Timer &timer, RandomSource &random);
+
+    /** Returns the platform key of the part @p name. */
+    static std::string partKey(const ContentName &name);
+
+    /** Reads the head; its version is mustNotExist and its generation 0 if nothing was ever accepted. */
+    asio::awaitable<Result<VersionedHead>> head(TimePoint deadline);
+
+    /** Reads a part. @return NotFound, or Malformed if the content does not match the name */
+    asio::awaitable<Result<std::string>> part(ContentName name, TimePoint deadline);
+
+    /** Reads a head record. */
+    asio::awaitable<Result<HeadRecord>> record(ContentName name, TimePoint deadline);
+
+    /** Reads all parts of a generation. */
+    asio::awaitable<Result<ConfigSet>> set(HeadRecord head, TimePoint deadline);
+
+    /**
+     * Follows the previous records from @p head to the record of @p generation.
+     * @return NotFound if @p head is older than @p generation or the chain ends before it
+     */
+    asio::awaitable<Result<HeadRecord>> recordOf(HeadPointer head, std::uint64_t generation, TimePoint deadline);
+
+    /** Returns the newest @p count records, newest first. */
+    asio::awaitable<Result<std::vector<HeadRecord>>> history(std::size_t count, TimePoint deadline);
+
+    /** Returns the record that carries @p changeId. @return NotFound if no accepted change has it */
+    asio::awaitable<Result<HeadRecord>> findChange(std::string changeId, TimePoint deadline);
+
+private:
+    asio::awaitable<Result<PlatformObject>> read(std::string key, TimePoint deadline);
+
+    Platform &m_platform;
+    const Clock &m_clock;
+    Timer &m_timer;
+    RandomSource &m_random;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/publisher.cpp
@@ -0,0 +1,295 @@
+#include "platform/publisher.h"
+
+#include "model/configchecker.h"
+#include "model/limits.h"
+#include "model/partmap.h"
+#include "platform/backoff.h"
+
+#include <set>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+bool hadNoEffect(ErrorKind kind)
+{
+    return kind == ErrorKind::Unavailable || kind == ErrorKind::RateLimited || kind == ErrorKind::DeadlineExceeded;
+}
+
+ApplyOutcome outcomeOf(ApplyStatus status, const ApplyRequest &request)
+{
+    ApplyOutcome outcome;
+    outcome.status = status;
+    outcome.changeId = request.changeId;
+    return outcome;
+}
+
+ApplyOutcome failed(ApplyStatus status, const ApplyRequest &request, Error error)
+{
+    ApplyOutcome outcome = outcomeOf(status, request);
+    outcome.error = std::move(error);
+    return outcome;
+}
+
+ApplyOutcome reached(ApplyStatus status, const ApplyRequest &request, std::uint64_t generation)
+{
+    ApplyOutcome outcome = outcomeOf(status, request);
+    outcome.generation = generation;
+    return outcome;
+}
+
+/** Returns the outcome if @p record is the one accepted after the base of the change. */
+ApplyOutcome judge(const ApplyRequest &request, const ConfigTree &tree, const HeadRecord &record)
+{
+    if (record.changeId() != request.changeId) {
+        ApplyOutcome outcome = outcomeOf(ApplyStatus::Conflict, request);
+        outcome.winner = record;
+        return outcome;
+    }
+    if (record.indexes() != tree.indexes()) {
+        return failed(ApplyStatus::NotAccepted, request,
+            Error(ErrorKind::InvalidArgument, "change " + request.changeId,
+                "generation " + std::to_string(record.generation()) + " carries this change id with another content; use a new id"));
+    }
+    return reached(ApplyStatus::Accepted, request, record.generation());
+}
+
+std::optional<Error> checkRequest(const ApplyRequest &request, const ConfigTree &tree)
+{
+    if (request.changeId.empty() || request.changeId.size() > Limits::changeIdSize) {
+        return Error(ErrorKind::InvalidArgument, "change id", "use 1.." + std::to_string(Limits::changeIdSize) + " bytes");
+    }
+    if (request.author.size() > Limits::authorSize) {
+        return Error(ErrorKind::InvalidArgument, "author", "use at most " + std::to_string(Limits::authorSize) + " bytes");
+    }
+    for (const auto &[name, content] : tree.parts()) {
+        if (content.size() > ConfigTree::maxPartSize) {
+            return Error(ErrorKind::TooLarge, ConfigLoader::partKey(name),
+                "the part has " + std::to_string(content.size()) + " bytes; the platform takes " + std::to_string(ConfigTree::maxPartSize));
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+Publisher::Publisher(Platform &platform, const Clock &clock, Timer &timer, RandomSource &random)
+    : m_platform(platform)
+    , m_clock(clock)
+    , m_timer(timer)
+    , m_random(random)
+    , m_loader(platform, clock, timer, random)
+{
+}
+
+asio::awaitable<ApplyOutcome> Publisher::apply(ApplyRequest request)
+{
+    auto findings = ConfigChecker::check(request.set);
+    const ConfigTree tree = ConfigTree::of(request.set);
+    auto refusal = checkRequest(request, tree);
+    if (!refusal && hasErrors(findings)) {
+        refusal = Error(ErrorKind::Rejected, "configuration", "the findings name what has to be changed");
+    }
+    if (refusal) {
+        ApplyOutcome outcome = failed(ApplyStatus::NotAccepted, request, *refusal);
+        outcome.findings = std::move(findings);
+        co_return outcome;
+    }
+    const auto base = co_await readBase(request.deadline);
+    if (!base) {
+        co_return failed(ApplyStatus::NotAccepted, request, base.error());
+    }
+    auto outcome = co_await decideEarly(request, tree, *base);
+    if (!outcome) {
+        HeadRecord::Fields fields;
+        fields.generation = base->head.pointer.generation + 1;
+        fields.indexes = tree.indexes();
+        fields.previous = base->head.pointer.record;
+        fields.changeId = request.changeId;
+        fields.author = request.author;
+        fields.acceptedAt = m_clock.wallNow();
+        const std::string record = HeadRecord(fields).encode();
+        HeadPointer pointer;
+        pointer.generation = fields.generation;
+        pointer.record = ContentName::of(record);
+        auto written = co_await writeMissing(tree, *base, request.deadline);
+        if (written) {
+            written = co_await writePart(pointer.record, record, request.deadline);
+        }
+        if (!written) {
+            co_return failed(ApplyStatus::NotAccepted, request, written.error());
+        }
+        outcome = co_await updateHead(request, tree, *base, pointer);
+    }
+    outcome->findings = std::move(findings);
+    co_return std::move(*outcome);
+}
+
+asio::awaitable<Result<Publisher::Base>> Publisher::readBase(TimePoint deadline)
+{
+    Base base;
+    const auto head = co_await m_loader.head(deadline);
+    if (!head) {
+        co_return tl::unexpected(head.error());
+    }
+    base.head = *head;
+    if (base.head.version != Platform::mustNotExist) {
+        auto record = co_await m_loader.record(base.head.pointer.record, deadline);
+        if (!record) {
+            co_return tl::unexpected(record.error());
+        }
+        base.record = std::move(*record);
+    }
+    co_return base;
+}
+
+/** Returns an outcome if the base already shows it: a repeated call, a lost race or an equal content. */
+asio::awaitable<std::optional<ApplyOutcome>> Publisher::decideEarly(const ApplyRequest &request, const ConfigTree &tree, const Base &base)
+{
+    if (request.mayBeRepeated) {
+        const auto earlier = co_await m_loader.findChange(request.changeId, request.deadline);
+        if (earlier) {
+            co_return judge(request, tree, *earlier);
+        }
+        if (earlier.error().kind() != ErrorKind::NotFound) {
+            // Publishing again without knowing could undo a change that came after the first call.
+            co_return failed(ApplyStatus::Unknown, request, earlier.error());
+        }
+    }
+    const std::uint64_t generation = base.head.pointer.generation;
+    if (request.expectedGeneration && *request.expectedGeneration != generation) {
+        const auto winner = co_await m_loader.recordOf(base.head.pointer, *request.expectedGeneration + 1, request.deadline);
+        if (winner) {
+            co_return judge(request, tree, *winner);
+        }
+        co_return failed(ApplyStatus::NotAccepted, request,
+            Error(ErrorKind::VersionConflict, "generation " + std::to_string(*request.expectedGeneration),
+                "the platform holds generation " + std::to_string(generation)));
+    }
+    if (base.record && base.record->indexes() == tree.indexes()) {
+        co_return reached(ApplyStatus::Unchanged, request, generation);
+    }
+    co_return std::nullopt;
+}
+
+/** Writes the parts that the base does not refer to. Index parts that differ are read to learn which leaves are there. */
+asio::awaitable<Result<void>> Publisher::writeMissing(const ConfigTree &tree, const Base &base, TimePoint deadline)
+{
+    std::set<ContentName> present;
+    if (base.record) {
+        PartMap indexes;
+        for (std::size_t index = 0; index < HeadRecord::indexCount; ++index) {
+            const ContentName name = base.record->indexes()[index];
+            if (name.isUnset()) {
+                continue;
+            }
+            present.insert(name);
+            if (const auto own = tree.parts().find(name); own != tree.parts().end()) {
+                indexes.add(name, own->second);
+                continue;
+            }
+            auto content = co_await m_loader.part(name, deadline);
+            if (!content) {
+                co_return tl::unexpected(content.error());
+            }
+            indexes.add(name, std::move(*content));
+        }
+        const auto leaves = ConfigTree::missingParts(*base.record, indexes);
+        if (!leaves) {
+            co_return tl::unexpected(leaves.error());
+        }
+        present.insert(leaves->begin(), leaves->end());
+    }
+    for (const auto &[name, content] : tree.parts()) {
+        if (present.contains(name)) {
+            continue;
+        }
+        auto written = co_await writePart(name, content, deadline);
+        if (!written) {
+            co_return written;
+        }
+    }
+    co_return Result<void>();
+}
+
+asio::awaitable<Result<void>> Publisher::writePart(ContentName name, const std::string &content, TimePoint deadline)
+{
+    Backoff backoff(m_clock, m_timer, m_random, deadline);
+    while (true) {
+        const auto version
+            = co_await m_platform.write(ConfigLoader::partKey(name), content, Platform::mustNotExist, backoff.attemptDeadline());
+        // A part that exists has the same content, because its name is the hash of the content.
+        if (version || version.error().kind() == ErrorKind::VersionConflict) {
+            co_return Result<void>();
+        }
+        const ErrorKind kind = version.error().kind();
+        const bool mayRetry = hadNoEffect(kind) || kind == ErrorKind::OutcomeUnknown;
+        const bool again = mayRetry ? co_await backoff.wait() : false;
+        if (!again) {
+            co_return tl::unexpected(version.error());
+        }
+    }
+}
+
+asio::awaitable<ApplyOutcome> Publisher::updateHead(
+    const ApplyRequest &request, const ConfigTree &tree, const Base &base, HeadPointer pointer)
+{
+    Backoff backoff(m_clock, m_timer, m_random, request.deadline);
+    const std::string body = pointer.encode();
+    bool sent = false; // whether an attempt without an answer may have taken effect or still may
+    while (true) {
+        const auto version = co_await m_platform.write("head", body, base.head.version, backoff.attemptDeadline());
+        if (version) {
+            co_return reached(ApplyStatus::Accepted, request, pointer.generation);
+        }
+        const ErrorKind kind = version.error().kind();
+        if (kind == ErrorKind::OutcomeUnknown || kind == ErrorKind::VersionConflict) {
+            sent = sent || kind == ErrorKind::OutcomeUnknown;
+            auto resolved = co_await resolve(request, tree, base.head, sent);
+            if (resolved) {
+                co_return std::move(*resolved);
+            }
+            // The head is unchanged. Sending the update again is safe: only one of the two can meet the expected version.
+        } else if (!hadNoEffect(kind)) {
+            co_return failed(sent ? ApplyStatus::Unknown : ApplyStatus::NotAccepted, request, version.error());
+        }
+        const bool again = co_await backoff.wait();
+        if (!again) {
+            co_return failed(sent ? ApplyStatus::Unknown : ApplyStatus::NotAccepted, request, version.error());
+        }
+    }
+}
+
+/** Reads the head again and finds the change accepted after @p base; none if the head is still the same. */
+asio::awaitable<std::optional<ApplyOutcome>> Publisher::resolve(
+    const ApplyRequest &request, const ConfigTree &tree, VersionedHead base, bool sent)
+{
+    const ApplyStatus unresolved = sent ? ApplyStatus::Unknown : ApplyStatus::NotAccepted;
+    const auto head = co_await m_loader.head(request.deadline);
+    if (!head) {
+        co_return failed(unresolved, request, head.error());
+    }
+    if (head->version == base.version) {
+        co_return std::nullopt;
+    }
+    const auto record = co_await m_loader.recordOf(head->pointer, base.pointer.generation + 1, request.deadline);
+    if (!record) {
+        co_return failed(unresolved, request, record.error());
+    }
+    co_return judge(request, tree, *record);
+}
+
+asio::awaitable<Result<std::vector<HeadRecord>>> Publisher::history(std::size_t count, TimePoint deadline)
+{
+    return m_loader.history(count, deadline);
+}
+
+asio::awaitable<Result<HeadRecord>> Publisher::findChange(std::string changeId, TimePoint deadline)
+{
+    return m_loader.findChange(std::move(changeId), deadline);
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/platform/timer.cpp
@@ -0,0 +1,16 @@
+#include "platform/timer.h"
+
+#include <asio/steady_timer.hpp>
+#include <asio/this_coro.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Samphirepitch
+{
+
+asio::awaitable<void> SteadyTimer::waitUntil(TimePoint time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/tests/fakes/faketimer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/clock.h"
+#include "platform/timer.h"
+
+namespace Samphirepitch::Tests
+{
+
+/** Waits by moving a manual clock. */
+class FakeTimer : public Timer
+{
+public:
+    explicit FakeTimer(ManualClock &clock)
+        : m_clock(clock)
+    {
+    }
+
+    asio::awaitable<void> waitUntil(TimePoint time) override
+    {
+        if (time > m_clock.now()) {
+            m_clock.advance(time - m_clock.now());
+        }
+        co_return;
+    }
+
+private:
+    ManualClock &m_clock;
+};
+
+} // namespace Samphirepitch::Tests
--- a/tests/model/configtreetests.cpp
+++ b/tests/model/configtreetests.cpp
@@ -1,5 +1,6 @@
 #include "model/configtree.h"
 #include "model/objectcodec.h"
+#include "model/partmap.h"
 #include "model/sampleset.h"
 
 #include <catch2/catch.hpp>
@@ -12,23 +13,14 @@
 namespace
 {
 
-class MapSource : public PartSource
+PartMap mapOf(const std::map<ContentName, std::string> &parts)
 {
-public:
-    explicit MapSource(std::map<ContentName, std::string> parts)
-        : m_parts(std::move(parts))
-    {
+    PartMap map;
+    for (const auto &[name, content] : parts) {
+        map.add(name, content);
     }
-
-    std::shared_ptr<const std::string> part(const ContentName &name) const override
-    {
-        const auto found = m_parts.find(name);
-        return found == m_parts.end() ? nullptr : std::make_shared<const std::string>(found->second);
-    }
-
-private:
-    std::map<ContentName, std::string> m_parts;
-};
+    return map;
+}
 
 HeadRecord headOf(const ConfigTree &tree)
 {
@@ -64,9 +56,9 @@
     const ConfigSet set(sampleFields());
     const ConfigTree tree = ConfigTree::of(set);
     const HeadRecord head = headOf(tree);
-    CHECK(ConfigTree::assemble(head, MapSource(tree.parts())) == set);
-    CHECK(ConfigTree::missingParts(head, MapSource(tree.parts()))->empty());
-    CHECK(ConfigTree::referencedParts(head, MapSource(tree.parts()))->size() == tree.parts().size());
+    CHECK(ConfigTree::assemble(head, mapOf(tree.parts())) == set);
+    CHECK(ConfigTree::missingParts(head, mapOf(tree.parts()))->empty());
+    CHECK(ConfigTree::referencedParts(head, mapOf(tree.parts()))->size() == tree.parts().size());
 }
 
 TEST_CASE("the order in which objects are given does not change the parts", "[model][configtree]")
@@ -96,8 +88,8 @@
     for (const auto &[name, content] : tree.parts()) {
         auto parts = tree.parts();
         parts.erase(name);
-        CHECK(ConfigTree::missingParts(head, MapSource(parts)) == std::vector { name });
-        const auto set = ConfigTree::assemble(head, MapSource(parts));
+        CHECK(ConfigTree::missingParts(head, mapOf(parts)) == std::vector { name });
+        const auto set = ConfigTree::assemble(head, mapOf(parts));
         REQUIRE_FALSE(set.has_value());
         CHECK(set.error().kind() == ErrorKind::NotFound);
     }
