--- /dev/null
+++ b/src/peer/internal/fieldwriter.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/hash.h"
+#include "peer/internal/messagefields.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** Counts the fields of a value, for the header of its array. */
+class FieldCounter
+{
+public:
+    template<typename... Arguments>
+    void number(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void text(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void bytes(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void boolean(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void enumeration(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void name(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void endpoint(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void record(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    template<typename... Arguments>
+    void list(const Arguments &...)
+    {
+        ++m_count;
+    }
+
+    std::uint32_t count() const
+    {
+        return m_count;
+    }
+
+private:
+    std::uint32_t m_count = 0;
+};
+
+/** Appends fields to a msgpack buffer. */
+class FieldWriter
+{
+public:
+    using Packer = msgpack::packer<msgpack::sbuffer>;
+
+    explicit FieldWriter(Packer &packer)
+        : m_packer(packer)
+    {
+    }
+
+    void number(std::uint64_t value)
+    {
+        m_packer.pack_uint64(value);
+    }
+
+    void text(const std::string &value, std::size_t)
+    {
+        m_packer.pack(value);
+    }
+
+    void bytes(const std::string &value, std::size_t)
+    {
+        m_packer.pack_bin(static_cast<std::uint32_t>(value.size()));
+        m_packer.pack_bin_body(value.data(), static_cast<std::uint32_t>(value.size()));
+    }
+
+    void boolean(bool value)
+    {
+        m_packer.pack(value);
+    }
+
+    template<typename Enum>
+    void enumeration(Enum value, Enum)
+    {
+        m_packer.pack_uint64(static_cast<std::uint64_t>(value));
+    }
+
+    void name(const ContentName &value)
+    {
+        m_packer.pack_bin(ContentName::size);
+        m_packer.pack_bin_body(reinterpret_cast<const char *>(value.bytes().data()), ContentName::size);
+    }
+
+    void endpoint(Endpoint value)
+    {
+        m_packer.pack_uint64(static_cast<std::uint64_t>(value.address()) << 16 | value.port());
+    }
+
+    template<typename Value>
+    void record(const Value &value)
+    {
+        FieldCounter counter;
+        describe(counter, value);
+        m_packer.pack_array(counter.count());
+        describe(*this, value);
+    }
+
+    template<typename Value, typename Each>
+    void list(const std::vector<Value> &values, std::size_t, Each each)
+    {
+        m_packer.pack_array(static_cast<std::uint32_t>(values.size()));
+        for (const Value &value : values) {
+            each(*this, value);
+        }
+    }
+
+private:
+    Packer &m_packer;
+};
+
+} // namespace Samphirepitch
