--- /dev/null
+++ b/src/peer/internal/framestream.cpp
@@ -0,0 +1,47 @@
+#include "peer/internal/framestream.h"
+
+#include "peer/framecodec.h"
+
+#include <asio/buffer.hpp>
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/read.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::size_t chunkSize = 64 * 1024; // bytes; memory is taken as bytes arrive, not as the header states
+constexpr auto token = asio::experimental::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit)
+{
+    FrameCodec::Header header {};
+    const auto [headerError, headerSize] = co_await asio::async_read(socket, asio::buffer(header), token);
+    if (headerError) {
+        co_return failure(ErrorKind::Unavailable, "connection", headerError.message());
+    }
+    const Result<std::size_t> size = FrameCodec::bodySize(header, limit);
+    if (!size) {
+        co_return tl::unexpected<Error>(size.error());
+    }
+    std::string body;
+    while (body.size() < *size) {
+        const std::size_t read = body.size();
+        const std::size_t wanted = std::min(chunkSize, *size - read);
+        body.resize(read + wanted);
+        const auto [error, count] = co_await asio::async_read(socket, asio::buffer(body.data() + read, wanted), token);
+        if (error) {
+            co_return failure(ErrorKind::Unavailable, "connection", error.message());
+        }
+    }
+    co_return body;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/peer/internal/tcpendpoint.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <asio/ip/tcp.hpp>
+
+namespace Samphirepitch
+{
+
+/** Converts to the type of Asio. */
+inline asio::ip::tcp::endpoint tcpEndpoint(Endpoint endpoint)
+{
+    return { asio::ip::address_v4(endpoint.address()), endpoint.port() };
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/peer/peerclient.cpp
@@ -0,0 +1,164 @@
+#include "peer/peerclient.h"
+
+#include "peer/framecodec.h"
+#include "peer/internal/framestream.h"
+#include "peer/internal/tcpendpoint.h"
+#include "peer/messagecodec.h"
+
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/this_coro.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+
+constexpr auto token = asio::experimental::as_tuple(asio::use_awaitable);
+
+/** A socket that is closed when the deadline passes. */
+class DeadlineSocket
+{
+public:
+    DeadlineSocket(const asio::any_io_executor &executor, std::chrono::nanoseconds left)
+        : m_socket(std::make_shared<tcp::socket>(executor))
+        , m_timer(executor, left)
+    {
+        m_timer.async_wait([socket = m_socket](const asio::error_code &error) {
+            if (!error) {
+                asio::error_code ignored;
+                socket->close(ignored);
+            }
+        });
+    }
+
+    tcp::socket &socket()
+    {
+        return *m_socket;
+    }
+
+private:
+    std::shared_ptr<tcp::socket> m_socket;
+    asio::steady_timer m_timer;
+};
+
+template<typename Reply>
+Result<Reply> expect(Result<Message> message)
+{
+    if (!message) {
+        return tl::unexpected<Error>(std::move(message.error()));
+    }
+    if (Reply *reply = std::get_if<Reply>(&*message)) {
+        return std::move(*reply);
+    }
+    return failure(ErrorKind::Malformed, std::string(messageTypeName(message->index())), "not the expected reply");
+}
+
+Result<void> checkHello(const Message &message, const std::string &deployment)
+{
+    const Hello *hello = std::get_if<Hello>(&message);
+    if (!hello) {
+        return failure(ErrorKind::Malformed, "hello", "the first message must be hello");
+    }
+    if (hello->deployment != deployment) {
+        return failure(ErrorKind::WrongDeployment, hello->deployment, "expected " + deployment);
+    }
+    if (hello->protocolVersion != Hello::currentVersion) {
+        return failure(ErrorKind::UnsupportedVersion, std::to_string(hello->protocolVersion), "this client speaks another version");
+    }
+    return {};
+}
+
+asio::awaitable<Result<Message>> readMessage(tcp::socket &socket, std::size_t limit)
+{
+    const Result<std::string> body = co_await readFrame(socket, limit);
+    if (!body) {
+        co_return tl::unexpected<Error>(body.error());
+    }
+    Result<Envelope> envelope = MessageCodec::decode(*body);
+    if (!envelope) {
+        co_return tl::unexpected<Error>(envelope.error());
+    }
+    co_return std::move(envelope->message);
+}
+
+/** Writes a message; if that fails, the next read reports the end of the connection. */
+asio::awaitable<void> writeMessage(tcp::socket &socket, Envelope envelope)
+{
+    const Result<std::string> frame = FrameCodec::encode(MessageCodec::encode(envelope));
+    if (frame) {
+        co_await asio::async_write(socket, asio::buffer(*frame), token);
+    }
+}
+
+} // namespace
+
+PeerClient::PeerClient(std::string deployment, const Clock &clock)
+    : m_deployment(std::move(deployment))
+    , m_clock(clock)
+{
+}
+
+asio::awaitable<Result<StatusReply>> PeerClient::status(Endpoint instance, TimePoint deadline)
+{
+    Result<Message> reply = co_await ask(instance, StatusQuery {}, deadline);
+    co_return expect<StatusReply>(std::move(reply));
+}
+
+asio::awaitable<Result<EventsReply>> PeerClient::events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline)
+{
+    Result<Message> reply = co_await ask(instance, EventsQuery { afterSequence }, deadline);
+    co_return expect<EventsReply>(std::move(reply));
+}
+
+asio::awaitable<Result<DrainReply>> PeerClient::drain(Endpoint instance, TimePoint deadline)
+{
+    Result<Message> reply = co_await ask(instance, DrainRequest {}, deadline);
+    // The instance may have read the request although the connection ended before its answer.
+    if (!reply && (reply.error().kind() == ErrorKind::InputOutput || reply.error().kind() == ErrorKind::DeadlineExceeded)) {
+        co_return failure(ErrorKind::OutcomeUnknown, instance.toString(), "no answer to the drain request");
+    }
+    co_return expect<DrainReply>(std::move(reply));
+}
+
+asio::awaitable<Result<Message>> PeerClient::ask(Endpoint instance, Message query, TimePoint deadline)
+{
+    DeadlineSocket connection(co_await asio::this_coro::executor, deadline - m_clock.now());
+    const Result<void> open = co_await openConnection(connection.socket(), instance);
+    if (!open) {
+        co_return tl::unexpected<Error>(open.error());
+    }
+    co_await writeMessage(connection.socket(), { m_hybridClock.tick(m_clock.wallNow()), std::move(query) });
+    Result<Message> reply = co_await readMessage(connection.socket(), FrameCodec::maxBody);
+    if (!reply && reply.error().kind() == ErrorKind::Unavailable) {
+        const ErrorKind kind = m_clock.now() >= deadline ? ErrorKind::DeadlineExceeded : ErrorKind::InputOutput;
+        co_return failure(kind, instance.toString(), "the connection ended before the reply");
+    }
+    co_return reply;
+}
+
+asio::awaitable<Result<void>> PeerClient::openConnection(tcp::socket &socket, Endpoint instance)
+{
+    const auto [error] = co_await socket.async_connect(tcpEndpoint(instance), token);
+    if (error) {
+        co_return failure(ErrorKind::Unavailable, instance.toString(), error.message());
+    }
+    Hello hello;
+    hello.deployment = m_deployment;
+    co_await writeMessage(socket, { m_hybridClock.tick(m_clock.wallNow()), std::move(hello) });
+    const Result<Message> remote = co_await readMessage(socket, FrameCodec::maxBody);
+    if (!remote) {
+        co_return tl::unexpected<Error>(remote.error());
+    }
+    co_return checkHello(*remote, m_deployment);
+}
+
+} // namespace Samphirepitch
