Add settings, supervisor tree, log and event log

Cause: a daemon needs checked settings, supervised tasks and bounded events before its parts can be wired.

--- /dev/null
+++ b/src/daemon/eventlog.cpp
@@ -0,0 +1,120 @@
+#include "daemon/eventlog.h"
+
+#include "daemon/logline.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds windowLength { 1 };
+
+// Event names are constants of the code; the bound only guards against a name built from input.
+constexpr std::size_t maxNames = 1024;
+
+} // namespace
+
+EventLog::EventLog(std::string instance, const Clock &clock, LogWriter &writer, Limits limits)
+    : m_instance(std::move(instance))
+    , m_clock(clock)
+    , m_writer(writer)
+    , m_limits(limits)
+{
+}
+
+void EventLog::record(EventSeverity severity, std::string_view name, std::vector<EventField> fields)
+{
+    NameWindow &window = windowOf(name);
+    if (window.count >= m_limits.rate) {
+        ++window.suppressed;
+        ++m_suppressed;
+        return;
+    }
+    ++window.count;
+    keep(severity, name, std::move(fields));
+}
+
+void EventLog::writeMetrics(MetricWriter &writer) const
+{
+    writer.counter("samphirepitch_events_total", "Events recorded.", {}, m_sequence);
+    writer.counter("samphirepitch_events_dropped_total", "Events dropped from the full time line.", {}, m_dropped);
+    writer.counter("samphirepitch_events_suppressed_total", "Events above the rate of their name.", {}, m_suppressed);
+}
+
+void EventLog::setRate(std::uint64_t rate)
+{
+    m_limits.rate = rate;
+}
+
+void EventLog::reportSuppressed()
+{
+    for (auto &[name, window] : m_windows) {
+        if (m_clock.now() >= window.end) {
+            closeWindow(name, window);
+        }
+    }
+}
+
+std::vector<RecordedEvent> EventLog::after(std::uint64_t sequence, std::size_t limit) const
+{
+    const auto first = std::find_if(m_events.begin(), m_events.end(), [=](const auto &event) { return event.sequence > sequence; });
+    const auto count = std::min<std::size_t>(limit, static_cast<std::size_t>(m_events.end() - first));
+    return { first, first + static_cast<std::ptrdiff_t>(count) };
+}
+
+std::uint64_t EventLog::lastSequence() const
+{
+    return m_sequence;
+}
+
+std::uint64_t EventLog::dropped() const
+{
+    return m_dropped;
+}
+
+std::uint64_t EventLog::suppressed() const
+{
+    return m_suppressed;
+}
+
+EventLog::NameWindow &EventLog::windowOf(std::string_view name)
+{
+    auto found = m_windows.find(name);
+    if (found == m_windows.end()) {
+        const std::string key(m_windows.size() < maxNames ? name : std::string_view("other"));
+        found = m_windows.try_emplace(key, NameWindow { m_clock.now() + windowLength }).first;
+    }
+    if (m_clock.now() >= found->second.end) {
+        closeWindow(found->first, found->second);
+        found->second.end = m_clock.now() + windowLength;
+    }
+    return found->second;
+}
+
+void EventLog::closeWindow(const std::string &name, NameWindow &window)
+{
+    window.count = 0;
+    if (window.suppressed > 0) {
+        const std::uint64_t count = std::exchange(window.suppressed, 0);
+        keep(EventSeverity::Warning, "events_suppressed", { { "name", name }, { "count", std::to_string(count) } });
+    }
+}
+
+void EventLog::keep(EventSeverity severity, std::string_view name, std::vector<EventField> fields)
+{
+    RecordedEvent event { m_instance, ++m_sequence, m_clock.wallNow(), severity, std::string(name), std::move(fields) };
+    std::vector<EventField> logged { { "instance", m_instance }, { "sequence", std::to_string(event.sequence) } };
+    logged.insert(logged.end(), event.fields.begin(), event.fields.end());
+    m_writer.write(severity, formatLogLine(severity, event.time, name, logged));
+    if (m_events.size() >= m_limits.capacity) {
+        m_events.pop_front();
+        ++m_dropped;
+    }
+    m_events.push_back(std::move(event));
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/daemon/eventlog.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/eventsink.h"
+#include "core/metricsource.h"
+#include "daemon/logwriter.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** An event as kept for the time line. */
+struct RecordedEvent {
+    std::string instance; /**< instance id */
+    std::uint64_t sequence = 0; /**< per instance, starts at 1 and has no gaps except for dropped events */
+    WallTime time;
+    EventSeverity severity = EventSeverity::Info;
+    std::string name;
+    std::vector<EventField> fields;
+
+    friend bool operator==(const RecordedEvent &, const RecordedEvent &) = default;
+};
+
+/** Writes events to the log and keeps the newest ones for the time line; both are bounded. */
+class EventLog : public EventSink, public MetricSource
+{
+public:
+    /** The bounds. */
+    struct Limits {
+        std::size_t capacity = 4096; /**< events kept; the oldest are dropped */
+        std::uint64_t rate = 20; /**< events of one name a second; more are suppressed */
+    };
+
+    /**
+     * @param instance instance id
+     * @param clock gives the time of each event
+     * @param writer gets the log lines
+     * @param limits the bounds
+     */
+    EventLog(std::string instance, const Clock &clock, LogWriter &writer, Limits limits);
+
+    void record(EventSeverity severity, std::string_view name, std::vector<EventField> fields) override;
+    void writeMetrics(MetricWriter &writer) const override;
+
+    /** Sets the rate for the events to come. */
+    void setRate(std::uint64_t rate);
+
+    /** Reports the suppressed events of each name whose second is over; to be called at times, and before the end. */
+    void reportSuppressed();
+
+    /** Lists kept events with a sequence above @p sequence, oldest first. */
+    std::vector<RecordedEvent> after(std::uint64_t sequence, std::size_t limit) const;
+
+    std::uint64_t lastSequence() const;
+    std::uint64_t dropped() const;
+    std::uint64_t suppressed() const;
+
+private:
+    /** The events of one name in the current second. */
+    struct NameWindow {
+        TimePoint end;
+        std::uint64_t count = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    NameWindow &windowOf(std::string_view name);
+    void closeWindow(const std::string &name, NameWindow &window);
+    void keep(EventSeverity severity, std::string_view name, std::vector<EventField> fields);
+
+    std::string m_instance;
+    const Clock &m_clock;
+    LogWriter &m_writer;
+    Limits m_limits;
+    std::deque<RecordedEvent> m_events;
+    std::map<std::string, NameWindow, std::less<>> m_windows;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_suppressed = 0;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "daemon/keyfinding.h"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** The settings of a daemon; an immutable value that passed all checks. */
+class Settings
+{
+public:
+    /** The values of all keys; settingstable.cpp gives their defaults and documentation. */
+    struct Fields {
+        std::string deployment;
+        std::string instanceId;
+        std::string failureDomain;
+        Endpoint peerAddress;
+        std::vector<Endpoint> peerSeeds;
+        std::chrono::milliseconds heartbeat { 0 };
+        std::chrono::milliseconds linkTimeout { 0 };
+        Endpoint dataAddress;
+        Endpoint dataBackAddress;
+        Endpoint fabricReturnAddress;
+        std::uint64_t maxFlows = 0;
+        Endpoint platformAddress;
+        std::chrono::milliseconds platformTimeout { 0 };
+        std::chrono::milliseconds watchTimeout { 0 };
+        std::chrono::milliseconds instancesInterval { 0 };
+        Endpoint metricsAddress;
+        std::string logLevel;
+        std::string logFile;
+        std::chrono::milliseconds stopTimeout { 0 };
+        std::uint64_t eventsCapacity = 0;
+        std::uint64_t eventsRate = 0;
+
+        friend bool operator==(const Fields &, const Fields &) = default;
+    };
+
+    /** A key whose value differs between two settings. */
+    struct Change {
+        std::string_view key;
+        bool reloadable = false;
+        std::string before;
+        std::string after;
+    };
+
+    /**
+     * Reads settings.
+     * @param text TOML
+     * @param file the name for findings
+     * @return the settings, or all findings
+     */
+    static tl::expected<Settings, KeyFindings> parse(std::string_view text, const std::string &file);
+
+    /** Reads the settings of a file. */
+    static tl::expected<Settings, KeyFindings> load(const std::string &file);
+
+    const Fields &values() const;
+
+    /** Lists the keys whose values differ in @p next. */
+    std::vector<Change> changes(const Settings &next) const;
+
+    /** Returns these settings with the reloadable keys of @p next. */
+    Settings reloaded(const Settings &next) const;
+
+    friend bool operator==(const Settings &, const Settings &) = default;
+
+private:
+    explicit Settings(Fields fields);
+
+    Fields m_fields;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/daemon/settingstable.cpp
@@ -0,0 +1,120 @@
+#include "daemon/settingstable.h"
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using Fields = Settings::Fields;
+
+constexpr double maxName = 64; // characters of instance, failure domain and deployment names
+constexpr double maxSeeds = 64;
+constexpr double minutes = 60000; // milliseconds
+
+KeySpec name(std::string_view key, std::string_view documentation)
+{
+    return { .key = key, .min = 1, .max = maxName, .documentation = documentation };
+}
+
+KeySpec address(std::string_view key, std::string_view documentation)
+{
+    return { .key = key, .documentation = documentation };
+}
+
+KeySpec timing(std::string_view key, int fallback, double min, double max, std::string_view documentation)
+{
+    return { .key = key, .fallback = milliseconds(fallback), .min = min, .max = max, .documentation = documentation };
+}
+
+KeySpec count(std::string_view key, std::uint64_t fallback, double min, double max, std::string_view documentation)
+{
+    return { .key = key, .fallback = fallback, .min = min, .max = max, .documentation = documentation };
+}
+
+KeySpec text(std::string_view key, std::string fallback, std::string_view choices, std::string_view documentation)
+{
+    return { .key = key, .fallback = std::move(fallback), .max = 4096, .choices = choices, .documentation = documentation };
+}
+
+KeySpec seeds()
+{
+    return { .key = "peer.seeds",
+        .fallback = std::vector<Endpoint>(),
+        .max = maxSeeds,
+        .documentation = "Peer addresses of instances that a starting instance asks, apart from the platform's list." };
+}
+
+KeySpec reloadable(KeySpec spec)
+{
+    spec.reloadable = true;
+    return spec;
+}
+
+std::vector<KeyRow<Fields>> makeTable()
+{
+    return {
+        keyRow<&Fields::deployment>(name("deployment", "Name of the deployment; instances of other deployments are refused.")),
+        keyRow<&Fields::instanceId>(name("instance.id", "Instance id, unique in the deployment.")),
+        keyRow<&Fields::failureDomain>(name("instance.failure_domain", "Failure domain of this instance.")),
+        keyRow<&Fields::peerAddress>(address("peer.address", "TCP address for other instances and for samphirepitchctl.")),
+        keyRow<&Fields::peerSeeds>(seeds()),
+        keyRow<&Fields::heartbeat>(timing("peer.heartbeat_ms", 500, 50, 10000, "Time between two heartbeats on a link.")),
+        keyRow<&Fields::linkTimeout>(
+            timing("peer.link_timeout_ms", 1500, 100, 60000, "Time without a heartbeat after which a peer is suspected.")),
+        keyRow<&Fields::dataAddress>(address("data.address", "UDP address for packets from the fabric and from other instances.")),
+        keyRow<&Fields::dataBackAddress>(address("data.back_address", "UDP address from which backend servers are reached.")),
+        keyRow<&Fields::fabricReturnAddress>(address("data.fabric_return_address", "UDP address of the fabric for packets to callers.")),
+        keyRow<&Fields::maxFlows>(count("data.max_flows", 400000, 1000, 4000000, "Flows that the flow table holds at most.")),
+        keyRow<&Fields::platformAddress>(address("platform.address", "TCP address of the platform's object API.")),
+        keyRow<&Fields::platformTimeout>(timing("platform.timeout_ms", 1000, 50, minutes, "Deadline of a call to the platform.")),
+        keyRow<&Fields::watchTimeout>(timing("platform.watch_ms", 20000, 100, 10 * minutes, "Longest wait of one watch call.")),
+        keyRow<&Fields::instancesInterval>(
+            timing("platform.instances_interval_ms", 2000, 100, 10 * minutes, "Time between two reads of the instance list by a watcher.")),
+        keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
+            .fallback = Endpoint(),
+            .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
+        keyRow<&Fields::logLevel>(reloadable(text("log.level", "info", "info warning error", "Least severity that is logged."))),
+        keyRow<&Fields::logFile>(text("log.file", "", "", "Log file; empty for the standard error output.")),
+        keyRow<&Fields::stopTimeout>(
+            reloadable(timing("stop.timeout_ms", 10000, 100, 60 * minutes, "Time after which a graceful stop ends the process."))),
+        keyRow<&Fields::eventsCapacity>(
+            count("events.capacity", 4096, 16, 1000000, "Events kept for the time line; the oldest are dropped and counted.")),
+        keyRow<&Fields::eventsRate>(
+            reloadable(count("events.rate", 20, 1, 10000, "Events of one name a second; more are suppressed and counted."))),
+    };
+}
+
+std::string referenceRow(const KeySpec &spec)
+{
+    std::string line = "| `" + std::string(spec.key) + "` | " + std::string(keyKindName(spec.kind)) + " | ";
+    line += spec.fallback ? '`' + formatKeyValue(*spec.fallback) + '`' : "required";
+    line += " | " + spec.allowed() + " | " + (spec.reloadable ? "yes" : "no") + " | ";
+    return line + std::string(spec.documentation) + " |\n";
+}
+
+} // namespace
+
+const std::vector<KeyRow<Fields>> &settingsTable()
+{
+    static const std::vector<KeyRow<Fields>> table = makeTable();
+    return table;
+}
+
+std::string settingsReference()
+{
+    std::string page = "# Settings of samphirepitchd\n\n"
+                       "This page is printed by `samphirepitchd --print_settings_reference`; a test compares the two.\n\n"
+                       "Settings are one TOML file, given by `--settings FILE`. The file is checked as a whole, and every finding names\n"
+                       "file, line, key, the value seen and what is allowed; unknown keys are findings. `--check` only checks. On SIGHUP\n"
+                       "the file is read again: keys with \"yes\" under Reload take effect, changes of other keys are reported by the\n"
+                       "event `settings_change_ignored` and need a restart.\n\n"
+                       "| Key | Type | Default | Allowed | Reload | Meaning |\n| --- | --- | --- | --- | --- | --- |\n";
+    for (const auto &row : settingsTable()) {
+        page += referenceRow(row.spec);
+    }
+    return page;
+}
+
+} // namespace Samphirepitch
