Add the load tool with open-loop callers

Cause: the deployments are measured by broken flows, imbalance, service at a peak and blocked short work, and the figures must not hide delays of a stalled service or caller.

--- /dev/null
+++ b/src/load/callergroup.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/random.h"
+#include "load/arrivalschedule.h"
+#include "load/callerledger.h"
+#include "load/groupfigures.h"
+#include "load/scenario.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class CallerSocket;
+
+/**
+ * Open-loop callers of one group: requests leave at times that do not depend on answers, and latency counts from the
+ * intended send time, so that a stalled service or caller does not hide its own delay.
+ */
+class CallerGroup
+{
+public:
+    /** The times of a run. */
+    struct Times {
+        TimePoint start;
+        TimePoint sendEnd; /**< no request is sent after this */
+        TimePoint drainEnd; /**< the run ends here at the latest */
+    };
+
+    /**
+     * Opens the first flows.
+     * @param executor runs the sockets; of one thread
+     * @param clock gives send and receive times
+     * @param profile what the callers do
+     * @param seed of all random decisions of the group
+     * @return the group, or InputOutput if a socket cannot be opened
+     */
+    static Result<std::unique_ptr<CallerGroup>> open(
+        asio::any_io_executor executor, const Clock &clock, const CallerProfile &profile, std::uint64_t seed);
+
+    ~CallerGroup();
+
+    /** Offers the load; ends when all requests have ended, or at the end of the drain time. */
+    asio::awaitable<void> run(Times times);
+
+    /** Returns what was measured. */
+    const GroupFigures &figures() const;
+
+private:
+    CallerGroup(asio::any_io_executor executor, const Clock &clock, const CallerProfile &profile, std::uint64_t seed);
+
+    Result<void> openFlow(std::size_t index);
+    void closeFlows();
+    void received(std::uint64_t flow, Endpoint from, std::span<const char> datagram);
+    void sendRequests(TimePoint now, TimePoint end);
+    void sendRequest(const CallerRequest &request);
+    void sendFeeds(TimePoint now);
+    void replaceFlow(TimePoint now);
+    void repeatAndExpire(TimePoint now);
+    TimePoint nextWake(TimePoint now, const Times &times) const;
+
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    const CallerProfile m_profile;
+    GroupFigures m_figures;
+    CallerLedger m_ledger;
+    SeededRandom m_random;
+    std::unique_ptr<ArrivalSchedule> m_arrivals;
+    std::vector<std::shared_ptr<CallerSocket>> m_sockets;
+    std::uint64_t m_nextFlow = 0;
+    std::uint32_t m_nextId = 0;
+    std::uint64_t m_feedIndex = 0;
+    TimePoint m_nextFeed = TimePoint::max();
+    TimePoint m_nextReplacement = TimePoint::max();
+    TimePoint m_nextCheck = TimePoint::max();
+};
+
+} // namespace Samphirepitch
