Build the service table from the earlier one, with smaller lookups

Cause: a change rebuilt the entry of each of 6,200 services, and the registry kept names in ordered maps of strings. Change: ServiceTable::build starts from a copy and handles the services whose objects differ; ServerRegistry finds servers by 64-bit hashes and checks the name; LookupTable uses one byte a bucket for pools of at most 255 servers.

--- a/src/routing/lookuptable.cpp
+++ b/src/routing/lookuptable.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <utility>
 
 namespace Samphirepitch
 {
@@ -14,6 +13,7 @@
 {
 
 constexpr std::array<std::uint32_t, 5> tableSizes { 251, 1021, 4093, 16381, 65521 }; // primes, as the permutations need
+constexpr std::uint8_t narrowNoPosition = 0xff;
 constexpr std::size_t bucketsPerServer = 50; // keeps the share of a server within about 2% of its weight
 
 /** The order in which a server asks for buckets, and how far it has come. */
@@ -60,9 +60,19 @@
 
 } // namespace
 
-LookupTable::LookupTable(std::vector<std::uint16_t> buckets)
-    : m_buckets(std::move(buckets))
+LookupTable::LookupTable(const std::vector<std::uint16_t> &buckets)
+    : m_size(static_cast<std::uint32_t>(buckets.size()))
 {
+    const bool narrow = std::all_of(
+        buckets.begin(), buckets.end(), [](std::uint16_t position) { return position < narrowNoPosition || position == noPosition; });
+    if (!narrow) {
+        m_wide = buckets;
+        return;
+    }
+    m_narrow.reserve(buckets.size());
+    for (const std::uint16_t position : buckets) {
+        m_narrow.push_back(position == noPosition ? narrowNoPosition : static_cast<std::uint8_t>(position));
+    }
 }
 
 std::uint32_t LookupTable::sizeFor(std::size_t servers)
@@ -92,22 +102,34 @@
             ++filled;
         }
     }
-    return LookupTable(std::move(buckets));
+    return LookupTable(buckets);
 }
 
 std::uint32_t LookupTable::bucket(std::uint64_t key) const
 {
-    return static_cast<std::uint32_t>(key % m_buckets.size());
+    return static_cast<std::uint32_t>(key % m_size);
+}
+
+std::uint16_t LookupTable::at(std::size_t bucket) const
+{
+    if (m_narrow.empty()) {
+        return m_wide[bucket];
+    }
+    return m_narrow[bucket] == narrowNoPosition ? noPosition : m_narrow[bucket];
 }
 
 std::uint16_t LookupTable::position(std::uint64_t key) const
 {
-    return m_buckets[bucket(key)];
+    return at(bucket(key));
 }
 
-const std::vector<std::uint16_t> &LookupTable::buckets() const
+std::vector<std::uint16_t> LookupTable::buckets() const
 {
-    return m_buckets;
+    std::vector<std::uint16_t> positions;
+    for (std::size_t bucket = 0; bucket < m_size; ++bucket) {
+        positions.push_back(at(bucket));
+    }
+    return positions;
 }
 
 } // namespace Samphirepitch
--- a/src/routing/lookuptable.h
+++ b/src/routing/lookuptable.h
@@ -32,13 +32,20 @@
     /** Returns the position of the flow's server in BackendPool::servers(), or noPosition. */
     std::uint16_t position(std::uint64_t key) const;
 
-    /** Positions by bucket. */
-    const std::vector<std::uint16_t> &buckets() const;
+    /** Positions by bucket, for comparing tables. */
+    std::vector<std::uint16_t> buckets() const;
+
+    friend bool operator==(const LookupTable &, const LookupTable &) = default;
 
 private:
-    explicit LookupTable(std::vector<std::uint16_t> buckets);
+    explicit LookupTable(const std::vector<std::uint16_t> &buckets);
+
+    std::uint16_t at(std::size_t bucket) const;
 
-    std::vector<std::uint16_t> m_buckets;
+    // Pools of at most 255 servers use one byte a bucket: 6,200 services at the planned size then take 6 MB and not 13 MB.
+    std::vector<std::uint8_t> m_narrow;
+    std::vector<std::uint16_t> m_wide;
+    std::uint32_t m_size = 0;
 };
 
 } // namespace Samphirepitch
--- a/src/routing/serverregistry.cpp
+++ b/src/routing/serverregistry.cpp
@@ -17,6 +17,11 @@
     return mix64(service, static_cast<std::uint64_t>(address.address()) << 16 | address.port());
 }
 
+std::uint64_t nameKey(std::uint64_t service, const BackendServer &server)
+{
+    return addressKey(mix64(service, hash64(server.name())), server.address());
+}
+
 } // namespace
 
 std::uint64_t ServerRegistry::serviceId(std::string_view name)
@@ -28,8 +33,8 @@
 {
     const auto index = static_cast<ServerIndex>(m_servers.size());
     const std::uint64_t id = serviceId(service.name());
-    const auto machine
-        = m_machines.try_emplace({ service.pool(), server.name(), server.address() }, static_cast<std::uint32_t>(m_machines.size())).first;
+    const std::uint64_t pool = mix64(hash64(service.pool()), hash64(server.name()));
+    const auto machine = m_machines.try_emplace(addressKey(pool, server.address()), static_cast<std::uint32_t>(m_machines.size())).first;
     m_servers.push_back({ .service = id,
         .machine = machine->second,
         .address = server.address(),
@@ -37,15 +42,16 @@
         .nameHash = hash64(server.name()),
         .failureDomain = server.failureDomain() });
     m_idleTicks.push_back(0);
-    m_byName[{ id, server.name(), server.address() }] = index;
+    m_byName[nameKey(id, server)] = index;
     m_byAddress[addressKey(id, server.address())] = index;
     return index;
 }
 
 ServerIndex ServerRegistry::update(const Service &service, const Policy &policy, const BackendServer &server, TimePoint now)
 {
-    const auto known = m_byName.find({ serviceId(service.name()), server.name(), server.address() });
-    const ServerIndex index = known == m_byName.end() ? add(service, server) : known->second;
+    const auto known = m_byName.find(nameKey(serviceId(service.name()), server));
+    const bool matches = known != m_byName.end() && m_servers[known->second].name == server.name();
+    const ServerIndex index = matches ? known->second : add(service, server);
     RoutedServer &record = m_servers[index];
     record.failureDomain = server.failureDomain();
     record.weight = server.weight();
--- a/src/routing/serverregistry.h
+++ b/src/routing/serverregistry.h
@@ -5,10 +5,8 @@
 
 #include <cstdint>
 #include <limits>
-#include <map>
 #include <span>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -69,9 +67,9 @@
 
     std::vector<RoutedServer> m_servers;
     std::vector<std::uint32_t> m_idleTicks;
-    std::map<std::tuple<std::uint64_t, std::string, Endpoint>, ServerIndex> m_byName;
+    std::unordered_map<std::uint64_t, ServerIndex> m_byName; /**< by hash of service, name and address */
     std::unordered_map<std::uint64_t, ServerIndex> m_byAddress;
-    std::map<std::tuple<std::string, std::string, Endpoint>, std::uint32_t> m_machines;
+    std::unordered_map<std::uint64_t, std::uint32_t> m_machines; /**< by hash of pool, name and address */
 };
 
 } // namespace Samphirepitch
--- a/src/routing/servicetable.cpp
+++ b/src/routing/servicetable.cpp
@@ -1,6 +1,8 @@
 #include "routing/servicetable.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace Samphirepitch
@@ -28,10 +30,35 @@
     return methods;
 }
 
-bool isUnchanged(const RoutedService &before, const RoutedService &now)
+using NameSet = std::set<std::string_view>;
+
+/** Returns the names of objects that were added, removed or changed between two vectors that are sorted by name. */
+template<typename Object>
+NameSet changedNames(const std::vector<Object> &before, const std::vector<Object> &after)
 {
-    return before.service == now.service && before.pool == now.pool && before.policy == now.policy
-        && before.idempotentMethods == now.idempotentMethods;
+    NameSet names;
+    auto left = before.begin();
+    auto right = after.begin();
+    while (left != before.end() || right != after.end()) {
+        if (right == after.end() || (left != before.end() && left->name() < right->name())) {
+            names.insert((left++)->name());
+        } else if (left == before.end() || right->name() < left->name()) {
+            names.insert((right++)->name());
+        } else {
+            if (!(*left == *right)) {
+                names.insert(right->name());
+            }
+            ++left;
+            ++right;
+        }
+    }
+    return names;
+}
+
+bool hasLapsedChange(const RoutedService &service, TimePoint now)
+{
+    return std::any_of(
+        service.changes.begin(), service.changes.end(), [now](const PlacementChange &change) { return now >= change.deadline; });
 }
 
 std::vector<PlacementChange> remainingChanges(const RoutedService &before, TimePoint now)
@@ -82,9 +109,22 @@
 std::shared_ptr<const ServiceTable> ServiceTable::build(
     const ConfigGeneration &generation, const ServiceTable &before, ServerRegistry &servers, TimePoint now)
 {
-    auto table = std::make_shared<ServiceTable>();
+    // Starts from a copy, because one change touches one of thousands of services.
+    auto table = std::make_shared<ServiceTable>(before);
     table->m_generation = generation.head.generation;
+    table->m_set = generation.set;
+    const ConfigSet nothing;
+    const ConfigSet &old = before.m_set ? *before.m_set : nothing;
+    const NameSet pools = changedNames(old.pools(), generation.set->pools());
+    const bool policiesChanged = !changedNames(old.policies(), generation.set->policies()).empty();
+    const NameSet services = changedNames(old.services(), generation.set->services());
     for (const Service &service : generation.set->services()) {
+        const auto known = before.m_byId.find(ServerRegistry::serviceId(service.name()));
+        const bool same = known != before.m_byId.end() && !policiesChanged && !services.contains(service.name())
+            && !pools.contains(service.pool()) && !hasLapsedChange(*known->second, now);
+        if (same) {
+            continue;
+        }
         const BackendPool *pool = generation.set->pool(service.pool());
         const Policy *policy = generation.set->policy(service.policy());
         if (!pool || !policy) {
@@ -92,21 +132,19 @@
         }
         RoutedService routed { ServerRegistry::serviceId(service.name()), service, *pool, *policy,
             idempotentMethods(*generation.set, policy), nullptr, {} };
-        const auto known = before.m_byId.find(routed.id);
-        const RoutedService *old = known == before.m_byId.end() ? nullptr : known->second.get();
-        if (old && old->changes.empty() && isUnchanged(*old, routed)) {
-            table->add(known->second);
-            continue;
-        }
-        routed.placement = place(routed, old, servers, now);
-        if (old) {
-            continueFrom(*old, routed, table->m_generation, servers, now);
+        const RoutedService *former = known == before.m_byId.end() ? nullptr : known->second.get();
+        routed.placement = place(routed, former, servers, now);
+        if (former) {
+            continueFrom(*former, routed, table->m_generation, servers, now);
+            table->remove(*former);
         }
         table->add(std::make_shared<const RoutedService>(std::move(routed)));
     }
-    for (const auto &[id, service] : before.m_byId) {
-        if (!table->m_byId.contains(id)) {
-            retireAbsent(*service, {}, servers, now);
+    for (const std::string_view name : services) {
+        const auto known = before.m_byId.find(ServerRegistry::serviceId(name));
+        if (known != before.m_byId.end() && !generation.set->service(name)) {
+            retireAbsent(*known->second, {}, servers, now);
+            table->remove(*known->second);
         }
     }
     return table;
@@ -118,6 +156,16 @@
     m_byId[service->id] = std::move(service);
 }
 
+void ServiceTable::remove(const RoutedService &service)
+{
+    // Another service may have taken the address in the same generation.
+    const auto byAddress = m_byAddress.find(addressKey(service.service.address()));
+    if (byAddress != m_byAddress.end() && byAddress->second == &service) {
+        m_byAddress.erase(byAddress);
+    }
+    m_byId.erase(service.id);
+}
+
 const RoutedService *ServiceTable::service(Endpoint address) const
 {
     const auto found = m_byAddress.find(addressKey(address));
--- a/src/routing/servicetable.h
+++ b/src/routing/servicetable.h
@@ -37,8 +37,10 @@
 
 private:
     void add(std::shared_ptr<const RoutedService> service);
+    void remove(const RoutedService &service);
 
     std::uint64_t m_generation = 0;
+    std::shared_ptr<const ConfigSet> m_set;
     std::unordered_map<std::uint64_t, std::shared_ptr<const RoutedService>> m_byId;
     std::unordered_map<std::uint64_t, const RoutedService *> m_byAddress;
 };
