--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -33,19 +33,12 @@
     return readDecimal(std::string_view(*tag).substr(1, tag->size() - 2));
 }
 
-/** Returns the error of a response other than success. */
+/** Returns the error of a response other than success that reads and writes have in common. */
 Error statusError(const std::string &subject, const HttpResponse &response)
 {
     switch (response.status) {
     case 400:
         return Error(ErrorKind::InvalidArgument, subject, "the platform does not accept the request: " + response.body.substr(0, 200));
-    case 404:
-        return Error(ErrorKind::NotFound, subject, "the object does not exist");
-    case 412: {
-        const auto version = versionOf(response);
-        return Error(ErrorKind::VersionConflict, subject,
-            version ? "the current version is " + std::to_string(*version) : "the object does not exist");
-    }
     case 413:
         return Error(ErrorKind::TooLarge, subject, "above the platform's limit of 1 MB");
     case 429:
@@ -59,6 +52,9 @@
 
 Result<PlatformObject> objectOf(std::string key, HttpResponse response)
 {
+    if (response.status == 404) {
+        return failure(ErrorKind::NotFound, std::move(key), "the object does not exist");
+    }
     if (response.status != 200) {
         return tl::unexpected(statusError(key, response));
     }
@@ -81,6 +77,11 @@
         }
         return failure(ErrorKind::OutcomeUnknown, key, "the answer has no version in its ETag");
     }
+    if (response.status == 412) {
+        const auto version = versionOf(response);
+        return failure(ErrorKind::VersionConflict, key,
+            version ? "the current version is " + std::to_string(*version) : std::string("the object does not exist"));
+    }
     const Error error = statusError(key, response);
     if (error.kind() == ErrorKind::Malformed) {
         return failure(ErrorKind::OutcomeUnknown, key, error.detail());
--- /dev/null
+++ b/tests/platform/httpplatformtests.cpp
@@ -0,0 +1,343 @@
+#include "platform/platformfixture.h"
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Testing;
+
+namespace
+{
+
+const std::string mebibyte(1024 * 1024, 'm');
+
+/** A client of a server that gives one fixed answer. */
+struct ScriptedFixture {
+    explicit ScriptedFixture(const std::string &answer)
+    {
+        asio::co_spawn(context, answerOnce(acceptor, answer), asio::detached);
+    }
+
+    TimePoint in(std::chrono::milliseconds duration) const
+    {
+        return clock.now() + duration;
+    }
+
+    asio::io_context context { 1 };
+    SteadyClock clock;
+    asio::ip::tcp::acceptor acceptor { context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    std::unique_ptr<HttpPlatform> platform
+        = HttpPlatform::create(context.get_executor(), clock, Endpoint(0x7f000001, acceptor.local_endpoint().port())).value();
+};
+
+ErrorKind readError(const std::string &answer)
+{
+    ScriptedFixture fixture(answer);
+    return await(fixture.context, fixture.platform->read("head", fixture.in(testTimeout))).error().kind();
+}
+
+ErrorKind writeError(const std::string &answer)
+{
+    ScriptedFixture fixture(answer);
+    return await(fixture.context, fixture.platform->write("head", "x", 1, fixture.in(testTimeout))).error().kind();
+}
+
+std::string status(const std::string &line)
+{
+    return "HTTP/1.1 " + line + "\r\ncontent-length: 0\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE_METHOD(PlatformFixture, "a write is conditional on the version", "[platform][httpplatform]")
+{
+    CHECK(write("head", "one", Platform::mustNotExist) == 1);
+    CHECK(write("head", "two", 1) == 2);
+    CHECK(read("head") == PlatformObject { "head", "two", 2 });
+
+    SECTION("another version is a conflict that names the current one")
+    {
+        const auto conflict = write("head", "three", 1);
+        REQUIRE_FALSE(conflict.has_value());
+        CHECK(conflict.error().kind() == ErrorKind::VersionConflict);
+        CHECK(conflict.error().detail() == "the current version is 2");
+        CHECK(read("head")->body == "two");
+    }
+
+    SECTION("creating an object that exists is a conflict")
+    {
+        CHECK(write("head", "three", Platform::mustNotExist).error().kind() == ErrorKind::VersionConflict);
+    }
+
+    SECTION("updating an object that does not exist is a conflict")
+    {
+        CHECK(write("other", "three", 1).error().kind() == ErrorKind::VersionConflict);
+        CHECK(read("other").error().kind() == ErrorKind::NotFound);
+    }
+}
+
+TEST_CASE_METHOD(PlatformFixture, "a write whose answer is lost has an unknown outcome", "[platform][httpplatform]")
+{
+    // Guards against reporting "no effect" for a write that took effect.
+    SECTION("it may have taken effect")
+    {
+        standIn.changeFaults({ .loseAnswers = 1 });
+        CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::OutcomeUnknown);
+        CHECK(read("head")->body == "one");
+        CHECK(standIn.counters().writes == 1);
+    }
+
+    SECTION("it may not have taken effect")
+    {
+        standIn.changeFaults({ .dropWrites = 1 });
+        CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::OutcomeUnknown);
+        CHECK(read("head").error().kind() == ErrorKind::NotFound);
+    }
+
+    SECTION("a conflict whose answer is lost is unknown as well")
+    {
+        CHECK(write("head", "one", Platform::mustNotExist) == 1);
+        standIn.changeFaults({ .loseAnswers = 1 });
+        CHECK(write("head", "two", 7).error().kind() == ErrorKind::OutcomeUnknown);
+        CHECK(read("head")->version == 1);
+    }
+}
+
+TEST_CASE_METHOD(PlatformFixture, "calls during an outage are unavailable and have no effect", "[platform][httpplatform]")
+{
+    standIn.changeFaults({ .outage = true });
+    CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::Unavailable);
+    CHECK(read("head").error().kind() == ErrorKind::Unavailable);
+    CHECK(await(context, platform->list("", soon())).error().kind() == ErrorKind::Unavailable);
+    CHECK(await(context, platform->instances(soon())).error().kind() == ErrorKind::Unavailable);
+    CHECK(standIn.counters().refusedByOutage == 4);
+    CHECK(standIn.store().version("head") == 0);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "a refused connection is unavailable, for reads and for writes", "[platform][httpplatform]")
+{
+    server.reset();
+    CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::Unavailable);
+    CHECK(read("head").error().kind() == ErrorKind::Unavailable);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "calls above the rate limit are refused until the next second", "[platform][httpplatform]")
+{
+    standIn.changeFaults({ .writesPerSecond = 1, .readsPerSecond = 2 });
+    CHECK(write("head", "one", Platform::mustNotExist) == 1);
+    CHECK(write("head", "two", 1).error().kind() == ErrorKind::RateLimited);
+    CHECK(read("head")->version == 1);
+    CHECK(await(context, platform->list("", soon())).has_value());
+    CHECK(read("head").error().kind() == ErrorKind::RateLimited);
+    CHECK(standIn.counters().rateLimited == 2);
+
+    standInClock.advance(std::chrono::seconds(1));
+    CHECK(write("head", "two", 1) == 2);
+    CHECK(read("head")->version == 2);
+    CHECK(standIn.counters().peakReads == 3);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "a watch ends when the object changes", "[platform][httpplatform]")
+{
+    CHECK(write("head", "one", Platform::mustNotExist) == 1);
+
+    SECTION("an older known version is answered at once")
+    {
+        CHECK(await(context, platform->watch("head", 0, soon())) == PlatformObject { "head", "one", 1 });
+    }
+
+    SECTION("a write wakes it, and a write of another object does not")
+    {
+        std::optional<Result<PlatformObject>> seen;
+        asio::co_spawn(context, platform->watch("head", 1, soon()),
+            [&](std::exception_ptr, Result<PlatformObject> object) { seen = std::move(object); });
+        CHECK(write("other", "x", Platform::mustNotExist) == 1);
+        CHECK_FALSE(seen.has_value());
+        CHECK(write("head", "two", 1) == 2);
+        while (!seen) {
+            REQUIRE(context.run_one_for(testTimeout) > 0);
+        }
+        CHECK(*seen == PlatformObject { "head", "two", 2 });
+        CHECK(standIn.counters().watches == 1);
+    }
+
+    SECTION("an object that is created wakes it")
+    {
+        std::optional<Result<PlatformObject>> seen;
+        asio::co_spawn(context, platform->watch("new", 0, soon()),
+            [&](std::exception_ptr, Result<PlatformObject> object) { seen = std::move(object); });
+        CHECK(read("head")->version == 1);
+        CHECK(write("new", "x", Platform::mustNotExist) == 1);
+        while (!seen) {
+            REQUIRE(context.run_one_for(testTimeout) > 0);
+        }
+        CHECK(*seen == PlatformObject { "new", "x", 1 });
+    }
+
+    SECTION("an older copy that is restored wakes it")
+    {
+        standIn.store().takeSnapshot();
+        CHECK(write("head", "two", 1) == 2);
+        std::optional<Result<PlatformObject>> seen;
+        asio::co_spawn(context, platform->watch("head", 2, soon()),
+            [&](std::exception_ptr, Result<PlatformObject> object) { seen = std::move(object); });
+        CHECK(read("head")->version == 2);
+        HttpRequest restore;
+        restore.method = "POST";
+        restore.target = "/standin/restore";
+        CHECK(await(context, standIn.handle(restore))->status == 204);
+        while (!seen) {
+            REQUIRE(context.run_one_for(testTimeout) > 0);
+        }
+        CHECK(*seen == PlatformObject { "head", "one", 1 });
+    }
+
+    SECTION("an outage ends it")
+    {
+        std::optional<Result<PlatformObject>> seen;
+        asio::co_spawn(context, platform->watch("head", 1, soon()),
+            [&](std::exception_ptr, Result<PlatformObject> object) { seen = std::move(object); });
+        CHECK(read("head")->version == 1);
+        standIn.changeFaults({ .outage = true });
+        while (!seen) {
+            REQUIRE(context.run_one_for(testTimeout) > 0);
+        }
+        CHECK(seen->error().kind() == ErrorKind::Unavailable);
+    }
+
+    SECTION("without a change its deadline passes")
+    {
+        const TimePoint deadline = steadyClock.now() + std::chrono::milliseconds(150);
+        CHECK(await(context, platform->watch("head", 1, deadline)).error().kind() == ErrorKind::DeadlineExceeded);
+    }
+}
+
+TEST_CASE_METHOD(PlatformFixture, "an object has at most 1 MB", "[platform][httpplatform]")
+{
+    CHECK(write("large", mebibyte, Platform::mustNotExist) == 1);
+    CHECK(read("large")->body == mebibyte);
+    CHECK(write("large", mebibyte + 'x', 1).error().kind() == ErrorKind::TooLarge);
+
+    // The platform itself refuses the size too, in case a client does not check it.
+    const std::string head = "PUT /v1/objects/large HTTP/1.1\r\nif-match: 1\r\nconnection: close\r\ncontent-length: 1048577\r\n\r\n";
+    CHECK(await(context, rawExchange(server->address(), head + mebibyte + 'x')).starts_with("HTTP/1.1 413 "));
+    CHECK(standIn.store().version("large") == 1);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "keys outside the allowed characters are refused before anything is sent", "[platform][httpplatform]")
+{
+    for (const std::string &key :
+        { std::string(), std::string("a b"), std::string("A"), std::string("a?b"), std::string("a\r\nb"), std::string(201, 'a') }) {
+        CHECK(write(key, "x", Platform::mustNotExist).error().kind() == ErrorKind::InvalidArgument);
+        CHECK(read(key).error().kind() == ErrorKind::InvalidArgument);
+    }
+    CHECK(standIn.counters() == StandIn::CallCounters());
+}
+
+TEST_CASE_METHOD(PlatformFixture, "objects are listed by prefix with any bytes in their bodies", "[platform][httpplatform]")
+{
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        bytes += static_cast<char>(value);
+    }
+    CHECK(write("status/b", bytes, Platform::mustNotExist) == 1);
+    CHECK(write("status/a", "", Platform::mustNotExist) == 1);
+    CHECK(write("stat", "x", Platform::mustNotExist) == 1);
+    CHECK(await(context, platform->list("status/", soon()))
+        == std::vector<PlatformObject> { { "status/a", "", 1 }, { "status/b", bytes, 1 } });
+    CHECK(await(context, platform->list("none", soon())) == std::vector<PlatformObject>());
+}
+
+TEST_CASE_METHOD(PlatformFixture, "the instance list lags", "[platform][httpplatform]")
+{
+    const ListedInstance instance { "i-1", "okene", Endpoint(0x7f000001, 1), Endpoint(0x7f000001, 2), true };
+    standIn.changeFaults({ .instanceLag = std::chrono::seconds(2) });
+    standIn.instances().put(instance, standInClock.now());
+    CHECK(await(context, platform->instances(soon())) == std::vector<ListedInstance>());
+    standInClock.advance(std::chrono::seconds(2));
+    CHECK(await(context, platform->instances(soon())) == std::vector<ListedInstance> { instance });
+    standIn.instances().remove("i-1", standInClock.now());
+    CHECK(await(context, platform->instances(soon()))->size() == 1);
+    standInClock.advance(std::chrono::seconds(2));
+    CHECK(await(context, platform->instances(soon()))->empty());
+}
+
+TEST_CASE_METHOD(PlatformFixture, "connections are kept between calls and replaced when the server closed them", "[platform][httpplatform]")
+{
+    CHECK(write("head", "one", Platform::mustNotExist) == 1);
+    CHECK(read("head")->version == 1);
+    CHECK(server->connectionCount() == 1);
+
+    // Guards against an unknown outcome from writing into a connection that the server has closed.
+    const Endpoint address = server->address();
+    server.reset();
+    context.restart();
+    context.poll();
+    server = HttpServer::listen(context.get_executor(), address, standIn).value();
+    CHECK(write("head", "two", 1) == 2);
+}
+
+TEST_CASE("each status has its error kind", "[platform][httpplatform]")
+{
+    CHECK(readError(status("400 Bad Request")) == ErrorKind::InvalidArgument);
+    CHECK(readError(status("404 Not Found")) == ErrorKind::NotFound);
+    CHECK(readError(status("429 Too Many Requests")) == ErrorKind::RateLimited);
+    CHECK(readError(status("503 Service Unavailable")) == ErrorKind::Unavailable);
+    CHECK(readError(status("500 Internal Server Error")) == ErrorKind::Malformed);
+    CHECK(readError(status("412 Precondition Failed")) == ErrorKind::Malformed);
+    CHECK(writeError(status("400 Bad Request")) == ErrorKind::InvalidArgument);
+    CHECK(writeError(status("412 Precondition Failed")) == ErrorKind::VersionConflict);
+    CHECK(writeError(status("413 Payload Too Large")) == ErrorKind::TooLarge);
+    CHECK(writeError(status("429 Too Many Requests")) == ErrorKind::RateLimited);
+    CHECK(writeError(status("503 Service Unavailable")) == ErrorKind::Unavailable);
+    CHECK(writeError(status("500 Internal Server Error")) == ErrorKind::OutcomeUnknown);
+    CHECK(writeError(status("404 Not Found")) == ErrorKind::OutcomeUnknown);
+}
+
+TEST_CASE("an unreadable answer is malformed for a read and unknown for a write", "[platform][httpplatform]")
+{
+    const std::string answer = GENERATE(as<std::string>(), "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\netag: \"x\"\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n");
+    CHECK(readError(answer) == ErrorKind::Malformed);
+    CHECK(writeError(answer) == ErrorKind::OutcomeUnknown);
+}
+
+TEST_CASE("an answer above the limits is refused", "[platform][httpplatform]")
+{
+    SECTION("by its announced length, before the body is there")
+    {
+        CHECK(readError("HTTP/1.1 200 OK\r\netag: \"1\"\r\ncontent-length: 1052673\r\n\r\n") == ErrorKind::TooLarge);
+    }
+    SECTION("by the bytes of a chunked body")
+    {
+        CHECK(
+            readError("HTTP/1.1 200 OK\r\netag: \"1\"\r\ntransfer-encoding: chunked\r\n\r\n101001\r\n" + mebibyte + std::string(4097, 'x'))
+            == ErrorKind::TooLarge);
+    }
+    SECTION("an object above 1 MB")
+    {
+        CHECK(readError("HTTP/1.1 200 OK\r\netag: \"1\"\r\ncontent-length: 1048577\r\n\r\n" + mebibyte + 'x') == ErrorKind::TooLarge);
+    }
+    SECTION("by its header")
+    {
+        CHECK(readError("HTTP/1.1 200 OK\r\nlong: " + std::string(17000, 'x') + "\r\n\r\n") == ErrorKind::TooLarge);
+    }
+}
+
+TEST_CASE("a server that does not answer lets the deadline pass", "[platform][httpplatform]")
+{
+    ScriptedFixture fixture("");
+    const TimePoint deadline = fixture.in(std::chrono::milliseconds(50));
+
+    SECTION("a read has no effect")
+    {
+        CHECK(await(fixture.context, fixture.platform->read("head", deadline)).error().kind() == ErrorKind::DeadlineExceeded);
+    }
+    SECTION("a write has an unknown outcome")
+    {
+        CHECK(await(fixture.context, fixture.platform->write("head", "x", 1, deadline)).error().kind() == ErrorKind::OutcomeUnknown);
+    }
+    SECTION("a deadline that has passed already sends nothing")
+    {
+        const TimePoint past = fixture.clock.now();
+        CHECK(await(fixture.context, fixture.platform->write("head", "x", 1, past)).error().kind() == ErrorKind::DeadlineExceeded);
+    }
+}
