Add distribution, platform tasks and the control plane

The control plane joins links, membership, the distributor and the platform tasks under one awaitable. The tests run up to 12 of them in one process over loopback with a platform in memory.

--- /dev/null
+++ b/src/load/controlinstance.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/hybridclock.h"
+#include "core/random.h"
+#include "membership/memberlistener.h"
+#include "model/configgeneration.h"
+#include "peer/controlplane.h"
+#include "peer/drainhandler.h"
+#include "peer/eventsource.h"
+#include "peer/generationsource.h"
+#include "peer/peerlistener.h"
+
+#include <asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class Clock;
+
+/** An instance without a data path, for measurements of the control plane: each generation is in force when it is adopted. */
+class ControlInstance : public GenerationSource,
+                        public EventSource,
+                        public DrainHandler,
+                        public EventSink,
+                        private ConfigListener,
+                        private PeerListener
+{
+public:
+    /**
+     * Starts an instance; its tasks run on @p executor.
+     * @param seed of the instance's random numbers
+     * @return the instance, or the error of ControlPlane::create()
+     */
+    static Result<std::unique_ptr<ControlInstance>> start(
+        const asio::any_io_executor &executor, const Clock &clock, Platform &platform, ControlPlaneSettings settings, std::uint64_t seed);
+
+    ControlPlane &plane();
+
+    /** How the platform lists the instance. */
+    ListedInstance listed() const;
+
+    /** The adopted generations in order. */
+    const std::vector<std::uint64_t> &adopted() const;
+
+    /** What peers told of backend servers. */
+    const std::vector<ServerStates> &serverStates() const;
+
+    /** The flow exceptions that peers handed over. */
+    const std::vector<FlowExceptions> &flowExceptions() const;
+
+    /** Number of recorded events of that name. */
+    std::size_t eventCount(std::string_view name) const;
+
+    /** Whether an operator asked for a graceful stop. */
+    bool isDrained() const;
+
+    /** Whether the tasks have ended after ControlPlane::stop(). */
+    bool hasEnded() const;
+
+    std::uint64_t preparedGeneration() const override;
+    std::uint64_t activeGeneration() const override;
+    std::vector<Event> eventsAfter(std::uint64_t sequence, std::size_t limit) const override;
+    bool drainRequested() override;
+    void record(EventSeverity severity, std::string_view name, std::vector<EventField> fields) override;
+
+private:
+    static constexpr std::size_t maxEvents = 1024; // later events are not kept
+
+    ControlInstance(const Clock &clock, std::uint64_t seed);
+
+    void configurationChanged(const ConfigGeneration &generation) override;
+    void serverStatesChanged(const ServerStates &states) override;
+    void flowExceptionsReceived(const std::string &peer, const FlowExceptions &exceptions) override;
+    void preparedEverywhere(std::uint64_t generation) override;
+
+    const Clock &m_clock;
+    SeededRandom m_random;
+    HybridClock m_hybridClock;
+    ControlPlaneSettings m_settings;
+    std::unique_ptr<ControlPlane> m_plane;
+    std::vector<std::uint64_t> m_adopted;
+    std::vector<ServerStates> m_serverStates;
+    std::vector<FlowExceptions> m_flowExceptions;
+    std::vector<Event> m_events;
+    std::uint64_t m_active = 0;
+    bool m_drained = false;
+    std::shared_ptr<bool> m_ended = std::make_shared<bool>(false);
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/load/memoryplatform.cpp
@@ -0,0 +1,180 @@
+#include "load/memoryplatform.h"
+
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+/** Removes the timer of a waiting watch, also if the watch is cancelled. */
+class WaitingEntry
+{
+public:
+    WaitingEntry(std::list<asio::steady_timer> &list, const asio::any_io_executor &executor, std::chrono::nanoseconds time)
+        : m_list(list)
+        , m_position(list.emplace(list.end(), executor, time))
+    {
+    }
+
+    WaitingEntry(const WaitingEntry &) = delete;
+    WaitingEntry &operator=(const WaitingEntry &) = delete;
+
+    ~WaitingEntry()
+    {
+        m_list.erase(m_position);
+    }
+
+    asio::steady_timer &timer()
+    {
+        return *m_position;
+    }
+
+private:
+    std::list<asio::steady_timer> &m_list;
+    std::list<asio::steady_timer>::iterator m_position;
+};
+
+} // namespace
+
+MemoryPlatform::MemoryPlatform(const asio::any_io_executor &executor, const Clock &clock)
+    : m_executor(executor)
+    , m_clock(clock)
+{
+}
+
+asio::awaitable<Result<PlatformObject>> MemoryPlatform::read(std::string key, TimePoint)
+{
+    if (const Result<void> started = begin(Call::Read); !started) {
+        co_return tl::unexpected<Error>(started.error());
+    }
+    const PlatformObject *found = object(key);
+    if (!found) {
+        co_return failure(ErrorKind::NotFound, key, "no such object");
+    }
+    co_return *found;
+}
+
+asio::awaitable<Result<std::uint64_t>> MemoryPlatform::write(std::string key, std::string body, std::uint64_t expectedVersion, TimePoint)
+{
+    if (const Result<void> started = begin(Call::Write); !started) {
+        co_return tl::unexpected<Error>(started.error());
+    }
+    const PlatformObject *found = object(key);
+    if ((found ? found->version : mustNotExist) != expectedVersion) {
+        co_return failure(ErrorKind::VersionConflict, key, "another version exists");
+    }
+    store(key, std::move(body));
+    co_return m_lastVersion;
+}
+
+asio::awaitable<Result<PlatformObject>> MemoryPlatform::watch(std::string key, std::uint64_t knownVersion, TimePoint deadline)
+{
+    Result<void> usable = begin(Call::Watch);
+    while (usable) {
+        const PlatformObject *found = object(key);
+        if (found && found->version != knownVersion) {
+            co_return *found;
+        }
+        const TimePoint now = m_clock.now();
+        if (now >= deadline) {
+            co_return failure(ErrorKind::DeadlineExceeded, key, "unchanged");
+        }
+        {
+            WaitingEntry entry(m_waiting, m_executor, deadline - now);
+            co_await entry.timer().async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+        }
+        if (m_outage) {
+            usable = failure(ErrorKind::Unavailable, "platform", "outage");
+        }
+    }
+    co_return tl::unexpected<Error>(usable.error());
+}
+
+asio::awaitable<Result<std::vector<PlatformObject>>> MemoryPlatform::list(std::string prefix, TimePoint)
+{
+    if (const Result<void> started = begin(Call::List); !started) {
+        co_return tl::unexpected<Error>(started.error());
+    }
+    std::vector<PlatformObject> found;
+    for (const auto &[key, object] : m_objects) {
+        if (key.starts_with(prefix)) {
+            found.push_back(object);
+        }
+    }
+    co_return found;
+}
+
+asio::awaitable<Result<std::vector<ListedInstance>>> MemoryPlatform::instances(TimePoint)
+{
+    if (const Result<void> started = begin(Call::Instances); !started) {
+        co_return tl::unexpected<Error>(started.error());
+    }
+    co_return m_instances;
+}
+
+void MemoryPlatform::store(const std::string &key, std::string body)
+{
+    m_objects.insert_or_assign(key, PlatformObject { key, std::move(body), ++m_lastVersion });
+    wake();
+}
+
+const PlatformObject *MemoryPlatform::object(const std::string &key) const
+{
+    const auto found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+std::map<std::string, PlatformObject> MemoryPlatform::objects() const
+{
+    return m_objects;
+}
+
+void MemoryPlatform::restore(std::map<std::string, PlatformObject> objects)
+{
+    m_objects = std::move(objects);
+    wake();
+}
+
+void MemoryPlatform::setInstances(std::vector<ListedInstance> instances)
+{
+    m_instances = std::move(instances);
+}
+
+void MemoryPlatform::setOutage(bool outage)
+{
+    m_outage = outage;
+    wake();
+}
+
+std::uint64_t MemoryPlatform::callCount(Call call) const
+{
+    return m_calls[static_cast<std::size_t>(call)];
+}
+
+std::size_t MemoryPlatform::waitingCount() const
+{
+    return m_waiting.size();
+}
+
+void MemoryPlatform::wake()
+{
+    for (asio::steady_timer &timer : m_waiting) {
+        timer.cancel();
+    }
+}
+
+Result<void> MemoryPlatform::begin(Call call)
+{
+    ++m_calls[static_cast<std::size_t>(call)];
+    if (m_outage) {
+        return failure(ErrorKind::Unavailable, "platform", "outage");
+    }
+    return {};
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/load/memoryplatform.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "platform/platform.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** A platform in the memory of the process, for measurements and for drivers that need no network. Not thread-safe. */
+class MemoryPlatform : public Platform
+{
+public:
+    /** The calls that are counted. */
+    enum class Call {
+        Read,
+        Write,
+        Watch,
+        List,
+        Instances,
+    };
+
+    /** @param clock the clock of the deadlines; outlives the platform */
+    MemoryPlatform(const asio::any_io_executor &executor, const Clock &clock);
+
+    asio::awaitable<Result<PlatformObject>> read(std::string key, TimePoint deadline) override;
+    asio::awaitable<Result<std::uint64_t>> write(
+        std::string key, std::string body, std::uint64_t expectedVersion, TimePoint deadline) override;
+    asio::awaitable<Result<PlatformObject>> watch(std::string key, std::uint64_t knownVersion, TimePoint deadline) override;
+    asio::awaitable<Result<std::vector<PlatformObject>>> list(std::string prefix, TimePoint deadline) override;
+    asio::awaitable<Result<std::vector<ListedInstance>>> instances(TimePoint deadline) override;
+
+    /** Stores an object without a version check. */
+    void store(const std::string &key, std::string body);
+
+    /** Returns the object, or null. */
+    const PlatformObject *object(const std::string &key) const;
+
+    /** All objects, to keep a copy. */
+    std::map<std::string, PlatformObject> objects() const;
+
+    /** Replaces all objects, as if the platform was restored from a copy. */
+    void restore(std::map<std::string, PlatformObject> objects);
+
+    /** Sets the instance list. */
+    void setInstances(std::vector<ListedInstance> instances);
+
+    /** While set, all calls and waiting watches fail with Unavailable. */
+    void setOutage(bool outage);
+
+    /** Number of calls so far. */
+    std::uint64_t callCount(Call call) const;
+
+    /** Number of watches that wait now. */
+    std::size_t waitingCount() const;
+
+private:
+    void wake();
+    Result<void> begin(Call call);
+
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    std::map<std::string, PlatformObject> m_objects;
+    std::uint64_t m_lastVersion = 0; // versions of all objects come from one sequence, so that a restored copy differs
+    std::vector<ListedInstance> m_instances;
+    std::list<asio::steady_timer> m_waiting;
+    std::array<std::uint64_t, 5> m_calls {};
+    bool m_outage = false;
+};
+
+} // namespace Samphirepitch
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -82,6 +82,14 @@
     }
 }
 
+void Membership::probeFailed(std::string_view id, TimePoint now)
+{
+    Record *record = find(id);
+    if (record && !record->linked) {
+        suspect(*record, now);
+    }
+}
+
 void Membership::apply(const std::vector<Member::Fields> &events, TimePoint now)
 {
     for (const Member::Fields &event : events) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -48,6 +48,9 @@
     /** A link missed its deadline or closed, or a wanted link could not be made. */
     void linkDown(std::string_view id, TimePoint now);
 
+    /** A member outside the links could not be reached. */
+    void probeFailed(std::string_view id, TimePoint now);
+
     /** Merges what a peer tells. */
     void apply(const std::vector<Member::Fields> &events, TimePoint now);
 
--- /dev/null
+++ b/src/peer/controlplane.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/metricsource.h"
+#include "membership/membership.h"
+#include "membership/watcherselection.h"
+#include "peer/configstore.h"
+#include "peer/controlplaneparts.h"
+#include "peer/controlplanesettings.h"
+#include "peer/distributor.h"
+#include "peer/headwatcher.h"
+#include "peer/linkcounters.h"
+#include "peer/linkhandler.h"
+#include "peer/linktable.h"
+#include "peer/listreader.h"
+#include "peer/peerdialer.h"
+#include "peer/platformduty.h"
+#include "peer/progressboard.h"
+#include "peer/progresstree.h"
+#include "peer/serverstateboard.h"
+#include "peer/statuswriter.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+#include <asio/cancellation_signal.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class PeerServer;
+
+/**
+ * The control plane of an instance: links, membership, distribution of the configuration and the platform tasks.
+ *
+ * All calls are made on the executor's thread. The object must live until run() has ended or the executor's context is
+ * destroyed.
+ */
+class ControlPlane : public MetricSource, private LinkHandler, private PlatformDuty
+{
+public:
+    static constexpr std::chrono::milliseconds tickInterval { 250 };
+    static constexpr std::chrono::milliseconds refreshInterval { 5000 }; /**< between full reports without a change */
+    static constexpr std::chrono::milliseconds startTimeout { 2000 }; /**< seeds are tried this long before the platform is asked */
+    static constexpr std::chrono::milliseconds syncTime { 500 }; /**< from the first link to a view that names the watchers */
+    /** Without a sign of platform contact from a watcher, any instance starts to watch after this and a random delay. */
+    static constexpr std::chrono::milliseconds contactDeadline { 15000 };
+    static constexpr std::chrono::milliseconds contactJitter { 10000 };
+    static constexpr std::chrono::milliseconds minListInterval { 2000 };
+    /** An entry takes about 100 bytes, so that reading the list takes at most 5 KB/s. */
+    static constexpr std::chrono::milliseconds listIntervalPerMember { 20 };
+    static constexpr std::chrono::milliseconds deliveryTimeout { 3000 }; /**< of a message to an instance that has no link */
+    static constexpr std::size_t maxWaitingMessages = 256; /**< to instances that have no link */
+
+    /**
+     * Checks the settings and listens at the peer address.
+     * @return the control plane, InvalidArgument or InputOutput
+     */
+    static Result<std::unique_ptr<ControlPlane>> create(
+        const asio::any_io_executor &executor, ControlPlaneSettings settings, ControlPlaneParts parts);
+
+    ~ControlPlane() override;
+
+    /** Runs all tasks until stop(). */
+    asio::awaitable<void> run();
+
+    /** Ends all tasks; run() returns. */
+    void stop();
+
+    /** Spreads that this instance finishes its work. */
+    void beginLeaving();
+
+    /** Reads GenerationSource again; to be called when its values changed. */
+    void progressChanged();
+
+    /** Spreads changes of the health of backend servers that this instance saw. */
+    void spreadServerStates(const ServerStates &states);
+
+    /** Sends flow exceptions to an instance, over a new link if there is none. @return false if it is not a member */
+    bool sendFlowExceptions(const std::string &instance, FlowExceptions exceptions);
+
+    /** The address that peers connect to. */
+    Endpoint peerAddress() const;
+
+    /** The member view; never null. */
+    std::shared_ptr<const MemberView> view() const;
+
+    /** When the view lapses unless contact is made before; to be compared with the clock before each decision. */
+    TimePoint lapseDeadline() const;
+
+    /** The held generation; 0 if none. */
+    const HeadPointer &held() const;
+
+    /** Lowest generation that all live members of the reachable failure domains are prepared for. */
+    std::uint64_t preparedEverywhere() const;
+
+    /** What this instance knows of each failure domain. */
+    std::vector<DomainStatus> statuses() const;
+
+    /** Counters of the links. */
+    const LinkCounters &linkCounters() const;
+
+    /** Number of ready links to instances. */
+    std::size_t linkCount() const;
+
+    void writeMetrics(MetricWriter &writer) const override;
+
+private:
+    /** What follows from a view. */
+    struct Plan {
+        std::shared_ptr<const MemberView> view;
+        WatcherSelection selection;
+        std::set<std::string> targets;
+        std::size_t domainSize = 0; // members of the own failure domain that are not dead
+        bool isWatcher = false;
+    };
+
+    struct Waiting {
+        std::vector<Message> messages;
+        TimePoint deadline;
+    };
+
+    ControlPlane(const asio::any_io_executor &executor, ControlPlaneSettings settings, ControlPlaneParts parts);
+
+    // LinkHandler
+    Hello localHello() const override;
+    HybridTime sendTime() override;
+    void observeTime(HybridTime at) override;
+    bool linkUp(const std::shared_ptr<PeerLink> &link) override;
+    bool received(PeerLink &link, Message &&message) override;
+    void linkDown(PeerLink &link, const Error &reason) override;
+    void dialFailed(Endpoint address, const Error &reason) override;
+
+    // PlatformDuty
+    bool watchesPlatform(TimePoint now) const override;
+    std::chrono::milliseconds listInterval() const override;
+    std::optional<DomainStatus> statusToWrite() const override;
+    void platformAnswered(TimePoint now) override;
+    void listRead(const std::vector<ListedInstance> &list, TimePoint now) override;
+
+    // Each handles one message type; the second argument may be moved from.
+    void handle(PeerLink &link, Heartbeat &message);
+    void handle(PeerLink &link, Announce &message);
+    void handle(PeerLink &link, PartRequest &message);
+    void handle(PeerLink &link, PartReply &message);
+    void handle(PeerLink &link, MemberEvents &message);
+    void handle(PeerLink &link, ServerStates &message);
+    void handle(PeerLink &link, FlowExceptions &message);
+    void handle(PeerLink &link, StatusReply &message);
+    void handle(PeerLink &link, GenerationReport &message);
+    bool answerQuery(PeerLink &link, const Message &message);
+
+    void spawn(asio::awaitable<void> task);
+    asio::awaitable<void> tickLoop();
+    void tick(TimePoint now);
+    void scheduleFlush();
+    void flush(TimePoint now);
+    void updatePlan();
+    void updateProgress(TimePoint now);
+    void reportProgress(const GenerationReport &report, TimePoint now);
+    void publishProgress(const GenerationReport &report, TimePoint now);
+    void notifyPrepared();
+    void sendMemberEvents();
+    void sendAllMembers(PeerLink &link);
+    void broadcastHeartbeat(TimePoint now, bool full);
+    Heartbeat heartbeat(TimePoint now, std::vector<DomainProgress> progress) const;
+    void noteContact(TimePoint contactAt);
+    void deliverWaiting(const std::string &peer);
+    void dropWaiting(TimePoint now);
+    GenerationReport combinedReport(TimePoint now) const;
+    DomainStatus ownStatus() const;
+    std::uint64_t wallMs() const;
+    bool isRoot() const;
+
+    asio::any_io_executor m_executor;
+    ControlPlaneSettings m_settings;
+    ControlPlaneParts m_parts;
+    LinkCounters m_counters;
+    Membership m_membership;
+    LinkTable m_links;
+    ConfigStore m_store;
+    Distributor m_distributor;
+    ProgressTree m_progress;
+    ProgressBoard m_board;
+    ServerStateBoard m_serverStates;
+    std::map<std::string, DomainStatus> m_statuses;
+    std::map<std::string, Waiting> m_waiting;
+    Plan m_plan;
+    HeadWatcher m_headWatcher;
+    ListReader m_listReader;
+    StatusWriter m_statusWriter;
+    std::unique_ptr<PeerServer> m_server;
+    std::unique_ptr<PeerDialer> m_dialer;
+
+    asio::steady_timer m_tasksEnded; // cancelled when a task ends
+    std::list<asio::cancellation_signal> m_signals;
+    std::size_t m_tasks = 0;
+    bool m_stopped = false;
+    bool m_flushScheduled = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // lets posted work see that the object is gone
+
+    TimePoint m_startDeadline;
+    TimePoint m_contactAt;
+    std::chrono::milliseconds m_contactDelay { 0 };
+    TimePoint m_nextHeartbeat {};
+    TimePoint m_nextRefresh {};
+    TimePoint m_nextReport {};
+    GenerationReport m_lastReport;
+    std::string m_lastParent;
+    std::uint64_t m_preparedEverywhere = 0;
+    std::uint64_t m_undelivered = 0;
+};
+
+} // namespace Samphirepitch
--- a/src/peer/internal/messagefields.h
+++ b/src/peer/internal/messagefields.h
@@ -64,7 +64,7 @@
     visitor.list(value.instances, MessageLimits::statusInstances, [](auto &each, auto &entry) { each.record(entry); });
 }
 
-template<typename Visitor, MaybeConst<ServerState> Value>
+template<typename Visitor, MaybeConst<ServerHealth> Value>
 void describe(Visitor &visitor, Value &value)
 {
     visitor.text(value.pool, MessageLimits::id);
--- /dev/null
+++ b/src/peer/listreader.cpp
@@ -0,0 +1,45 @@
+#include "peer/listreader.h"
+
+#include "peer/platformduty.h"
+
+#include <asio/steady_timer.hpp>
+#include <asio/this_coro.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Samphirepitch
+{
+
+ListReader::ListReader(const PlatformContext &context)
+    : m_context(context)
+    , m_backoff(context.random)
+{
+}
+
+asio::awaitable<void> ListReader::run()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+        timer.expires_after(co_await step());
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<std::chrono::milliseconds> ListReader::step()
+{
+    const TimePoint now = m_context.clock.now();
+    if (!m_context.duty.watchesPlatform(now) || now < m_next) {
+        co_return PlatformContext::pollInterval;
+    }
+    const Result<std::vector<ListedInstance>> list = co_await m_context.platform.instances(now + PlatformContext::callTimeout);
+    if (!list) {
+        co_return m_backoff.next();
+    }
+    m_backoff.reset();
+    const TimePoint readAt = m_context.clock.now();
+    m_context.duty.platformAnswered(readAt);
+    m_context.duty.listRead(*list, readAt);
+    m_next = readAt + m_context.duty.listInterval();
+    co_return PlatformContext::pollInterval;
+}
+
+} // namespace Samphirepitch
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -110,18 +110,18 @@
 };
 
 /** A change of the health of a backend server. */
-struct ServerState {
+struct ServerHealth {
     std::string pool;
     std::string server;
     bool healthy = true;
     HybridTime at; /**< when the prober saw the change; the newest one counts */
 
-    friend bool operator==(const ServerState &, const ServerState &) = default;
+    friend bool operator==(const ServerHealth &, const ServerHealth &) = default;
 };
 
 /** Changes of backend servers; forwarded by each instance to which they are news. */
 struct ServerStates {
-    std::vector<ServerState> states;
+    std::vector<ServerHealth> states;
 
     friend bool operator==(const ServerStates &, const ServerStates &) = default;
 };
--- /dev/null
+++ b/src/peer/progressboard.cpp
@@ -0,0 +1,67 @@
+#include "peer/progressboard.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Samphirepitch
+{
+
+bool ProgressBoard::update(const DomainProgress &progress)
+{
+    const auto found = m_domains.find(progress.failureDomain);
+    if (found == m_domains.end()) {
+        if (m_domains.size() >= MessageLimits::domains) {
+            return false;
+        }
+        m_domains.emplace(progress.failureDomain, progress);
+    } else if (progress.reportedAtMs <= found->second.reportedAtMs) {
+        return false;
+    } else {
+        const bool same = progress.prepared == found->second.prepared && progress.active == found->second.active;
+        found->second = progress;
+        if (same) {
+            return false;
+        }
+    }
+    m_changed.insert(progress.failureDomain);
+    return true;
+}
+
+std::vector<DomainProgress> ProgressBoard::takeChanges()
+{
+    std::vector<DomainProgress> changes;
+    for (const std::string &domain : m_changed) {
+        changes.push_back(m_domains.at(domain));
+    }
+    m_changed.clear();
+    return changes;
+}
+
+std::vector<DomainProgress> ProgressBoard::all() const
+{
+    std::vector<DomainProgress> result;
+    for (const auto &[domain, progress] : m_domains) {
+        result.push_back(progress);
+    }
+    return result;
+}
+
+const DomainProgress *ProgressBoard::progress(const std::string &failureDomain) const
+{
+    const auto found = m_domains.find(failureDomain);
+    return found == m_domains.end() ? nullptr : &found->second;
+}
+
+std::uint64_t ProgressBoard::lowestPrepared(const MemberView &view) const
+{
+    std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
+    for (const Member &member : view.members()) {
+        if (member.state() != MemberState::Dead) {
+            const DomainProgress *known = progress(member.failureDomain());
+            lowest = std::min(lowest, known ? known->prepared : 0);
+        }
+    }
+    return lowest;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/peer/serverstateboard.cpp
@@ -0,0 +1,47 @@
+#include "peer/serverstateboard.h"
+
+namespace Samphirepitch
+{
+
+ServerStates ServerStateBoard::accept(const ServerStates &states)
+{
+    ServerStates news;
+    for (const ServerHealth &state : states.states) {
+        const auto key = std::pair(state.pool, state.server);
+        const auto found = m_states.find(key);
+        if (found != m_states.end() && found->second.at >= state.at) {
+            continue;
+        }
+        if (found != m_states.end()) {
+            found->second = state;
+        } else if (m_states.size() < maxServers) {
+            m_states.emplace(key, state);
+        } else {
+            continue; // passing on what is not stored could circulate for ever
+        }
+        news.states.push_back(state);
+    }
+    return news;
+}
+
+std::vector<ServerStates> ServerStateBoard::unhealthy() const
+{
+    std::vector<ServerStates> messages;
+    for (const auto &[key, state] : m_states) {
+        if (state.healthy) {
+            continue;
+        }
+        if (messages.empty() || messages.back().states.size() >= MessageLimits::serverStates) {
+            messages.emplace_back();
+        }
+        messages.back().states.push_back(state);
+    }
+    return messages;
+}
+
+void ServerStateBoard::prune(std::uint64_t nowMs)
+{
+    std::erase_if(m_states, [nowMs](const auto &entry) { return entry.second.healthy && entry.second.at.wallMs + keepMs < nowMs; });
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/peer/statuswriter.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "peer/backoff.h"
+#include "peer/domainstatus.h"
+#include "peer/platformcontext.h"
+
+#include <asio/awaitable.hpp>
+
+#include <cstdint>
+
+namespace Samphirepitch
+{
+
+/** The task that writes "status/<failure domain>" while the instance has that duty: on change, and each 10 s. */
+class StatusWriter
+{
+public:
+    static constexpr std::chrono::milliseconds minInterval { 1000 }; /**< between two writes */
+    static constexpr std::chrono::milliseconds maxInterval { 10000 }; /**< without a change */
+
+    explicit StatusWriter(const PlatformContext &context);
+
+    /** Runs until it is cancelled. */
+    asio::awaitable<void> run();
+
+private:
+    asio::awaitable<std::chrono::milliseconds> step();
+    asio::awaitable<bool> write(DomainStatus status);
+    bool isDue(const DomainStatus &status, TimePoint now) const;
+
+    PlatformContext m_context;
+    Backoff m_backoff;
+    DomainStatus m_written;
+    TimePoint m_writtenAt {};
+    std::uint64_t m_version = 0;
+};
+
+} // namespace Samphirepitch
