--- a/src/daemon/eventlog.cpp
+++ b/src/daemon/eventlog.cpp
@@ -1,6 +1,7 @@
 #include "daemon/eventlog.h"
 
 #include "daemon/logline.h"
+#include "peer/message.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,11 +17,22 @@
 // Event names are constants of the code; the bound only guards against a name built from input.
 constexpr std::size_t maxNames = 1024;
 
+// An event has to fit into a message; MessageCodec refuses longer ones.
+std::vector<EventField> bounded(std::vector<EventField> fields)
+{
+    fields.resize(std::min(fields.size(), MessageLimits::eventFields));
+    for (EventField &field : fields) {
+        field.value.resize(std::min(field.value.size(), MessageLimits::eventText));
+    }
+    return fields;
+}
+
 } // namespace
 
-EventLog::EventLog(std::string instance, const Clock &clock, LogWriter &writer, Limits limits)
+EventLog::EventLog(std::string instance, const Clock &clock, HybridClock &hybrid, LogWriter &writer, Limits limits)
     : m_instance(std::move(instance))
     , m_clock(clock)
+    , m_hybrid(hybrid)
     , m_writer(writer)
     , m_limits(limits)
 {
@@ -59,7 +71,7 @@
     }
 }
 
-std::vector<RecordedEvent> EventLog::after(std::uint64_t sequence, std::size_t limit) const
+std::vector<Event> EventLog::after(std::uint64_t sequence, std::size_t limit) const
 {
     const auto first = std::find_if(m_events.begin(), m_events.end(), [=](const auto &event) { return event.sequence > sequence; });
     const auto count = std::min<std::size_t>(limit, static_cast<std::size_t>(m_events.end() - first));
@@ -106,10 +118,11 @@
 
 void EventLog::keep(EventSeverity severity, std::string_view name, std::vector<EventField> fields)
 {
-    RecordedEvent event { m_instance, ++m_sequence, m_clock.wallNow(), severity, std::string(name), std::move(fields) };
+    const WallTime wall = m_clock.wallNow();
+    Event event { m_instance, ++m_sequence, m_hybrid.tick(wall), severity, std::string(name), bounded(std::move(fields)) };
     std::vector<EventField> logged { { "instance", m_instance }, { "sequence", std::to_string(event.sequence) } };
     logged.insert(logged.end(), event.fields.begin(), event.fields.end());
-    m_writer.write(severity, formatLogLine(severity, event.time, name, logged));
+    m_writer.write(severity, formatLogLine(severity, wall, name, logged));
     if (m_events.size() >= m_limits.capacity) {
         m_events.pop_front();
         ++m_dropped;
--- a/src/daemon/eventlog.h
+++ b/src/daemon/eventlog.h
@@ -2,8 +2,10 @@
 
 #include "core/clock.h"
 #include "core/eventsink.h"
+#include "core/hybridclock.h"
 #include "core/metricsource.h"
 #include "daemon/logwriter.h"
+#include "peer/event.h"
 
 #include <cstdint>
 #include <deque>
@@ -14,18 +16,6 @@
 namespace Samphirepitch
 {
 
-/** An event as kept for the time line. */
-struct RecordedEvent {
-    std::string instance; /**< instance id */
-    std::uint64_t sequence = 0; /**< per instance, starts at 1 and has no gaps except for dropped events */
-    WallTime time;
-    EventSeverity severity = EventSeverity::Info;
-    std::string name;
-    std::vector<EventField> fields;
-
-    friend bool operator==(const RecordedEvent &, const RecordedEvent &) = default;
-};
-
 /** Writes events to the log and keeps the newest ones for the time line; both are bounded. */
 class EventLog : public EventSink, public MetricSource
 {
@@ -39,10 +29,11 @@
     /**
      * @param instance instance id
      * @param clock gives the time of each event
+     * @param hybrid clock that the messages between instances use as well
      * @param writer gets the log lines
      * @param limits the bounds
      */
-    EventLog(std::string instance, const Clock &clock, LogWriter &writer, Limits limits);
+    EventLog(std::string instance, const Clock &clock, HybridClock &hybrid, LogWriter &writer, Limits limits);
 
     void record(EventSeverity severity, std::string_view name, std::vector<EventField> fields) override;
     void writeMetrics(MetricWriter &writer) const override;
@@ -54,7 +45,7 @@
     void reportSuppressed();
 
     /** Lists kept events with a sequence above @p sequence, oldest first. */
-    std::vector<RecordedEvent> after(std::uint64_t sequence, std::size_t limit) const;
+    std::vector<Event> after(std::uint64_t sequence, std::size_t limit) const;
 
     std::uint64_t lastSequence() const;
     std::uint64_t dropped() const;
@@ -74,9 +65,10 @@
 
     std::string m_instance;
     const Clock &m_clock;
+    HybridClock &m_hybrid;
     LogWriter &m_writer;
     Limits m_limits;
-    std::deque<RecordedEvent> m_events;
+    std::deque<Event> m_events;
     std::map<std::string, NameWindow, std::less<>> m_windows;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_dropped = 0;
--- a/tests/daemon/eventlogtests.cpp
+++ b/tests/daemon/eventlogtests.cpp
@@ -73,8 +73,9 @@
 {
     // Guards against a time line that grows without bound during a fault.
     ManualClock clock;
+    HybridClock hybrid;
     LineCollector lines;
-    EventLog log("lokoja-1", clock, lines, { .capacity = 3, .rate = 100 });
+    EventLog log("lokoja-1", clock, hybrid, lines, { .capacity = 3, .rate = 100 });
     for (int index = 0; index < 5; ++index) {
         log.record(EventSeverity::Info, "step", { { "index", std::to_string(index) } });
     }
@@ -91,8 +92,9 @@
 TEST_CASE("the rate of each event name is bounded and the suppressed events are reported", "[daemon][eventlog]")
 {
     ManualClock clock;
+    HybridClock hybrid;
     LineCollector lines;
-    EventLog log("lokoja-1", clock, lines, { .capacity = 100, .rate = 2 });
+    EventLog log("lokoja-1", clock, hybrid, lines, { .capacity = 100, .rate = 2 });
     for (int index = 0; index < 10; ++index) {
         log.record(EventSeverity::Info, "noisy", {});
     }
@@ -118,3 +120,19 @@
     CHECK(kept[0].fields == std::vector<EventField> { { "name", "noisy" }, { "count", "8" } });
     CHECK(kept[1].name == "noisy");
 }
+
+TEST_CASE("an event fits into a message whatever its fields are", "[daemon][eventlog]")
+{
+    // Guards against a time line that cannot be sent because of one event.
+    ManualClock clock;
+    HybridClock hybrid;
+    LineCollector lines;
+    EventLog log("lokoja-1", clock, hybrid, lines, {});
+    log.record(EventSeverity::Info, "big", std::vector<EventField>(40, { "text", std::string(9000, 'x') }));
+    log.record(EventSeverity::Info, "big", {});
+    const auto kept = log.after(0, 10);
+    REQUIRE(kept.size() == 2);
+    CHECK(kept[0].fields.size() == 16);
+    CHECK(kept[0].fields[0].value.size() == 256);
+    CHECK(kept[0].at < kept[1].at);
+}
