--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -5,7 +5,7 @@
     g++ make cmake ninja-build ccache clang-format clang-tidy
     libasio-dev libboost-dev libmsgpack-cxx-dev libgflags-dev liblog4cxx-dev
     libexpected-dev libtrompeloeil-cpp-dev catch2 libtomlplusplus-dev
-    nlohmann-json3-dev libhttp-parser-dev libxxhash-dev libmpack-dev
+    curl nlohmann-json3-dev libhttp-parser-dev libxxhash-dev libmpack-dev
 )
 missing=()
 for package in "${packages[@]}"; do
