--- /dev/null
+++ b/src/control/applycommand.cpp
@@ -0,0 +1,52 @@
+#include "control/applycommand.h"
+
+#include "control/configfiles.h"
+#include "control/internal/changes.h"
+#include "control/renderer.h"
+#include "platform/publisher.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+std::string_view ApplyCommand::name() const
+{
+    return "apply";
+}
+
+std::string_view ApplyCommand::arguments() const
+{
+    return "FILE... [--wait] [--timeout_ms N] [--expect_generation N] [--change_id ID]";
+}
+
+std::string_view ApplyCommand::summary() const
+{
+    return "publishes the files as the new configuration";
+}
+
+asio::awaitable<ExitCode> ApplyCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (words.empty()) {
+        co_return reportUsage(context, name(), "name at least one file");
+    }
+    const ConfigFiles files = ConfigFiles::read(words);
+    if (hasErrors(files.findings)) {
+        context.renderer.findings(files.findings);
+        co_return ExitCode::Refused;
+    }
+    ApplyRequest request;
+    request.set = files.set;
+    request.expectedGeneration = context.options.expectedGeneration;
+    request.changeId = changeIdOf(context);
+    // An id from the command line may come from an earlier call whose outcome was unknown.
+    request.mayBeRepeated = !context.options.changeId.empty();
+    request.author = context.options.author;
+    request.deadline = context.deadline;
+    Publisher publisher(*context.platform, context.clock, context.timer, context.random);
+    auto outcome = co_await publisher.apply(std::move(request));
+    outcome.findings = files.findings;
+    co_return co_await finishChange(context, std::move(outcome));
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/diffcommand.cpp
@@ -0,0 +1,45 @@
+#include "control/diffcommand.h"
+
+#include "control/configfiles.h"
+#include "control/internal/changes.h"
+#include "control/renderer.h"
+#include "platform/configloader.h"
+
+namespace Samphirepitch
+{
+
+std::string_view DiffCommand::name() const
+{
+    return "diff";
+}
+
+std::string_view DiffCommand::arguments() const
+{
+    return "FILE...";
+}
+
+std::string_view DiffCommand::summary() const
+{
+    return "shows what the files would change";
+}
+
+asio::awaitable<ExitCode> DiffCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (words.empty()) {
+        co_return reportUsage(context, name(), "name at least one file");
+    }
+    const ConfigFiles files = ConfigFiles::read(words);
+    if (hasErrors(files.findings)) {
+        context.renderer.findings(files.findings);
+        co_return ExitCode::Refused;
+    }
+    ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
+    const auto current = co_await loader.current(context.deadline);
+    if (!current) {
+        co_return reportError(context, current.error());
+    }
+    context.renderer.diff(ConfigDiff::between(*current->set, files.set));
+    co_return ExitCode::Ok;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/historycommand.cpp
@@ -0,0 +1,48 @@
+#include "control/historycommand.h"
+
+#include "control/internal/changes.h"
+#include "control/renderer.h"
+#include "platform/configloader.h"
+
+namespace Samphirepitch
+{
+
+std::string_view HistoryCommand::name() const
+{
+    return "history";
+}
+
+std::string_view HistoryCommand::arguments() const
+{
+    return "[--count N] [--change ID]";
+}
+
+std::string_view HistoryCommand::summary() const
+{
+    return "lists accepted changes, or finds one by its change id";
+}
+
+asio::awaitable<ExitCode> HistoryCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (!words.empty()) {
+        co_return reportUsage(context, name(), "takes no arguments");
+    }
+    ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
+    if (!context.options.changeId.empty()) {
+        const auto record = co_await loader.findChange(context.options.changeId, context.deadline);
+        if (!record) {
+            co_return reportError(context, record.error());
+        }
+        const std::vector<HeadRecord> found { *record };
+        context.renderer.records(found);
+        co_return ExitCode::Ok;
+    }
+    const auto records = co_await loader.history(context.options.count, context.deadline);
+    if (!records) {
+        co_return reportError(context, records.error());
+    }
+    context.renderer.records(*records);
+    co_return ExitCode::Ok;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/internal/changes.cpp
@@ -0,0 +1,94 @@
+#include "control/internal/changes.h"
+
+#include "control/renderer.h"
+#include "control/statusreader.h"
+#include "core/random.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+ExitCode exitCodeOf(const ApplyOutcome &outcome)
+{
+    switch (outcome.status) {
+    case ApplyStatus::Accepted:
+    case ApplyStatus::Unchanged:
+        return ExitCode::Ok;
+    case ApplyStatus::Conflict:
+        return ExitCode::Conflict;
+    case ApplyStatus::Unknown:
+        return ExitCode::UnknownOutcome;
+    case ApplyStatus::NotAccepted:
+        break;
+    }
+    return exitCodeOf(*outcome.error);
+}
+
+} // namespace
+
+std::string changeIdOf(CommandContext &context)
+{
+    if (!context.options.changeId.empty()) {
+        return context.options.changeId;
+    }
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text = "c-";
+    for (std::uint64_t bits = context.random.next(), digit = 0; digit < 16; ++digit, bits >>= 4) {
+        text += digits[bits & 0xf];
+    }
+    return text;
+}
+
+ExitCode exitCodeOf(const Error &error)
+{
+    switch (error.kind()) {
+    case ErrorKind::Unavailable:
+    case ErrorKind::RateLimited:
+    case ErrorKind::DeadlineExceeded:
+    case ErrorKind::InputOutput:
+        return ExitCode::Unavailable;
+    case ErrorKind::OutcomeUnknown:
+        // Only reads and writes of parts end here, and neither can make a change take effect.
+        return ExitCode::Unavailable;
+    case ErrorKind::VersionConflict:
+        return ExitCode::Conflict;
+    default:
+        return ExitCode::Refused;
+    }
+}
+
+ExitCode reportError(CommandContext &context, const Error &error)
+{
+    context.renderer.error(error);
+    return exitCodeOf(error);
+}
+
+ExitCode reportUsage(CommandContext &context, std::string_view command, std::string detail)
+{
+    context.renderer.error(Error(ErrorKind::InvalidArgument, std::string(command), std::move(detail)));
+    return ExitCode::Usage;
+}
+
+asio::awaitable<ExitCode> finishChange(CommandContext &context, ApplyOutcome outcome)
+{
+    const ExitCode code = exitCodeOf(outcome);
+    if (!context.options.wait || code != ExitCode::Ok) {
+        context.renderer.outcome(outcome, nullptr);
+        co_return code;
+    }
+    StatusReader reader(context);
+    const auto summary = co_await reader.waitUntilInForce(outcome.generation);
+    if (!summary) {
+        context.renderer.outcome(outcome, nullptr);
+        context.renderer.error(summary.error());
+        co_return ExitCode::WaitExpired;
+    }
+    context.renderer.outcome(outcome, &*summary);
+    co_return summary->inForceEverywhere() ? ExitCode::Ok : ExitCode::WaitExpired;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/jsonrenderer.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "control/renderer.h"
+
+#include <ostream>
+
+namespace Samphirepitch
+{
+
+/** Writes results as one JSON value, errors included. */
+class JsonRenderer : public Renderer
+{
+public:
+    /** @p out outlives the renderer. */
+    explicit JsonRenderer(std::ostream &out);
+
+    void findings(const std::vector<Finding> &findings) override;
+    void diff(const ConfigDiff &diff) override;
+    void outcome(const ApplyOutcome &outcome, const StatusSummary *waited) override;
+    void records(const std::vector<HeadRecord> &records) override;
+    void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) override;
+    void error(const Error &error) override;
+
+private:
+    std::ostream &m_out;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/renderer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/error.h"
+#include "model/configdiff.h"
+#include "model/finding.h"
+#include "model/headrecord.h"
+#include "platform/applyoutcome.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class StatusSummary;
+
+/** Writes the results of commands. Each command calls one of the functions, once. */
+class Renderer
+{
+public:
+    virtual ~Renderer() = default;
+
+    virtual void findings(const std::vector<Finding> &findings) = 0;
+    virtual void diff(const ConfigDiff &diff) = 0;
+
+    /** Writes the outcome of a change; @p waited is set if the command waited for it to be in force. */
+    virtual void outcome(const ApplyOutcome &outcome, const StatusSummary *waited) = 0;
+
+    virtual void records(const std::vector<HeadRecord> &records) = 0;
+
+    /** Writes the state of the deployment; @p head is none if nothing was ever accepted. */
+    virtual void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) = 0;
+
+    virtual void error(const Error &error) = 0;
+};
+
+/** Returns @p time as text, such as "2026-01-01T00:00:00.000Z". */
+std::string timeText(WallTime time);
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/statuscommand.cpp
@@ -0,0 +1,51 @@
+#include "control/statuscommand.h"
+
+#include "control/internal/changes.h"
+#include "control/renderer.h"
+#include "control/statusreader.h"
+#include "platform/configloader.h"
+
+#include <optional>
+
+namespace Samphirepitch
+{
+
+std::string_view StatusCommand::name() const
+{
+    return "status";
+}
+
+std::string_view StatusCommand::arguments() const
+{
+    return "";
+}
+
+std::string_view StatusCommand::summary() const
+{
+    return "shows the head, the instances and what has not reported the head generation";
+}
+
+asio::awaitable<ExitCode> StatusCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (!words.empty()) {
+        co_return reportUsage(context, name(), "takes no arguments");
+    }
+    ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
+    const auto records = co_await loader.history(1, context.deadline);
+    if (!records) {
+        co_return reportError(context, records.error());
+    }
+    std::optional<HeadRecord> head;
+    if (!records->empty()) {
+        head = records->front();
+    }
+    StatusReader reader(context);
+    const auto summary = co_await reader.read(head ? head->generation() : 0);
+    if (!summary) {
+        co_return reportError(context, summary.error());
+    }
+    context.renderer.status(head, *summary, context.clock.wallNow());
+    co_return ExitCode::Ok;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/statuscommand.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "control/command.h"
+
+namespace Samphirepitch
+{
+
+/** Shows the head, the instances and what has not reported the head generation. */
+class StatusCommand : public Command
+{
+public:
+    std::string_view name() const override;
+    std::string_view arguments() const override;
+    std::string_view summary() const override;
+    asio::awaitable<ExitCode> run(CommandContext &context, std::vector<std::string> words) override;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/statusreader.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "control/commandcontext.h"
+#include "control/statussummary.h"
+
+#include <asio/awaitable.hpp>
+
+#include <cstdint>
+
+namespace Samphirepitch
+{
+
+/** Reads the instance list and the status objects of all failure domains from the platform. */
+class StatusReader
+{
+public:
+    /** @p context outlives the reader and has a platform. */
+    explicit StatusReader(CommandContext &context);
+
+    /** Returns where @p generation is in force; retries until the deadline of the context. */
+    asio::awaitable<Result<StatusSummary>> read(std::uint64_t generation);
+
+    /**
+     * Reads again and again until @p generation is in force everywhere or the deadline of the context comes.
+     * @return the last summary that could be read, or the error if there was none
+     */
+    asio::awaitable<Result<StatusSummary>> waitUntilInForce(std::uint64_t generation);
+
+private:
+    CommandContext &m_context;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/statussummary.cpp
@@ -0,0 +1,127 @@
+#include "control/statussummary.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+std::optional<WallTime> timeOf(std::uint64_t milliseconds)
+{
+    if (milliseconds == 0) {
+        return std::nullopt;
+    }
+    return WallTime(std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds)));
+}
+
+/** Adds a report; of two reports about one instance the one heard later counts. */
+void addReport(InstanceReport &known, const DomainStatus &domain, const InstanceStatus &status)
+{
+    const auto heard = timeOf(status.lastHeardMs);
+    if (!known.state.empty() && (!heard || (known.lastHeard && *heard < *known.lastHeard))) {
+        return;
+    }
+    known.id = status.id;
+    known.failureDomain = domain.failureDomain;
+    known.state = memberStateName(status.state);
+    known.generation = status.inForce;
+    known.lastHeard = heard;
+}
+
+} // namespace
+
+StatusSummary::StatusSummary(
+    std::uint64_t generation, std::vector<ListedInstance> listed, std::vector<DomainStatus> domains, std::vector<Error> unreadable)
+    : m_generation(generation)
+    , m_domains(std::move(domains))
+    , m_unreadable(std::move(unreadable))
+{
+    std::map<std::string, InstanceReport> byId;
+    for (const ListedInstance &instance : listed) {
+        InstanceReport &report = byId[instance.id];
+        report.id = instance.id;
+        report.failureDomain = instance.failureDomain;
+        report.listed = true;
+    }
+    for (const DomainStatus &domain : m_domains) {
+        for (const InstanceStatus &status : domain.instances) {
+            addReport(byId[status.id], domain, status);
+        }
+    }
+    for (auto &[id, report] : byId) {
+        m_instances.push_back(std::move(report));
+    }
+    for (const DomainStatus &domain : m_domains) {
+        addUnnamed(domain);
+    }
+}
+
+void StatusSummary::addUnnamed(const DomainStatus &domain)
+{
+    std::vector<InstanceReport *> unnamed;
+    for (InstanceReport &report : m_instances) {
+        if (report.failureDomain == domain.failureDomain && report.state.empty()) {
+            unnamed.push_back(&report);
+        }
+    }
+    // More listed instances than the domain counts means that it does not know one of them yet.
+    const std::size_t counted = domain.expected > domain.instances.size() ? domain.expected - domain.instances.size() : 0;
+    if (domain.reported < domain.expected || unnamed.size() > counted) {
+        return;
+    }
+    for (InstanceReport *report : unnamed) {
+        report->generation = domain.lowestInForce;
+        report->lastHeard = timeOf(domain.writtenAtMs);
+    }
+}
+
+std::uint64_t StatusSummary::generation() const
+{
+    return m_generation;
+}
+
+const std::vector<InstanceReport> &StatusSummary::instances() const
+{
+    return m_instances;
+}
+
+const std::vector<DomainStatus> &StatusSummary::domains() const
+{
+    return m_domains;
+}
+
+const std::vector<Error> &StatusSummary::unreadable() const
+{
+    return m_unreadable;
+}
+
+std::vector<InstanceReport> StatusSummary::missing() const
+{
+    std::vector<InstanceReport> found;
+    std::copy_if(m_instances.begin(), m_instances.end(), std::back_inserter(found),
+        [this](const InstanceReport &instance) { return !instance.generation || *instance.generation < m_generation; });
+    return found;
+}
+
+std::vector<std::string> StatusSummary::laggingDomains() const
+{
+    std::vector<std::string> found;
+    for (const DomainStatus &domain : m_domains) {
+        if (domain.reported < domain.expected || (domain.expected > 0 && domain.lowestInForce < m_generation)) {
+            found.push_back(domain.failureDomain);
+        }
+    }
+    return found;
+}
+
+bool StatusSummary::inForceEverywhere() const
+{
+    return !m_instances.empty() && m_unreadable.empty() && missing().empty() && laggingDomains().empty();
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/tablerenderer.cpp
@@ -0,0 +1,137 @@
+#include "control/tablerenderer.h"
+
+#include "control/statussummary.h"
+#include "control/texttable.h"
+
+#include <algorithm>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+std::string generationText(const InstanceReport &instance)
+{
+    return instance.generation ? std::to_string(*instance.generation) : "-";
+}
+
+std::string heardText(const InstanceReport &instance)
+{
+    return instance.lastHeard ? timeText(*instance.lastHeard) : "never";
+}
+
+std::string recordText(const HeadRecord &record)
+{
+    return "generation " + std::to_string(record.generation()) + ", change " + record.changeId() + " by "
+        + (record.author().empty() ? "(unnamed)" : record.author()) + " at " + timeText(record.acceptedAt());
+}
+
+} // namespace
+
+TableRenderer::TableRenderer(std::ostream &out, std::ostream &errors)
+    : m_out(out)
+    , m_errors(errors)
+{
+}
+
+void TableRenderer::findings(const std::vector<Finding> &findings)
+{
+    for (const Finding &finding : findings) {
+        m_errors << finding.describe() << '\n';
+    }
+    if (!hasErrors(findings)) {
+        m_out << "valid\n";
+    }
+}
+
+void TableRenderer::diff(const ConfigDiff &diff)
+{
+    m_out << (diff.changes().empty() ? "no differences\n" : diff.toText());
+}
+
+void TableRenderer::outcome(const ApplyOutcome &outcome, const StatusSummary *waited)
+{
+    for (const Finding &finding : outcome.findings) {
+        m_errors << finding.describe() << '\n';
+    }
+    const std::string change = "change " + outcome.changeId;
+    switch (outcome.status) {
+    case ApplyStatus::Accepted:
+        m_out << "accepted: generation " << outcome.generation << ", " << change << '\n';
+        break;
+    case ApplyStatus::Unchanged:
+        m_out << "unchanged: generation " << outcome.generation << " already has this content\n";
+        break;
+    case ApplyStatus::Conflict:
+        m_errors << "conflict: another change was accepted first: " << recordText(*outcome.winner) << "; nothing of " << change
+                 << " is in force\n";
+        break;
+    case ApplyStatus::NotAccepted:
+        m_errors << "not accepted: " << change << ": " << outcome.error->describe() << '\n';
+        break;
+    case ApplyStatus::Unknown:
+        m_errors << "unknown: " << change << " may have been accepted (" << outcome.error->describe()
+                 << "); ask later with: history --change " << outcome.changeId << '\n';
+        break;
+    }
+    if (waited != nullptr) {
+        missing(*waited);
+    }
+}
+
+void TableRenderer::records(const std::vector<HeadRecord> &records)
+{
+    TextTable table({ "GENERATION", "ACCEPTED", "AUTHOR", "CHANGE" });
+    for (const HeadRecord &record : records) {
+        table.add({ std::to_string(record.generation()), timeText(record.acceptedAt()), record.author(), record.changeId() });
+    }
+    table.write(m_out);
+}
+
+void TableRenderer::missing(const StatusSummary &summary)
+{
+    const std::string generation = "generation " + std::to_string(summary.generation());
+    if (summary.inForceEverywhere()) {
+        m_out << generation << " is in force everywhere (" << summary.instances().size() << " instances)\n";
+        return;
+    }
+    const auto missing = summary.missing();
+    m_out << generation << " is not known to be in force everywhere: " << missing.size() << " of " << summary.instances().size()
+          << " instances have not reported it\n";
+    for (const InstanceReport &instance : missing) {
+        m_out << "  " << instance.id << " in " << instance.failureDomain << ": generation " << generationText(instance) << ", last heard "
+              << heardText(instance) << '\n';
+    }
+    const auto lagging = summary.laggingDomains();
+    for (const DomainStatus &domain : summary.domains()) {
+        if (std::find(lagging.begin(), lagging.end(), domain.failureDomain) != lagging.end()) {
+            m_out << "  failure domain " << domain.failureDomain << ": " << domain.reported << " of " << domain.expected
+                  << " instances have reported, the lowest generation " << domain.lowestInForce << ", written by " << domain.writer
+                  << " at " << timeText(WallTime(std::chrono::milliseconds(domain.writtenAtMs))) << '\n';
+        }
+    }
+    for (const Error &error : summary.unreadable()) {
+        m_out << "  " << error.describe() << '\n';
+    }
+}
+
+void TableRenderer::status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now)
+{
+    m_out << "time: " << timeText(now) << '\n';
+    m_out << "head: " << (head ? recordText(*head) : "no configuration was accepted yet") << '\n';
+    TextTable table({ "INSTANCE", "FAILURE DOMAIN", "STATE", "IN LIST", "GENERATION", "LAST HEARD" });
+    for (const InstanceReport &instance : summary.instances()) {
+        table.add({ instance.id, instance.failureDomain, instance.state.empty() ? "-" : instance.state, instance.listed ? "yes" : "no",
+            generationText(instance), heardText(instance) });
+    }
+    table.write(m_out);
+    missing(summary);
+}
+
+void TableRenderer::error(const Error &error)
+{
+    m_errors << "error: " << error.describe() << '\n';
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/tablerenderer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "control/renderer.h"
+
+#include <ostream>
+
+namespace Samphirepitch
+{
+
+/** Writes results as text for people: results to one stream, errors to another. */
+class TableRenderer : public Renderer
+{
+public:
+    /** Both streams outlive the renderer. */
+    TableRenderer(std::ostream &out, std::ostream &errors);
+
+    void findings(const std::vector<Finding> &findings) override;
+    void diff(const ConfigDiff &diff) override;
+    void outcome(const ApplyOutcome &outcome, const StatusSummary *waited) override;
+    void records(const std::vector<HeadRecord> &records) override;
+    void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) override;
+    void error(const Error &error) override;
+
+private:
+    void missing(const StatusSummary &summary);
+
+    std::ostream &m_out;
+    std::ostream &m_errors;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/validatecommand.cpp
@@ -0,0 +1,40 @@
+#include "control/validatecommand.h"
+
+#include "control/configfiles.h"
+#include "control/internal/changes.h"
+#include "control/renderer.h"
+
+namespace Samphirepitch
+{
+
+std::string_view ValidateCommand::name() const
+{
+    return "validate";
+}
+
+std::string_view ValidateCommand::arguments() const
+{
+    return "FILE...";
+}
+
+std::string_view ValidateCommand::summary() const
+{
+    return "checks configuration files without the platform";
+}
+
+bool ValidateCommand::needsPlatform() const
+{
+    return false;
+}
+
+asio::awaitable<ExitCode> ValidateCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (words.empty()) {
+        co_return reportUsage(context, name(), "name at least one file");
+    }
+    const ConfigFiles files = ConfigFiles::read(words);
+    context.renderer.findings(files.findings);
+    co_return hasErrors(files.findings) ? ExitCode::Refused : ExitCode::Ok;
+}
+
+} // namespace Samphirepitch
--- a/src/platform/configloader.cpp
+++ b/src/platform/configloader.cpp
@@ -2,24 +2,14 @@
 
 #include "model/configtree.h"
 #include "model/partmap.h"
-#include "platform/backoff.h"
+#include "platform/retry.h"
 
+#include <memory>
 #include <utility>
 
 namespace Samphirepitch
 {
 
-namespace
-{
-
-bool mayRetryRead(ErrorKind kind)
-{
-    return kind == ErrorKind::Unavailable || kind == ErrorKind::RateLimited || kind == ErrorKind::DeadlineExceeded
-        || kind == ErrorKind::OutcomeUnknown;
-}
-
-} // namespace
-
 ConfigLoader::ConfigLoader(Platform &platform, const Clock &clock, Timer &timer, RandomSource &random)
     : m_platform(platform)
     , m_clock(clock)
@@ -35,17 +25,8 @@
 
 asio::awaitable<Result<PlatformObject>> ConfigLoader::read(std::string key, TimePoint deadline)
 {
-    Backoff backoff(m_clock, m_timer, m_random, deadline);
-    while (true) {
-        auto object = co_await m_platform.read(key, backoff.attemptDeadline());
-        if (object || !mayRetryRead(object.error().kind())) {
-            co_return object;
-        }
-        const bool again = co_await backoff.wait();
-        if (!again) {
-            co_return object;
-        }
-    }
+    const auto attempt = [this, key = std::move(key)](TimePoint attemptDeadline) { return m_platform.read(key, attemptDeadline); };
+    return retryRead(attempt, Backoff(m_clock, m_timer, m_random, deadline));
 }
 
 asio::awaitable<Result<VersionedHead>> ConfigLoader::head(TimePoint deadline)
@@ -108,6 +89,30 @@
     co_return ConfigTree::assemble(head, parts);
 }
 
+asio::awaitable<Result<ConfigGeneration>> ConfigLoader::current(TimePoint deadline)
+{
+    const auto newest = co_await head(deadline);
+    if (!newest) {
+        co_return tl::unexpected(newest.error());
+    }
+    ConfigGeneration generation;
+    generation.head = newest->pointer;
+    if (newest->version == Platform::mustNotExist) {
+        generation.set = std::make_shared<const ConfigSet>();
+        co_return generation;
+    }
+    auto found = co_await record(newest->pointer.record, deadline);
+    if (!found) {
+        co_return tl::unexpected(found.error());
+    }
+    auto objects = co_await set(std::move(*found), deadline);
+    if (!objects) {
+        co_return tl::unexpected(objects.error());
+    }
+    generation.set = std::make_shared<const ConfigSet>(std::move(*objects));
+    co_return generation;
+}
+
 asio::awaitable<Result<HeadRecord>> ConfigLoader::recordOf(HeadPointer head, std::uint64_t generation, TimePoint deadline)
 {
     ContentName name = head.generation >= generation ? head.record : ContentName();
--- a/src/platform/configloader.h
+++ b/src/platform/configloader.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
+#include "model/configgeneration.h"
 #include "model/configset.h"
 #include "model/headrecord.h"
 #include "platform/platform.h"
@@ -45,6 +46,9 @@
     /** Reads all parts of a generation. */
     asio::awaitable<Result<ConfigSet>> set(HeadRecord head, TimePoint deadline);
 
+    /** Reads the current generation; an empty set with generation 0 if nothing was ever accepted. */
+    asio::awaitable<Result<ConfigGeneration>> current(TimePoint deadline);
+
     /**
      * Follows the previous records from @p head to the record of @p generation.
      * @return NotFound if @p head is older than @p generation or the chain ends before it
--- /dev/null
+++ b/tests/control/commandtests.cpp
@@ -0,0 +1,217 @@
+#include "control/commandtable.h"
+#include "control/jsonrenderer.h"
+#include "control/tablerenderer.h"
+#include "core/random.h"
+#include "fakes/await.h"
+#include "fakes/fakeplatform.h"
+#include "fakes/faketimer.h"
+#include "peer/domainstatus.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+namespace
+{
+
+constexpr auto dewnet = "examples/dewnet/config.toml";
+constexpr auto tuganKun = "examples/tugan-kun/config.toml";
+
+struct Client {
+    ManualClock clock;
+    FakeTimer timer { clock };
+    SeededRandom random { 20261204 };
+    FakePlatform platform { clock };
+    CommandOptions options { .author = "bola" };
+    std::ostringstream out;
+    std::ostringstream errors;
+
+    ExitCode run(const std::string &name, std::vector<std::string> words)
+    {
+        out.str("");
+        errors.str("");
+        TableRenderer renderer(out, errors);
+        return runWith(renderer, name, std::move(words));
+    }
+
+    ExitCode runWith(Renderer &renderer, const std::string &name, std::vector<std::string> words)
+    {
+        CommandContext context { &platform, clock, timer, random, renderer, options, clock.now() + options.timeout };
+        return await(CommandTable().find(name)->run(context, std::move(words)));
+    }
+
+    void report(const std::string &domain, std::uint64_t generation, std::vector<std::string> ids)
+    {
+        DomainStatus status;
+        status.failureDomain = domain;
+        status.reported = status.expected = static_cast<std::uint32_t>(ids.size());
+        status.lowestInForce = generation;
+        for (const std::string &id : ids) {
+            status.instances.push_back({ id, MemberState::Alive, generation, generation, 1767225600000 });
+        }
+        const std::string key = "status/" + domain;
+        platform.objects[key] = PlatformObject { key, status.encode(), 1 };
+    }
+};
+
+} // namespace
+
+TEST_CASE("files are validated without the platform", "[control]")
+{
+    Client client;
+    CHECK(client.run("validate", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("validate", { "examples/none.toml" }) == ExitCode::Refused);
+    CHECK_THAT(client.errors.str(), Catch::StartsWith("examples/none.toml: error: file: the file cannot be read"));
+    CHECK(client.run("validate", {}) == ExitCode::Usage);
+    // The same objects twice: every duplicate is named with its place.
+    CHECK(client.run("validate", { dewnet, dewnet }) == ExitCode::Refused);
+    CHECK_THAT(client.errors.str(), Catch::Contains("examples/dewnet/config.toml:3: error: failure_domain lokoja: name = lokoja"));
+    CHECK(client.platform.calls.empty());
+}
+
+TEST_CASE("a change is shown, applied and listed", "[control]")
+{
+    Client client;
+    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK_THAT(client.out.str(), Catch::Contains("+ service pondwatch"));
+    CHECK(client.run("apply", { dewnet }) == ExitCode::Ok);
+    CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 1, change c-"));
+    CHECK(client.run("apply", { dewnet }) == ExitCode::Ok);
+    CHECK_THAT(client.out.str(), Catch::StartsWith("unchanged: generation 1"));
+    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK(client.out.str() == "no differences\n");
+    CHECK(client.run("history", {}) == ExitCode::Ok);
+    CHECK_THAT(client.out.str(), Catch::Contains("bola"));
+}
+
+TEST_CASE("each outcome of a change has its own exit code", "[control]")
+{
+    Client client;
+    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    SECTION("a conflict names the winner")
+    {
+        client.options.expectedGeneration = 0;
+        CHECK(client.run("apply", { tuganKun }) == ExitCode::Conflict);
+        CHECK_THAT(client.errors.str(), Catch::Contains("generation 1, change c-"));
+    }
+    SECTION("an outage is not accepted")
+    {
+        client.platform.fault = [](const auto &) { return Fault::Outage; };
+        CHECK(client.run("apply", { tuganKun }) == ExitCode::Unavailable);
+        CHECK_THAT(client.errors.str(), Catch::StartsWith("not accepted"));
+    }
+    SECTION("an outage after the head was sent is unknown, and the same id can be asked for and repeated")
+    {
+        bool sent = false;
+        client.platform.fault = [&sent](const auto &call) {
+            const bool head = call.operation == "write" && call.key == "head";
+            const Fault fault = sent ? Fault::Outage : (head ? Fault::LoseAnswer : Fault::None);
+            sent = sent || head;
+            return fault;
+        };
+        client.options.changeId = "night-shift";
+        CHECK(client.run("apply", { tuganKun }) == ExitCode::UnknownOutcome);
+        client.platform.fault = nullptr;
+        CHECK(client.run("history", {}) == ExitCode::Ok);
+        CHECK_THAT(client.out.str(), Catch::Contains("night-shift"));
+        CHECK(client.run("apply", { tuganKun }) == ExitCode::Ok);
+        CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 2"));
+    }
+    SECTION("a wait that ends too early names the instances")
+    {
+        client.options.wait = true;
+        client.platform.listed = { { .id = "i-1", .failureDomain = "almaly" }, { .id = "i-2", .failureDomain = "medeu" } };
+        client.report("almaly", 2, { "i-1" });
+        CHECK(client.run("apply", { tuganKun }) == ExitCode::WaitExpired);
+        CHECK_THAT(
+            client.out.str(), Catch::Contains("1 of 2 instances have not reported it\n  i-2 in medeu: generation -, last heard never"));
+    }
+}
+
+TEST_CASE("a server is drained although another change comes between", "[control]")
+{
+    Client client;
+    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    client.platform.beforeHeadWrite = [&client] {
+        std::ostringstream ignored;
+        TableRenderer renderer(ignored, ignored);
+        CHECK(client.runWith(renderer, "drain", { "mapvault/mapvault-01" }) == ExitCode::Ok);
+    };
+    CHECK(client.run("drain", { "pondwatch/pondwatch-03" }) == ExitCode::Ok);
+    CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 3"));
+    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK(client.out.str()
+        == "~ server mapvault/mapvault-01\n    state: drain -> active\n~ server pondwatch/pondwatch-03\n    state: drain -> active\n");
+    CHECK(client.run("undrain", { "pondwatch/pondwatch-03" }) == ExitCode::Ok);
+    CHECK(client.run("drain", { "pondwatch/none" }) == ExitCode::Refused);
+    CHECK(client.run("drain", { "pondwatch" }) == ExitCode::Usage);
+    // mapvault must keep an active server in each failure domain, and okene has only one.
+    CHECK(client.run("drain", { "mapvault/mapvault-03" }) == ExitCode::Refused);
+    CHECK_THAT(client.errors.str(), Catch::Contains("pool mapvault: domains = okene"));
+}
+
+TEST_CASE("status claims a generation to be in force everywhere only if all have reported it", "[control]")
+{
+    // Guards invariant 8: an operator who is told "everywhere" acts on it.
+    Client client;
+    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    client.platform.listed = { { .id = "i-1", .failureDomain = "lokoja" }, { .id = "i-2", .failureDomain = "okene" } };
+    const auto status = [&client] {
+        REQUIRE(client.run("status", {}) == ExitCode::Ok);
+        return client.out.str();
+    };
+    const std::string everywhere = "generation 1 is in force everywhere (";
+    SECTION("all have")
+    {
+        client.report("lokoja", 1, { "i-1" });
+        client.report("okene", 1, { "i-2" });
+        CHECK_THAT(status(), Catch::Contains(everywhere));
+        std::ostringstream json;
+        JsonRenderer renderer(json);
+        CHECK(client.runWith(renderer, "status", {}) == ExitCode::Ok);
+        CHECK_THAT(json.str(), Catch::Contains("\"in_force_everywhere\": true"));
+    }
+    SECTION("a listed instance is in no status")
+    {
+        client.report("lokoja", 1, { "i-1" });
+        CHECK_THAT(status(), Catch::Contains("i-2 in okene: generation -, last heard never") && !Catch::Contains(everywhere));
+    }
+    SECTION("an instance of a status is not listed and holds an older generation")
+    {
+        client.report("lokoja", 1, { "i-1" });
+        client.report("okene", 1, { "i-2" });
+        client.report("ajaokuta", 0, { "i-3" });
+        CHECK_THAT(status(),
+            Catch::Contains("i-3 in ajaokuta: generation 0, last heard 2026-01-01T00:00:00.000Z") && !Catch::Contains(everywhere));
+    }
+    SECTION("a status cannot be read")
+    {
+        client.report("lokoja", 1, { "i-1", "i-2" });
+        client.platform.objects["status/okene"] = PlatformObject { "status/okene", "{", 1 };
+        CHECK_THAT(status(), Catch::Contains("status/okene") && !Catch::Contains(everywhere));
+    }
+    SECTION("a large failure domain names only instances that lag")
+    {
+        client.report("lokoja", 1, { "i-1" });
+        DomainStatus summed;
+        summed.failureDomain = "okene";
+        summed.lowestInForce = 1;
+        summed.expected = summed.reported = 1;
+        const auto put = [&client, &summed] {
+            client.platform.objects["status/okene"] = PlatformObject { "status/okene", summed.encode(), 1 };
+        };
+        put();
+        CHECK_THAT(status(), Catch::Contains(everywhere));
+        summed.reported = 0;
+        put();
+        CHECK_THAT(status(), Catch::Contains("failure domain okene: 0 of 1") && !Catch::Contains(everywhere));
+    }
+    SECTION("nothing is known")
+    {
+        client.platform.listed.clear();
+        CHECK_THAT(status(), !Catch::Contains(everywhere));
+    }
+}
