--- a/tests/model/configtreetests.cpp
+++ b/tests/model/configtreetests.cpp
@@ -146,7 +146,7 @@
         const ConfigTree next = ConfigTree::of(wanted);
         auto parts = tree.parts();
         parts.insert(next.parts().begin(), next.parts().end());
-        const auto made = ConfigTree::assembleFrom(current, headOf(tree), headOf(next), MapSource(parts));
+        const auto made = ConfigTree::assembleFrom(current, headOf(tree), headOf(next), mapOf(parts));
         REQUIRE(made == wanted);
         current = *made;
         tree = next;
