Use 4,096 leaf parts and 64 index parts

Cause: a change moved 5,605 bytes to each instance at the planned size, 2.4 KB/s of the 5 KB/s for control; the leaf of 3.8 KB was most of it. Change: 64 index parts with 64 leaves each instead of 32 and 32; the head record grows by 512 bytes, the index by 512 bytes, and the leaf shrinks to about 1 KB. A third level would bring about 1.7 KB for one more round trip; not needed within 5 KB/s.

--- a/src/model/configtree.h
+++ b/src/model/configtree.h
@@ -15,14 +15,14 @@
 
 /**
  * The hash tree of a configuration: objects are encoded with msgpack and assigned by the hash of kind and name to
- * 1,024 leaf parts; 32 index parts list 32 leaves each.
+ * 4,096 leaf parts; 64 index parts list 64 leaves each.
  *
- * One change touches one leaf and one index, so that peers and the platform move about 4 KB for it at the planned size.
+ * One change touches one leaf and one index, so that peers and the platform move about 3 KB for it at the planned size.
  */
 class ConfigTree
 {
 public:
-    static constexpr std::size_t leavesPerIndex = 32;
+    static constexpr std::size_t leavesPerIndex = 64;
     static constexpr std::size_t maxPartSize = 1024 * 1024; /**< bytes; the platform's limit for a value */
 
     /** Encodes @p set; the same set always gives the same parts. */
--- a/src/model/headrecord.h
+++ b/src/model/headrecord.h
@@ -16,7 +16,7 @@
 class HeadRecord
 {
 public:
-    static constexpr std::size_t indexCount = 32; /**< index parts of a generation */
+    static constexpr std::size_t indexCount = 64; /**< index parts of a generation */
 
     /** The values of all fields. */
     struct Fields {
