Ask instances for events and for a graceful stop

Adds the commands events and drain-instance on PeerClient. events merges by hybrid logical clock, instance and sequence and names the instances that could not be asked; both take IP:PORT in place of an id, so that they work during an outage of the platform.

--- a/apps/samphirepitchctl/main.cpp
+++ b/apps/samphirepitchctl/main.cpp
@@ -1,6 +1,7 @@
 #include "commandline.h"
 #include "control/commandtable.h"
 #include "control/jsonrenderer.h"
+#include "control/peerinstanceapi.h"
 #include "control/tablerenderer.h"
 #include "core/random.h"
 #include "platform/httpplatform.h"
@@ -22,7 +23,8 @@
 DEFINE_int64(expect_generation, -1, "apply: the generation that the change is based on; -1 for the current one");
 DEFINE_string(change_id, "", "apply, drain, undrain: id of the change; give the same id again after an unknown outcome");
 DEFINE_string(change, "", "history: find the change with this id");
-DEFINE_uint64(count, 20, "history: number of changes to list");
+DEFINE_uint64(count, 20, "history, events: the number of newest ones to list");
+DEFINE_string(deployment, "", "events, drain-instance: deployment that the instances belong to");
 DEFINE_string(author, "", "apply, drain, undrain: recorded with the change; the user's name by default");
 
 using namespace Samphirepitch;
@@ -49,6 +51,7 @@
     options.changeId = command.name() == "history" ? FLAGS_change : FLAGS_change_id;
     options.author = author();
     options.count = FLAGS_count;
+    options.deployment = FLAGS_deployment;
     return options;
 }
 
@@ -77,8 +80,9 @@
     if (!platform) {
         return reportUsage(platform.error());
     }
+    PeerInstanceApi instances(FLAGS_deployment, clock);
     const CommandOptions options = optionsOf(command);
-    CommandContext commandContext { platform->get(), clock, timer, random, renderer, options, clock.now() + options.timeout };
+    CommandContext commandContext { platform->get(), instances, clock, timer, random, renderer, options, clock.now() + options.timeout };
     ExitCode code = ExitCode::Refused;
     asio::co_spawn(context, runCommand(command, commandContext, std::move(words), code), [](const std::exception_ptr &thrown) {
         if (thrown) {
--- a/src/control/commandcontext.h
+++ b/src/control/commandcontext.h
@@ -11,6 +11,7 @@
 namespace Samphirepitch
 {
 
+class InstanceApi;
 class Platform;
 class RandomSource;
 class Renderer;
@@ -23,12 +24,14 @@
     std::optional<std::uint64_t> expectedGeneration; /**< apply: generation that the change is based on */
     std::string changeId; /**< apply, history: id of a change; empty to make one */
     std::string author; /**< apply, drain: recorded with the change */
-    std::size_t count = 20; /**< history: number of changes */
+    std::size_t count = 20; /**< history, events: the newest ones to show */
+    std::string deployment; /**< events, drain-instance: deployment that the instances belong to */
 };
 
 /** What a command works with. All objects outlive the command. */
 struct CommandContext {
     Platform *platform = nullptr; /**< null only for commands that do not need it */
+    InstanceApi &instances;
     const Clock &clock;
     Timer &timer;
     RandomSource &random;
--- a/src/control/commandtable.cpp
+++ b/src/control/commandtable.cpp
@@ -2,6 +2,8 @@
 
 #include "control/applycommand.h"
 #include "control/diffcommand.h"
+#include "control/draininstancecommand.h"
+#include "control/eventscommand.h"
 #include "control/historycommand.h"
 #include "control/serverstatecommand.h"
 #include "control/statuscommand.h"
@@ -21,6 +23,8 @@
     add(std::make_unique<HistoryCommand>());
     add(std::make_unique<ServerStateCommand>(ServerState::Drain));
     add(std::make_unique<ServerStateCommand>(ServerState::Active));
+    add(std::make_unique<DrainInstanceCommand>());
+    add(std::make_unique<EventsCommand>());
 }
 
 void CommandTable::add(std::unique_ptr<Command> command)
--- /dev/null
+++ b/src/control/draininstancecommand.cpp
@@ -0,0 +1,45 @@
+#include "control/draininstancecommand.h"
+
+#include "control/instanceapi.h"
+#include "control/internal/changes.h"
+#include "control/internal/instancelookup.h"
+#include "control/renderer.h"
+
+namespace Samphirepitch
+{
+
+std::string_view DrainInstanceCommand::name() const
+{
+    return "drain-instance";
+}
+
+std::string_view DrainInstanceCommand::arguments() const
+{
+    return "ID|IP:PORT --deployment NAME";
+}
+
+std::string_view DrainInstanceCommand::summary() const
+{
+    return "asks an instance to stop gracefully";
+}
+
+asio::awaitable<ExitCode> DrainInstanceCommand::run(CommandContext &context, std::vector<std::string> words)
+{
+    if (words.size() != 1 || context.options.deployment.empty()) {
+        co_return reportUsage(context, name(), "name one instance and the deployment");
+    }
+    const auto instances = co_await findInstances(context, words);
+    if (!instances) {
+        co_return reportError(context, instances.error());
+    }
+    const AskedInstance &instance = instances->front();
+    const auto reply = co_await context.instances.drain(instance.address, context.deadline);
+    if (!reply) {
+        const ExitCode code = reportError(context, reply.error());
+        co_return reply.error().kind() == ErrorKind::OutcomeUnknown ? ExitCode::UnknownOutcome : code;
+    }
+    context.renderer.instanceDrain(instance.id, reply->accepted);
+    co_return ExitCode::Ok;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/control/eventscommand.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "control/command.h"
+
+namespace Samphirepitch
+{
+
+/** Merges the events of instances in causal order. */
+class EventsCommand : public Command
+{
+public:
+    std::string_view name() const override;
+    std::string_view arguments() const override;
+    std::string_view summary() const override;
+    asio::awaitable<ExitCode> run(CommandContext &context, std::vector<std::string> words) override;
+};
+
+} // namespace Samphirepitch
--- a/src/control/jsonrenderer.cpp
+++ b/src/control/jsonrenderer.cpp
@@ -43,6 +43,17 @@
     return json;
 }
 
+Json jsonOf(const Event &event)
+{
+    Json fields = Json::object();
+    for (const EventField &field : event.fields) {
+        fields[field.key] = field.value;
+    }
+    return { { "time", timeText(WallTime(std::chrono::milliseconds(event.at.wallMs))) }, { "counter", event.at.counter },
+        { "instance", event.instance }, { "sequence", event.sequence }, { "severity", severityName(event.severity) },
+        { "event", event.name }, { "fields", fields } };
+}
+
 Json jsonOf(const DomainStatus &domain)
 {
     return { { "failure_domain", domain.failureDomain }, { "writer", domain.writer },
@@ -132,6 +143,22 @@
     write(m_out, json);
 }
 
+void JsonRenderer::events(const std::vector<Event> &events, const std::vector<Error> &unreachable)
+{
+    Json json = Json::object();
+    json["events"] = arrayOf(events);
+    json["unreachable"] = arrayOf(unreachable);
+    write(m_out, json);
+}
+
+void JsonRenderer::instanceDrain(const std::string &id, bool accepted)
+{
+    Json json = Json::object();
+    json["instance"] = id;
+    json["accepted"] = accepted;
+    write(m_out, json);
+}
+
 void JsonRenderer::error(const Error &error)
 {
     Json json = Json::object();
--- /dev/null
+++ b/src/control/peerinstanceapi.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "control/instanceapi.h"
+#include "peer/peerclient.h"
+
+#include <string>
+
+namespace Samphirepitch
+{
+
+/** Asks instances by messages between instances. */
+class PeerInstanceApi : public InstanceApi
+{
+public:
+    /**
+     * @param deployment name of the deployment that the instances must belong to
+     * @param clock outlives the object
+     */
+    PeerInstanceApi(std::string deployment, const Clock &clock);
+
+    asio::awaitable<Result<EventsReply>> events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline) override;
+    asio::awaitable<Result<DrainReply>> drain(Endpoint instance, TimePoint deadline) override;
+
+private:
+    PeerClient m_client;
+};
+
+} // namespace Samphirepitch
--- a/src/control/renderer.cpp
+++ b/src/control/renderer.cpp
@@ -6,6 +6,19 @@
 namespace Samphirepitch
 {
 
+std::string severityName(EventSeverity severity)
+{
+    switch (severity) {
+    case EventSeverity::Info:
+        return "info";
+    case EventSeverity::Warning:
+        return "warning";
+    case EventSeverity::Error:
+        break;
+    }
+    return "error";
+}
+
 std::string timeText(WallTime time)
 {
     const auto day = std::chrono::floor<std::chrono::days>(time);
--- a/src/control/renderer.h
+++ b/src/control/renderer.h
@@ -4,6 +4,7 @@
 #include "model/configdiff.h"
 #include "model/finding.h"
 #include "model/headrecord.h"
+#include "peer/event.h"
 #include "platform/applyoutcome.h"
 
 #include <optional>
@@ -32,9 +33,18 @@
     /** Writes the state of the deployment; @p head is none if nothing was ever accepted. */
     virtual void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) = 0;
 
+    /** Writes events in the order given, and the instances that could not be asked. */
+    virtual void events(const std::vector<Event> &events, const std::vector<Error> &unreachable) = 0;
+
+    /** Writes that the instance @p id stops gracefully; @p accepted is false if it was leaving already. */
+    virtual void instanceDrain(const std::string &id, bool accepted) = 0;
+
     virtual void error(const Error &error) = 0;
 };
 
+/** Returns the lower-case name of @p severity. */
+std::string severityName(EventSeverity severity);
+
 /** Returns @p time as text, such as "2026-01-01T00:00:00.000Z". */
 std::string timeText(WallTime time);
 
--- a/src/control/tablerenderer.cpp
+++ b/src/control/tablerenderer.cpp
@@ -96,9 +96,14 @@
         m_out << generation << " is in force everywhere (" << summary.instances().size() << " instances)\n";
         return;
     }
+    if (summary.instances().empty()) {
+        m_out << generation << " is not known to be in force: no instance is known\n";
+    }
     const auto missing = summary.missing();
-    m_out << generation << " is not known to be in force everywhere: " << missing.size() << " of " << summary.instances().size()
-          << " instances have not reported it\n";
+    if (!summary.instances().empty()) {
+        m_out << generation << " is not known to be in force everywhere: " << missing.size() << " of " << summary.instances().size()
+              << " instances have not reported it\n";
+    }
     for (const InstanceReport &instance : missing) {
         m_out << "  " << instance.id << " in " << instance.failureDomain << ": generation " << generationText(instance) << ", last heard "
               << heardText(instance) << '\n';
@@ -129,6 +134,28 @@
     missing(summary);
 }
 
+void TableRenderer::events(const std::vector<Event> &events, const std::vector<Error> &unreachable)
+{
+    TextTable table({ "TIME", "INSTANCE", "SEQUENCE", "SEVERITY", "EVENT", "FIELDS" });
+    for (const Event &event : events) {
+        std::string fields;
+        for (const EventField &field : event.fields) {
+            fields += (fields.empty() ? "" : " ") + field.key + "=" + field.value;
+        }
+        const std::string time = timeText(WallTime(std::chrono::milliseconds(event.at.wallMs))) + "+" + std::to_string(event.at.counter);
+        table.add({ time, event.instance, std::to_string(event.sequence), severityName(event.severity), event.name, fields });
+    }
+    table.write(m_out);
+    for (const Error &error : unreachable) {
+        this->error(error);
+    }
+}
+
+void TableRenderer::instanceDrain(const std::string &id, bool accepted)
+{
+    m_out << "instance " << id << (accepted ? " stops gracefully\n" : " was leaving already\n");
+}
+
 void TableRenderer::error(const Error &error)
 {
     m_errors << "error: " << error.describe() << '\n';
--- a/src/control/tablerenderer.h
+++ b/src/control/tablerenderer.h
@@ -19,6 +19,8 @@
     void outcome(const ApplyOutcome &outcome, const StatusSummary *waited) override;
     void records(const std::vector<HeadRecord> &records) override;
     void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) override;
+    void events(const std::vector<Event> &events, const std::vector<Error> &unreachable) override;
+    void instanceDrain(const std::string &id, bool accepted) override;
     void error(const Error &error) override;
 
 private:
--- a/tests/control/commandtests.cpp
+++ b/tests/control/commandtests.cpp
@@ -1,4 +1,5 @@
 #include "control/commandtable.h"
+#include "control/instanceapi.h"
 #include "control/jsonrenderer.h"
 #include "control/tablerenderer.h"
 #include "core/random.h"
@@ -20,11 +21,44 @@
 constexpr auto dewnet = "examples/dewnet/config.toml";
 constexpr auto tuganKun = "examples/tugan-kun/config.toml";
 
+/** Answers by address: port 1 has events, port 2 is leaving, all others are unreachable. */
+class FakeInstances : public InstanceApi
+{
+public:
+    std::vector<Event> all;
+
+    asio::awaitable<Result<EventsReply>> events(Endpoint instance, std::uint64_t after, TimePoint) override
+    {
+        EventsReply reply;
+        for (const Event &event : all) {
+            // Two at a time, so that more than one page is read.
+            if (event.instance == "i-" + std::to_string(instance.port()) && event.sequence > after && reply.events.size() < 2) {
+                reply.events.push_back(event);
+            }
+        }
+        if (instance.port() > 2) {
+            co_return failure(ErrorKind::Unavailable, instance.toString(), "Connection refused");
+        }
+        co_return reply;
+    }
+
+    asio::awaitable<Result<DrainReply>> drain(Endpoint instance, TimePoint) override
+    {
+        if (instance.port() > 2) {
+            co_return failure(ErrorKind::OutcomeUnknown, instance.toString(), "answer lost");
+        }
+        DrainReply reply;
+        reply.accepted = instance.port() == 1;
+        co_return reply;
+    }
+};
+
 struct Client {
     ManualClock clock;
     FakeTimer timer { clock };
     SeededRandom random { 20261204 };
     FakePlatform platform { clock };
+    FakeInstances instances;
     CommandOptions options { .author = "bola" };
     std::ostringstream out;
     std::ostringstream errors;
@@ -39,7 +73,7 @@
 
     ExitCode runWith(Renderer &renderer, const std::string &name, std::vector<std::string> words)
     {
-        CommandContext context { &platform, clock, timer, random, renderer, options, clock.now() + options.timeout };
+        CommandContext context { &platform, instances, clock, timer, random, renderer, options, clock.now() + options.timeout };
         return await(CommandTable().find(name)->run(context, std::move(words)));
     }
 
@@ -215,3 +249,43 @@
         CHECK_THAT(status(), !Catch::Contains(everywhere));
     }
 }
+
+TEST_CASE("instances are asked directly", "[control]")
+{
+    Client client;
+    client.options.deployment = "dewnet";
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        client.platform.listed.push_back(
+            { .id = "i-" + std::to_string(port), .failureDomain = "lokoja", .peerAddress = Endpoint(0x7f000001, port) });
+    }
+    SECTION("for events, which are merged in causal order")
+    {
+        client.instances.all = { { "i-1", 1, { 10, 0 }, EventSeverity::Info, "first", {} },
+            { "i-1", 2, { 10, 2 }, EventSeverity::Info, "third", {} }, { "i-1", 3, { 11, 0 }, EventSeverity::Info, "fourth", {} },
+            { "i-2", 1, { 10, 1 }, EventSeverity::Warning, "second", { { "peer", "i-1" } } } };
+        CHECK(client.run("events", { "i-1", "i-2" }) == ExitCode::Ok);
+        const std::string text = client.out.str();
+        CHECK(text.find("first") < text.find("second"));
+        CHECK(text.find("second  peer=i-1") < text.find("third"));
+        CHECK(text.find("third") < text.find("fourth"));
+        client.options.count = 1;
+        CHECK(client.run("events", {}) == ExitCode::Unavailable);
+        CHECK_THAT(client.out.str(), Catch::Contains("fourth") && !Catch::Contains("third"));
+        CHECK_THAT(client.errors.str(), Catch::Contains("instance i-3: Connection refused"));
+    }
+    SECTION("to stop gracefully")
+    {
+        CHECK(client.run("drain-instance", { "i-1" }) == ExitCode::Ok);
+        CHECK(client.out.str() == "instance i-1 stops gracefully\n");
+        CHECK(client.run("drain-instance", { "i-2" }) == ExitCode::Ok);
+        CHECK(client.out.str() == "instance i-2 was leaving already\n");
+        CHECK(client.run("drain-instance", { "i-3" }) == ExitCode::UnknownOutcome);
+        CHECK(client.run("drain-instance", { "i-9" }) == ExitCode::Refused);
+    }
+    SECTION("by address during an outage of the platform")
+    {
+        client.platform.fault = [](const auto &) { return Fault::Outage; };
+        CHECK(client.run("drain-instance", { "127.0.0.1:1" }) == ExitCode::Ok);
+        CHECK(client.run("drain-instance", { "i-1" }) == ExitCode::Unavailable);
+    }
+}
