Read the parts of a generation four at a time

With 4,096 leaf parts, diff and drain read about 4,000 parts one after the other at the planned size. ConfigLoader::set uses four readers.

--- a/src/core/hybridclock.h
+++ b/src/core/hybridclock.h
@@ -13,7 +13,8 @@
     std::uint64_t wallMs = 0; /**< milliseconds since the Unix epoch */
     std::uint32_t counter = 0; /**< orders readings of the same millisecond */
 
-    friend auto operator<=>(const HybridTime &, const HybridTime &) = default;
+    // clang-tidy 14 reports the literal 0 that the compiler inserts when it rewrites a < b to (a <=> b) < 0.
+    friend auto operator<=>(const HybridTime &, const HybridTime &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** A hybrid logical clock: near the wall clock, and later than every reading it gave or observed. */
--- a/src/platform/configloader.cpp
+++ b/src/platform/configloader.cpp
@@ -1,9 +1,10 @@
 #include "platform/configloader.h"
 
 #include "model/configtree.h"
-#include "model/partmap.h"
 #include "platform/retry.h"
 
+#include <asio/experimental/awaitable_operators.hpp>
+
 #include <memory>
 #include <utility>
 
@@ -69,24 +70,39 @@
     co_return HeadRecord::decode(*content);
 }
 
-asio::awaitable<Result<ConfigSet>> ConfigLoader::set(HeadRecord head, TimePoint deadline)
+asio::awaitable<void> ConfigLoader::readParts(PartQueue &queue, TimePoint deadline)
 {
-    PartMap parts;
-    auto missing = ConfigTree::missingParts(head, parts);
-    while (missing && !missing->empty()) {
-        for (const ContentName &name : *missing) {
-            auto content = co_await part(name, deadline);
-            if (!content) {
-                co_return tl::unexpected(content.error());
-            }
-            parts.add(name, std::move(*content));
+    while (!queue.error && queue.next < queue.names.size()) {
+        const ContentName name = queue.names[queue.next++];
+        auto content = co_await part(name, deadline);
+        if (content) {
+            queue.parts.add(name, std::move(*content));
+        } else {
+            queue.error = content.error();
         }
-        missing = ConfigTree::missingParts(head, parts);
     }
-    if (!missing) {
-        co_return tl::unexpected(missing.error());
+}
+
+asio::awaitable<Result<ConfigSet>> ConfigLoader::set(HeadRecord head, TimePoint deadline)
+{
+    using namespace asio::experimental::awaitable_operators;
+    PartQueue queue;
+    while (true) {
+        auto missing = ConfigTree::missingParts(head, queue.parts);
+        if (!missing) {
+            co_return tl::unexpected(missing.error());
+        }
+        if (missing->empty()) {
+            co_return ConfigTree::assemble(head, queue.parts);
+        }
+        queue.names = std::move(*missing);
+        queue.next = 0;
+        // Four calls at a time stay below the platform's rate when it answers within two milliseconds.
+        co_await (readParts(queue, deadline) && readParts(queue, deadline) && readParts(queue, deadline) && readParts(queue, deadline));
+        if (queue.error) {
+            co_return tl::unexpected(*queue.error);
+        }
     }
-    co_return ConfigTree::assemble(head, parts);
 }
 
 asio::awaitable<Result<ConfigGeneration>> ConfigLoader::current(TimePoint deadline)
--- a/src/platform/configloader.h
+++ b/src/platform/configloader.h
@@ -5,6 +5,7 @@
 #include "model/configgeneration.h"
 #include "model/configset.h"
 #include "model/headrecord.h"
+#include "model/partmap.h"
 #include "platform/platform.h"
 #include "platform/timer.h"
 
@@ -62,6 +63,15 @@
     asio::awaitable<Result<HeadRecord>> findChange(std::string changeId, TimePoint deadline);
 
 private:
+    /** Parts of one call that are still to be read, shared by its readers. */
+    struct PartQueue {
+        std::vector<ContentName> names;
+        std::size_t next = 0;
+        PartMap parts;
+        std::optional<Error> error;
+    };
+
+    asio::awaitable<void> readParts(PartQueue &queue, TimePoint deadline);
     asio::awaitable<Result<PlatformObject>> read(std::string key, TimePoint deadline);
 
     Platform &m_platform;
--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -42,7 +42,7 @@
     State(asio::any_io_executor executor, HttpHandler &handler, const HttpLimits &limits)
         : m_handler(handler)
         , m_limits(limits)
-        , m_acceptor(std::move(executor))
+        , m_acceptor(executor)
     {
     }
 
