Add the backend server stand-in

Cause: tests and trials need backend servers that queue, shed, cancel, respect deadlines and misbehave on request. Change: standin-backend hosts many servers with slots, a bounded queue, a health endpoint that can lag or lie, a run ledger for proving that a request ran at most once, counted notifications and pushes, and faults for late, duplicate, crossed, lost and frozen answers and cold starts.

--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -39,10 +39,10 @@
 class HttpServer::State : public std::enable_shared_from_this<HttpServer::State>
 {
 public:
-    State(asio::any_io_executor executor, HttpHandler &handler, const HttpLimits &limits)
+    State(const asio::any_io_executor &executor, HttpHandler &handler, const HttpLimits &limits)
         : m_handler(handler)
         , m_limits(limits)
-        , m_acceptor(std::move(executor))
+        , m_acceptor(executor)
     {
     }
 
@@ -209,9 +209,9 @@
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(
-    asio::any_io_executor executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits)
+    const asio::any_io_executor &executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits)
 {
-    auto state = std::make_shared<State>(std::move(executor), handler, limits);
+    auto state = std::make_shared<State>(executor, handler, limits);
     if (const std::error_code error = state->open(address)) {
         return failure(ErrorKind::InputOutput, address.toString(), error.message());
     }
--- /dev/null
+++ b/standins/lib/backendgroup.cpp
@@ -0,0 +1,194 @@
+#include "lib/backendgroup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Samphirepitch::StandIn
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t defaultEntries = 1000; // of the ledger in one answer
+
+HttpResponse json(const Json &value)
+{
+    return HttpResponse::of(200, "application/json", value.dump());
+}
+
+Json toJson(const BackendStandIn &server)
+{
+    const BackendStandIn::Counters &counters = server.counters();
+    return Json { { "requests", counters.requests }, { "answered", counters.answered }, { "shed", counters.shed },
+        { "expired", counters.expired }, { "cancelled", counters.cancelled }, { "notifications", counters.notifications },
+        { "opaque", counters.opaque }, { "malformed", counters.malformed }, { "flows", server.flowCount() } };
+}
+
+Result<BackendGroup::Member> parseMember(std::string_view entry, const BackendStandIn::Options &defaults)
+{
+    const std::size_t first = entry.find('=');
+    const std::size_t second = first == std::string_view::npos ? first : entry.find('=', first + 1);
+    if (first == 0 || second == std::string_view::npos) {
+        return failure(ErrorKind::Malformed, std::string(entry), "a backend server is written NAME=ip:port=ip:port");
+    }
+    const auto address = Endpoint::parse(entry.substr(first + 1, second - first - 1));
+    const auto health = Endpoint::parse(entry.substr(second + 1));
+    if (!address || !health) {
+        return tl::unexpected(address ? health.error() : address.error());
+    }
+    BackendGroup::Member member { defaults, *health };
+    member.options.name = entry.substr(0, first);
+    member.options.address = *address;
+    return member;
+}
+
+} // namespace
+
+Result<std::vector<BackendGroup::Member>> BackendGroup::parseMembers(std::string_view text, const BackendStandIn::Options &defaults)
+{
+    std::vector<Member> members;
+    while (!text.empty()) {
+        const std::string_view entry = text.substr(0, text.find(','));
+        text.remove_prefix(entry.size() < text.size() ? entry.size() + 1 : entry.size());
+        if (entry.empty()) {
+            continue;
+        }
+        auto member = parseMember(entry, defaults);
+        if (!member) {
+            return tl::unexpected(member.error());
+        }
+        members.push_back(std::move(*member));
+    }
+    return members;
+}
+
+Result<std::unique_ptr<BackendGroup>> BackendGroup::start(
+    const asio::any_io_executor &executor, const Clock &clock, const std::vector<Member> &members)
+{
+    std::unique_ptr<BackendGroup> group(new BackendGroup());
+    for (const Member &member : members) {
+        if (const auto added = group->add(executor, clock, member); !added) {
+            return tl::unexpected(added.error());
+        }
+    }
+    return group;
+}
+
+BackendGroup::BackendGroup() = default;
+
+Result<void> BackendGroup::add(const asio::any_io_executor &executor, const Clock &clock, const Member &member)
+{
+    auto server = BackendStandIn::start(executor, clock, member.options, m_ledger, m_batch);
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    auto health = HttpServer::listen(executor, member.healthAddress, **server);
+    if (!health) {
+        return tl::unexpected(health.error());
+    }
+    m_servers.push_back(std::move(*server));
+    m_health.push_back(std::move(*health));
+    return {};
+}
+
+asio::awaitable<std::optional<HttpResponse>> BackendGroup::handle(HttpRequest request)
+{
+    const std::string_view path = request.path();
+    if (path == "/standin/ledger") {
+        co_return ledger(request);
+    }
+    if (path == "/standin/counters") {
+        co_return counters(request);
+    }
+    if (path == "/standin/faults") {
+        co_return faults(request);
+    }
+    if (path == "/standin/push" && request.method == "POST") {
+        co_return push(request);
+    }
+    co_return HttpResponse::empty(404);
+}
+
+std::vector<BackendStandIn *> BackendGroup::chosen(const HttpRequest &request)
+{
+    const auto name = request.query("server");
+    std::vector<BackendStandIn *> servers;
+    for (const auto &server : m_servers) {
+        if (!name || server->name() == *name) {
+            servers.push_back(server.get());
+        }
+    }
+    return servers;
+}
+
+HttpResponse BackendGroup::faults(const HttpRequest &request)
+{
+    const auto servers = chosen(request);
+    if (request.method == "PUT") {
+        for (BackendStandIn *server : servers) {
+            const auto changed = server->faults().changedBy(request.body);
+            if (!changed) {
+                return HttpResponse::of(400, "text/plain", changed.error().describe());
+            }
+            server->changeFaults(*changed);
+        }
+    }
+    Json report = Json::object();
+    for (BackendStandIn *server : servers) {
+        report[server->name()] = Json::parse(server->faults().toJson());
+    }
+    return servers.empty() ? HttpResponse::empty(404) : json(report);
+}
+
+HttpResponse BackendGroup::counters(const HttpRequest &request)
+{
+    Json report = Json::object();
+    for (BackendStandIn *server : chosen(request)) {
+        report[server->name()] = toJson(*server);
+    }
+    return json(report);
+}
+
+HttpResponse BackendGroup::push(const HttpRequest &request)
+{
+    std::size_t flows = 0;
+    for (BackendStandIn *server : chosen(request)) {
+        flows += server->pushToFlows();
+    }
+    return json(Json { { "flows", flows } });
+}
+
+HttpResponse BackendGroup::ledger(const HttpRequest &request)
+{
+    if (request.method == "DELETE") {
+        m_ledger.clear();
+        return HttpResponse::empty(204);
+    }
+    const bool repeatedOnly = request.queryNumber("repeated").value_or(0) != 0;
+    return HttpResponse::of(200, "application/json", m_ledger.toJson(repeatedOnly, request.queryNumber("limit").value_or(defaultEntries)));
+}
+
+BackendStandIn &BackendGroup::server(std::size_t index)
+{
+    return *m_servers[index];
+}
+
+Endpoint BackendGroup::healthAddress(std::size_t index) const
+{
+    return m_health[index]->address();
+}
+
+std::size_t BackendGroup::size() const
+{
+    return m_servers.size();
+}
+
+const RunLedger &BackendGroup::ledger() const
+{
+    return m_ledger;
+}
+
+} // namespace Samphirepitch::StandIn
--- a/standins/lib/datagramsocket.cpp
+++ b/standins/lib/datagramsocket.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-Result<std::unique_ptr<DatagramSocket>> DatagramSocket::bind(asio::any_io_executor executor, Endpoint address)
+Result<std::unique_ptr<DatagramSocket>> DatagramSocket::bind(const asio::any_io_executor &executor, Endpoint address)
 {
-    asio::ip::udp::socket socket(std::move(executor));
+    asio::ip::udp::socket socket(executor);
     const asio::ip::udp::endpoint target(asio::ip::address_v4(address.address()), address.port());
     std::error_code error;
     socket.open(target.protocol(), error);
--- a/standins/lib/datagramsocket.h
+++ b/standins/lib/datagramsocket.h
@@ -20,7 +20,7 @@
      * Binds @p address; port 0 takes a free port.
      * @return the socket, or InputOutput
      */
-    static Result<std::unique_ptr<DatagramSocket>> bind(asio::any_io_executor executor, Endpoint address);
+    static Result<std::unique_ptr<DatagramSocket>> bind(const asio::any_io_executor &executor, Endpoint address);
 
     /** Waits until a datagram is there. @return false once the socket is closed */
     asio::awaitable<bool> waitForDatagram();
--- a/standins/lib/fabricstandin.cpp
+++ b/standins/lib/fabricstandin.cpp
@@ -15,6 +15,11 @@
 namespace
 {
 
+std::uint64_t serviceKey(Endpoint address)
+{
+    return static_cast<std::uint64_t>(address.address()) << 16 | address.port();
+}
+
 HttpResponse json(std::string body)
 {
     return HttpResponse::of(200, "application/json", std::move(body));
@@ -49,7 +54,7 @@
         if (!socket) {
             return tl::unexpected(socket.error());
         }
-        m_serviceOf[(*socket)->address()] = socket->get();
+        m_serviceOf[serviceKey((*socket)->address())] = socket->get();
         m_services.push_back(std::move(*socket));
     }
     auto socket = DatagramSocket::bind(m_executor, m_options.returnAddress);
@@ -95,7 +100,7 @@
     for (std::size_t index = 0; index < count; ++index) {
         std::span<const std::uint8_t> payload;
         const auto header = ProxyHeader::decode(m_batch.datagram(index), payload);
-        const auto service = header ? m_serviceOf.find(header->source()) : m_serviceOf.end();
+        const auto service = header ? m_serviceOf.find(serviceKey(header->source())) : m_serviceOf.end();
         if (service == m_serviceOf.end()) {
             ++m_counters.malformed;
             continue;
--- a/standins/lib/fabricstandin.h
+++ b/standins/lib/fabricstandin.h
@@ -6,8 +6,8 @@
 #include "lib/receivebatch.h"
 #include "platform/httphandler.h"
 
-#include <map>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace Samphirepitch::StandIn
@@ -79,7 +79,7 @@
     Counters m_counters;
     ReceiveBatch m_batch;
     std::vector<std::unique_ptr<DatagramSocket>> m_services;
-    std::map<Endpoint, DatagramSocket *> m_serviceOf;
+    std::unordered_map<std::uint64_t, DatagramSocket *> m_serviceOf; /**< by serviceKey() of the address */
     std::unique_ptr<DatagramSocket> m_return;
 };
 
