--- /dev/null
+++ b/src/routing/servicetable.cpp
@@ -0,0 +1,191 @@
+#include "routing/servicetable.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr int maxFallbacks = 8; // ConfigChecker refuses cycles; this bound holds even for sets that were not checked
+
+std::uint64_t addressKey(Endpoint address)
+{
+    return static_cast<std::uint64_t>(address.address()) << 16 | address.port();
+}
+
+std::vector<std::string> idempotentMethods(const ConfigSet &set, const Policy *policy)
+{
+    std::vector<std::string> methods;
+    for (int depth = 0; policy && depth < maxFallbacks; ++depth) {
+        methods.insert(methods.end(), policy->idempotentMethods().begin(), policy->idempotentMethods().end());
+        policy = policy->fallback().empty() ? nullptr : set.policy(policy->fallback());
+    }
+    std::sort(methods.begin(), methods.end());
+    methods.erase(std::unique(methods.begin(), methods.end()), methods.end());
+    return methods;
+}
+
+using NameSet = std::set<std::string_view>;
+
+/** Returns the names of objects that were added, removed or changed between two vectors that are sorted by name. */
+template<typename Object>
+NameSet changedNames(const std::vector<Object> &before, const std::vector<Object> &after)
+{
+    NameSet names;
+    auto left = before.begin();
+    auto right = after.begin();
+    while (left != before.end() || right != after.end()) {
+        if (right == after.end() || (left != before.end() && left->name() < right->name())) {
+            names.insert((left++)->name());
+        } else if (left == before.end() || right->name() < left->name()) {
+            names.insert((right++)->name());
+        } else {
+            if (!(*left == *right)) {
+                names.insert(right->name());
+            }
+            ++left;
+            ++right;
+        }
+    }
+    return names;
+}
+
+bool hasLapsedChange(const RoutedService &service, TimePoint now)
+{
+    return std::any_of(
+        service.changes.begin(), service.changes.end(), [now](const PlacementChange &change) { return now >= change.deadline; });
+}
+
+std::vector<PlacementChange> remainingChanges(const RoutedService &before, TimePoint now)
+{
+    std::vector<PlacementChange> changes;
+    for (const PlacementChange &change : before.changes) {
+        if (now < change.deadline) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+std::shared_ptr<const Placement> place(const RoutedService &service, const RoutedService *before, ServerRegistry &servers, TimePoint now)
+{
+    std::vector<ServerIndex> indexes;
+    for (const BackendServer &server : service.pool.servers()) {
+        indexes.push_back(servers.update(service.service, service.policy, server, now));
+    }
+    if (before && before->pool == service.pool) {
+        return before->placement;
+    }
+    return std::make_shared<const Placement>(LookupTable::of(service.pool), std::move(indexes));
+}
+
+void retireAbsent(const RoutedService &before, const std::vector<ServerIndex> &present, ServerRegistry &servers, TimePoint now)
+{
+    for (const ServerIndex index : before.placement->servers()) {
+        if (std::find(present.begin(), present.end(), index) == present.end()) {
+            servers.retire(index, before.policy, now);
+        }
+    }
+}
+
+void continueFrom(const RoutedService &before, RoutedService &service, std::uint64_t generation, ServerRegistry &servers, TimePoint now)
+{
+    retireAbsent(before, service.placement->servers(), servers, now);
+    service.changes = remainingChanges(before, now);
+    if (before.placement == service.placement) {
+        return;
+    }
+    service.changes.insert(service.changes.begin(), { generation, now + service.policy.drainTimeout(), before.placement });
+    service.changes.resize(std::min(service.changes.size(), RoutedService::maxChanges));
+}
+
+} // namespace
+
+std::shared_ptr<const ServiceTable> ServiceTable::build(
+    const ConfigGeneration &generation, const ServiceTable &before, ServerRegistry &servers, TimePoint now)
+{
+    // Starts from a copy, because one change touches one of thousands of services.
+    auto table = std::make_shared<ServiceTable>(before);
+    table->m_generation = generation.head.generation;
+    table->m_set = generation.set;
+    const ConfigSet nothing;
+    const ConfigSet &old = before.m_set ? *before.m_set : nothing;
+    const NameSet pools = changedNames(old.pools(), generation.set->pools());
+    const bool policiesChanged = !changedNames(old.policies(), generation.set->policies()).empty();
+    const NameSet services = changedNames(old.services(), generation.set->services());
+    for (const Service &service : generation.set->services()) {
+        const auto known = before.m_byId.find(ServerRegistry::serviceId(service.name()));
+        const bool same = known != before.m_byId.end() && !policiesChanged && !services.contains(service.name())
+            && !pools.contains(service.pool()) && !hasLapsedChange(*known->second, now);
+        if (same) {
+            continue;
+        }
+        const BackendPool *pool = generation.set->pool(service.pool());
+        const Policy *policy = generation.set->policy(service.policy());
+        if (!pool || !policy) {
+            continue; // ConfigChecker refuses such sets
+        }
+        RoutedService routed { ServerRegistry::serviceId(service.name()), service, *pool, *policy,
+            idempotentMethods(*generation.set, policy), nullptr, {} };
+        const RoutedService *former = known == before.m_byId.end() ? nullptr : known->second.get();
+        routed.placement = place(routed, former, servers, now);
+        if (former) {
+            continueFrom(*former, routed, table->m_generation, servers, now);
+            table->remove(*former);
+        }
+        table->add(std::make_shared<const RoutedService>(std::move(routed)));
+    }
+    for (const std::string_view name : services) {
+        const auto known = before.m_byId.find(ServerRegistry::serviceId(name));
+        if (known != before.m_byId.end() && !generation.set->service(name)) {
+            retireAbsent(*known->second, {}, servers, now);
+            table->remove(*known->second);
+        }
+    }
+    return table;
+}
+
+void ServiceTable::add(std::shared_ptr<const RoutedService> service)
+{
+    m_byAddress[addressKey(service->service.address())] = service.get();
+    m_byId[service->id] = std::move(service);
+}
+
+void ServiceTable::remove(const RoutedService &service)
+{
+    // Another service may have taken the address in the same generation.
+    const auto byAddress = m_byAddress.find(addressKey(service.service.address()));
+    if (byAddress != m_byAddress.end() && byAddress->second == &service) {
+        m_byAddress.erase(byAddress);
+    }
+    m_byId.erase(service.id);
+}
+
+const RoutedService *ServiceTable::service(Endpoint address) const
+{
+    const auto found = m_byAddress.find(addressKey(address));
+    return found == m_byAddress.end() ? nullptr : found->second;
+}
+
+const RoutedService *ServiceTable::service(std::uint64_t id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : found->second.get();
+}
+
+std::uint64_t ServiceTable::generation() const
+{
+    return m_generation;
+}
+
+const std::unordered_map<std::uint64_t, std::shared_ptr<const RoutedService>> &ServiceTable::services() const
+{
+    return m_byId;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/tests/model/configtreetests.cpp
@@ -0,0 +1,154 @@
+#include "core/random.h"
+#include "model/configtree.h"
+#include "model/objectcodec.h"
+#include "model/partmap.h"
+#include "model/sampleset.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+namespace
+{
+
+PartMap mapOf(const std::map<ContentName, std::string> &parts)
+{
+    PartMap map;
+    for (const auto &[name, content] : parts) {
+        map.add(name, content);
+    }
+    return map;
+}
+
+HeadRecord headOf(const ConfigTree &tree)
+{
+    return HeadRecord({ .generation = 7,
+        .indexes = tree.indexes(),
+        .changeId = "c-1",
+        .author = "bola",
+        .acceptedAt = WallTime(std::chrono::milliseconds(5)) });
+}
+
+} // namespace
+
+TEST_CASE("a head record and a head pointer are read as they were written", "[model][headrecord]")
+{
+    const HeadRecord record = headOf(ConfigTree::of(ConfigSet(sampleFields())));
+    CHECK(HeadRecord::decode(record.encode()) == record);
+    const HeadPointer pointer { 7, ContentName::of(record.encode()) };
+    CHECK(HeadPointer::decode(pointer.encode()) == pointer);
+}
+
+TEST_CASE("each truncation and each extension of a head record is refused", "[model][headrecord]")
+{
+    // Guards against reading behind the end of a part that a peer sent.
+    const std::string bytes = headOf(ConfigTree::of(ConfigSet(sampleFields()))).encode();
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(HeadRecord::decode(std::string_view(bytes).substr(0, size)).has_value());
+    }
+    CHECK_FALSE(HeadRecord::decode(bytes + "x").has_value());
+}
+
+TEST_CASE("a set is assembled from its parts", "[model][configtree]")
+{
+    const ConfigSet set(sampleFields());
+    const ConfigTree tree = ConfigTree::of(set);
+    const HeadRecord head = headOf(tree);
+    CHECK(ConfigTree::assemble(head, mapOf(tree.parts())) == set);
+    CHECK(ConfigTree::missingParts(head, mapOf(tree.parts()))->empty());
+    CHECK(ConfigTree::referencedParts(head, mapOf(tree.parts()))->size() == tree.parts().size());
+}
+
+TEST_CASE("the order in which objects are given does not change the parts", "[model][configtree]")
+{
+    // Guards against two operators publishing the same set under different names.
+    ConfigSet::Fields fields = sampleFields();
+    const auto parts = ConfigTree::of(ConfigSet(fields)).parts();
+    std::reverse(fields.failureDomains.begin(), fields.failureDomains.end());
+    CHECK(ConfigTree::of(ConfigSet(fields)).parts() == parts);
+}
+
+TEST_CASE("a change of one object makes one new leaf and one new index", "[model][configtree]")
+{
+    // Guards the limit of four writes for one change.
+    ConfigSet::Fields fields = sampleFields();
+    const auto before = ConfigTree::of(ConfigSet(fields)).parts();
+    fields.failureDomains[0] = FailureDomain({ "okene", "kwara" });
+    const auto after = ConfigTree::of(ConfigSet(fields)).parts();
+    const auto added = std::count_if(after.begin(), after.end(), [&before](const auto &part) { return !before.contains(part.first); });
+    CHECK(added == 2);
+}
+
+TEST_CASE("parts that are not held are listed and not assembled", "[model][configtree]")
+{
+    const ConfigTree tree = ConfigTree::of(ConfigSet(sampleFields()));
+    const HeadRecord head = headOf(tree);
+    for (const auto &[name, content] : tree.parts()) {
+        auto parts = tree.parts();
+        parts.erase(name);
+        CHECK(ConfigTree::missingParts(head, mapOf(parts)) == std::vector { name });
+        const auto set = ConfigTree::assemble(head, mapOf(parts));
+        REQUIRE_FALSE(set.has_value());
+        CHECK(set.error().kind() == ErrorKind::NotFound);
+    }
+}
+
+TEST_CASE("counts above their limit are refused before memory is taken", "[model][objectcodec]")
+{
+    // Guards against a hostile part that announces 4 billion objects, servers or bytes.
+    const std::string_view views[] { { "\xdd\xff\xff\xff\xff", 5 }, { "\x91\x94\x01\xa1p\xdd\xff\xff\xff\xff", 10 },
+        { "\x91\x93\x00\xdb\xff\xff\xff\xff", 8 } };
+    for (const std::string_view view : views) {
+        ConfigSet::Fields fields;
+        const auto status = ObjectCodec::decodeLeaf(view, fields);
+        REQUIRE_FALSE(status.has_value());
+        CHECK(status.error().kind() == ErrorKind::TooLarge);
+    }
+}
+
+TEST_CASE("each truncation of a leaf is refused", "[model][objectcodec]")
+{
+    const std::string leaf = "\x91" + ObjectCodec::encode(ConfigSet(sampleFields()).pools()[0]);
+    for (std::size_t size = 0; size < leaf.size(); ++size) {
+        ConfigSet::Fields fields;
+        CHECK_FALSE(ObjectCodec::decodeLeaf(std::string_view(leaf).substr(0, size), fields).has_value());
+    }
+    ConfigSet::Fields fields;
+    CHECK(ObjectCodec::decodeLeaf(leaf, fields).has_value());
+}
+
+TEST_CASE("a set made from an earlier set equals one that is assembled anew", "[model][configtree]")
+{
+    // Guards against a generation that differs between an instance that followed the changes and one that started later.
+    const std::uint64_t seed = GENERATE(range(1, 21));
+    CAPTURE(seed);
+    SeededRandom random(seed);
+    const auto randomFields = [&random] {
+        ConfigSet::Fields fields;
+        for (int number = 0; number < 60; ++number) {
+            const std::string name = "object-" + std::to_string(number);
+            if (random.below(3) != 0) {
+                fields.failureDomains.push_back(FailureDomain({ name, "region-" + std::to_string(random.below(2)) }));
+            }
+            if (random.below(3) != 0) {
+                fields.policies.push_back(Policy({ .name = name, .queueLimit = static_cast<std::uint32_t>(random.below(3)) }));
+            }
+        }
+        return fields;
+    };
+    ConfigSet current(randomFields());
+    ConfigTree tree = ConfigTree::of(current);
+    for (int change = 0; change < 5; ++change) {
+        const ConfigSet wanted(randomFields());
+        const ConfigTree next = ConfigTree::of(wanted);
+        auto parts = tree.parts();
+        parts.insert(next.parts().begin(), next.parts().end());
+        const auto made = ConfigTree::assembleFrom(current, headOf(tree), headOf(next), mapOf(parts));
+        REQUIRE(made == wanted);
+        current = *made;
+        tree = next;
+    }
+}
