--- /dev/null
+++ b/src/request/requesttable.cpp
@@ -0,0 +1,107 @@
+#include "request/requesttable.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+// Void timers are dropped in one pass when the heap reaches this multiple of the table's size.
+constexpr std::size_t timersPerSlot = 4;
+} // namespace
+
+RequestTable::RequestTable(std::size_t maxRequests)
+    : m_slots(maxRequests)
+    , m_index(maxRequests)
+{
+    m_timers.reserve(maxRequests * timersPerSlot);
+    m_free.reserve(maxRequests);
+    for (std::size_t slot = maxRequests; slot > 0; --slot) {
+        m_free.push_back(static_cast<std::uint32_t>(slot - 1));
+    }
+}
+
+PendingRequest *RequestTable::add(const RequestId &request, TimePoint now)
+{
+    const std::uint64_t key = request.key();
+    if (m_free.empty() || m_index.find(key)) {
+        return nullptr;
+    }
+    const std::uint32_t slot = m_free.back();
+    m_free.pop_back();
+    m_index.insert(key, slot, now);
+    PendingRequest &pending = m_slots[slot].pending;
+    std::vector<std::uint8_t> payload = std::move(pending.payload);
+    payload.clear(); // keeps its memory
+    pending = PendingRequest { .request = request, .payload = std::move(payload) };
+    return &pending;
+}
+
+PendingRequest *RequestTable::find(const RequestId &request)
+{
+    const auto slot = m_index.find(request.key());
+    return slot && m_slots[*slot].pending.request == request ? &m_slots[*slot].pending : nullptr;
+}
+
+tl::expected<PendingRequest *, AnswerFault> RequestTable::match(const RequestId &request, ServerIndex server)
+{
+    PendingRequest *pending = find(request);
+    if (!pending) {
+        return tl::unexpected(AnswerFault::NotPending);
+    }
+    if (pending->server != server) {
+        return tl::unexpected(AnswerFault::WrongServer);
+    }
+    return pending;
+}
+
+std::uint32_t RequestTable::slotOf(const PendingRequest &pending) const
+{
+    return *m_index.find(pending.request.key());
+}
+
+void RequestTable::schedule(PendingRequest &pending, TimePoint due)
+{
+    if (m_timers.size() == m_timers.capacity()) {
+        dropVoidTimers();
+    }
+    const std::uint32_t slot = slotOf(pending);
+    m_timers.push_back({ due, slot, ++m_slots[slot].serial });
+    std::push_heap(m_timers.begin(), m_timers.end(), std::greater<>());
+}
+
+PendingRequest *RequestTable::due(TimePoint now)
+{
+    while (!m_timers.empty() && m_timers.front().due <= now) {
+        std::pop_heap(m_timers.begin(), m_timers.end(), std::greater<>());
+        const Timer timer = m_timers.back();
+        m_timers.pop_back();
+        if (m_slots[timer.slot].serial == timer.serial) {
+            return &m_slots[timer.slot].pending;
+        }
+    }
+    return nullptr;
+}
+
+void RequestTable::remove(PendingRequest &pending)
+{
+    const std::uint32_t slot = slotOf(pending);
+    ++m_slots[slot].serial;
+    m_index.erase(pending.request.key());
+    m_free.push_back(slot);
+}
+
+void RequestTable::dropVoidTimers()
+{
+    std::erase_if(m_timers, [this](const Timer &timer) { return m_slots[timer.slot].serial != timer.serial; });
+    std::make_heap(m_timers.begin(), m_timers.end(), std::greater<>());
+}
+
+std::size_t RequestTable::size() const
+{
+    return m_slots.size() - m_free.size();
+}
+
+} // namespace Samphirepitch
