--- /dev/null
+++ b/src/data/datapath.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/eventsink.h"
+#include "core/metricsource.h"
+#include "core/random.h"
+#include "membership/memberlistener.h"
+#include "model/configgeneration.h"
+#include "routing/exceptiontransport.h"
+#include "routing/serverchooser.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+
+#include <memory>
+
+namespace Samphirepitch
+{
+
+class PacketEngine;
+
+/** Settings of a DataPath. */
+struct DataPathSettings {
+    std::string instance; /**< id of this instance */
+    std::string failureDomain;
+    Endpoint dataAddress; /**< where packets of the fabric and of other instances arrive */
+    Endpoint backAddress; /**< where answers of backend servers arrive; the port may be 0 */
+    Endpoint fabricReturn; /**< where packets to callers go */
+    std::size_t maxFlows = 300000;
+    ChooserKind chooser = ChooserKind::LocalFirst;
+    bool isNewId = false; /**< no earlier process ran under this id within the longest repeat window */
+};
+
+/** The packet tasks of an instance on UDP sockets. Runs on one thread, which is also the only one that may call it. */
+class DataPath : public ConfigListener, public MemberListener, public MetricSource
+{
+public:
+    /**
+     * Opens the sockets.
+     * @param executor of an io_context that one thread runs
+     * @param clock must outlive the data path, as random and events
+     * @return the data path, or InputOutput with the address that can't be used
+     */
+    static Result<std::unique_ptr<DataPath>> create(
+        asio::any_io_executor executor, const Clock &clock, RandomSource &random, EventSink &events, DataPathSettings settings);
+    ~DataPath() override;
+
+    /** Sets what carries flow exceptions to other instances; it must outlive the data path. */
+    void setExceptionTransport(ExceptionTransport *transport);
+
+    void configurationChanged(const ConfigGeneration &generation) override;
+    void memberViewChanged(std::shared_ptr<const MemberView> view) override;
+    void writeMetrics(MetricWriter &writer) const override;
+
+    /** Serves packets until stop(). */
+    asio::awaitable<void> run();
+
+    /** Ends run() soon. */
+    void stop();
+
+    /** Begins a graceful stop: requests that this instance accepted are finished, others are still served or forwarded. */
+    void beginDrain();
+    bool isDraining() const;
+
+    /** Requests that wait for an answer or a slot, and, while draining, those that a caller may still repeat here. */
+    std::size_t pendingRequests() const;
+
+    /** Generation that the data path uses; 0 before the first. */
+    std::uint64_t activeGeneration() const;
+
+    /** Address at which answers arrive, with the port that was chosen for port 0. */
+    Endpoint backAddress() const;
+
+    /** Decisions, for the code that carries flow exceptions, spread server states and member views. */
+    PacketEngine &engine();
+
+private:
+    class Implementation;
+
+    explicit DataPath(std::unique_ptr<Implementation> implementation);
+
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace Samphirepitch
