Carry flow exceptions between instances; give two classes names of their own

Cause: two classes named Backoff and pairs named FlowExceptions and ServerHealth stood in one namespace; the linker merged the two Backoff classes, and a control plane test ended with free(): invalid pointer.

--- a/src/load/controlinstance.cpp
+++ b/src/load/controlinstance.cpp
@@ -53,7 +53,7 @@
     return m_serverStates;
 }
 
-const std::vector<FlowExceptions> &ControlInstance::flowExceptions() const
+const std::vector<FlowExceptionBatch> &ControlInstance::flowExceptions() const
 {
     return m_flowExceptions;
 }
@@ -114,11 +114,15 @@
     m_serverStates.push_back(states);
 }
 
-void ControlInstance::flowExceptionsReceived(const std::string &, const FlowExceptions &exceptions)
+void ControlInstance::flowExceptionsReceived(const std::string &, const FlowExceptionBatch &exceptions)
 {
     m_flowExceptions.push_back(exceptions);
 }
 
+void ControlInstance::flowExceptionsDelivered(const std::string &, std::uint64_t)
+{
+}
+
 void ControlInstance::preparedEverywhere(std::uint64_t generation)
 {
     m_active = std::min(generation, preparedGeneration());
--- a/src/load/controlinstance.h
+++ b/src/load/controlinstance.h
@@ -51,7 +51,7 @@
     const std::vector<ServerStates> &serverStates() const;
 
     /** The flow exceptions that peers handed over. */
-    const std::vector<FlowExceptions> &flowExceptions() const;
+    const std::vector<FlowExceptionBatch> &flowExceptions() const;
 
     /** Number of recorded events of that name. */
     std::size_t eventCount(std::string_view name) const;
@@ -75,7 +75,8 @@
 
     void configurationChanged(const ConfigGeneration &generation) override;
     void serverStatesChanged(const ServerStates &states) override;
-    void flowExceptionsReceived(const std::string &peer, const FlowExceptions &exceptions) override;
+    void flowExceptionsReceived(const std::string &peer, const FlowExceptionBatch &exceptions) override;
+    void flowExceptionsDelivered(const std::string &peer, std::uint64_t sequence) override;
     void preparedEverywhere(std::uint64_t generation) override;
 
     const Clock &m_clock;
@@ -85,7 +86,7 @@
     std::unique_ptr<ControlPlane> m_plane;
     std::vector<std::uint64_t> m_adopted;
     std::vector<ServerStates> m_serverStates;
-    std::vector<FlowExceptions> m_flowExceptions;
+    std::vector<FlowExceptionBatch> m_flowExceptions;
     std::vector<Event> m_events;
     std::uint64_t m_active = 0;
     bool m_drained = false;
--- a/src/peer/controlplane.cpp
+++ b/src/peer/controlplane.cpp
@@ -163,7 +163,7 @@
     }
 }
 
-bool ControlPlane::sendFlowExceptions(const std::string &instance, FlowExceptions exceptions)
+bool ControlPlane::sendFlowExceptions(const std::string &instance, FlowExceptionBatch exceptions)
 {
     if (m_links.send(instance, exceptions)) {
         return true;
@@ -422,11 +422,19 @@
     }
 }
 
-void ControlPlane::handle(PeerLink &link, FlowExceptions &message)
+void ControlPlane::handle(PeerLink &link, FlowExceptionBatch &message)
 {
     for (PeerListener *listener : m_parts.peerListeners) {
         listener->flowExceptionsReceived(link.peer().instanceId, message);
     }
+    link.send(FlowExceptionAck { message.sequence });
+}
+
+void ControlPlane::handle(PeerLink &link, FlowExceptionAck &message)
+{
+    for (PeerListener *listener : m_parts.peerListeners) {
+        listener->flowExceptionsDelivered(link.peer().instanceId, message.sequence);
+    }
 }
 
 void ControlPlane::handle(PeerLink &, StatusReply &message)
--- a/src/peer/controlplane.h
+++ b/src/peer/controlplane.h
@@ -86,7 +86,7 @@
     void spreadServerStates(const ServerStates &states);
 
     /** Sends flow exceptions to an instance, over a new link if there is none. @return false if it is not a member */
-    bool sendFlowExceptions(const std::string &instance, FlowExceptions exceptions);
+    bool sendFlowExceptions(const std::string &instance, FlowExceptionBatch exceptions);
 
     /** The address that peers connect to. */
     Endpoint peerAddress() const;
@@ -154,7 +154,8 @@
     void handle(PeerLink &link, PartReply &message);
     void handle(PeerLink &link, MemberEvents &message);
     void handle(PeerLink &link, ServerStates &message);
-    void handle(PeerLink &link, FlowExceptions &message);
+    void handle(PeerLink &link, FlowExceptionBatch &message);
+    void handle(PeerLink &link, FlowExceptionAck &message);
     void handle(PeerLink &link, StatusReply &message);
     void handle(PeerLink &link, GenerationReport &message);
     bool answerQuery(PeerLink &link, const Message &message);
--- a/src/peer/backoff.cpp
+++ b/src/peer/dialbackoff.cpp
@@ -1,4 +1,4 @@
-#include "peer/backoff.h"
+#include "peer/dialbackoff.h"
 
 #include "core/random.h"
 
@@ -7,12 +7,12 @@
 namespace Samphirepitch
 {
 
-Backoff::Backoff(RandomSource &random)
+DialBackoff::DialBackoff(RandomSource &random)
     : m_random(random)
 {
 }
 
-std::chrono::milliseconds Backoff::next()
+std::chrono::milliseconds DialBackoff::next()
 {
     const std::chrono::milliseconds half = m_bound / 2;
     const std::chrono::milliseconds delay = half + std::chrono::milliseconds(m_random.below(static_cast<std::uint64_t>(half.count())));
@@ -20,7 +20,7 @@
     return delay;
 }
 
-void Backoff::reset()
+void DialBackoff::reset()
 {
     m_bound = first;
 }
--- a/src/peer/backoff.h
+++ b/src/peer/dialbackoff.h
@@ -8,13 +8,13 @@
 class RandomSource;
 
 /** Delays between attempts: doubled after each failure, with jitter, so that instances do not return at the same moment. */
-class Backoff
+class DialBackoff
 {
 public:
     static constexpr std::chrono::milliseconds first { 250 };
     static constexpr std::chrono::milliseconds longest { 4000 };
 
-    explicit Backoff(RandomSource &random);
+    explicit DialBackoff(RandomSource &random);
 
     /** Returns the delay after one more failure, of [half, whole) of the current bound. */
     std::chrono::milliseconds next();
--- a/src/peer/headwatcher.h
+++ b/src/peer/headwatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "model/headrecord.h"
-#include "peer/backoff.h"
+#include "peer/dialbackoff.h"
 #include "peer/platformcontext.h"
 #include "platform/platform.h"
 
@@ -54,7 +54,7 @@
     PlatformContext m_context;
     Distributor &m_distributor;
     ConfigStore &m_store;
-    Backoff m_backoff;
+    DialBackoff m_backoff;
     std::uint64_t m_version = 0; // version of "head" that was handled; 0 reads instead of watching
     std::uint64_t m_restored = 0;
 };
--- a/src/peer/internal/messagefields.h
+++ b/src/peer/internal/messagefields.h
@@ -64,7 +64,7 @@
     visitor.list(value.instances, MessageLimits::statusInstances, [](auto &each, auto &entry) { each.record(entry); });
 }
 
-template<typename Visitor, MaybeConst<ServerHealth> Value>
+template<typename Visitor, MaybeConst<ServerHealthChange> Value>
 void describe(Visitor &visitor, Value &value)
 {
     visitor.text(value.pool, MessageLimits::id);
@@ -148,12 +148,21 @@
     visitor.list(value.states, MessageLimits::serverStates, [](auto &each, auto &entry) { each.record(entry); });
 }
 
-template<typename Visitor, MaybeConst<FlowExceptions> Value>
+template<typename Visitor, MaybeConst<FlowExceptionBatch> Value>
 void describe(Visitor &visitor, Value &value)
 {
     visitor.text(value.service, MessageLimits::id);
     visitor.number(value.generation);
     visitor.list(value.keys, MessageLimits::flowKeys, [](auto &each, auto &entry) { each.number(entry); });
+    visitor.endpoint(value.server);
+    visitor.text(value.failureDomain, MessageLimits::id);
+    visitor.number(value.sequence);
+}
+
+template<typename Visitor, MaybeConst<FlowExceptionAck> Value>
+void describe(Visitor &visitor, Value &value)
+{
+    visitor.number(value.sequence);
 }
 
 template<typename Visitor, MaybeConst<StatusQuery> Value>
--- a/src/peer/listreader.h
+++ b/src/peer/listreader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer/backoff.h"
+#include "peer/dialbackoff.h"
 #include "peer/platformcontext.h"
 
 #include <asio/awaitable.hpp>
@@ -21,7 +21,7 @@
     asio::awaitable<std::chrono::milliseconds> step();
 
     PlatformContext m_context;
-    Backoff m_backoff;
+    DialBackoff m_backoff;
     TimePoint m_next {};
 };
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -25,7 +25,7 @@
     static constexpr std::size_t partNames = 64; /**< in one PartRequest */
     static constexpr std::size_t partSize = 1024 * 1024; /**< bytes of one part */
     static constexpr std::size_t serverStates = 256; /**< in one ServerStates */
-    static constexpr std::size_t flowKeys = 8192; /**< in one FlowExceptions */
+    static constexpr std::size_t flowKeys = 8192; /**< in one FlowExceptionBatch */
     static constexpr std::size_t reportedInstances = 32; /**< in one GenerationReport */
     static constexpr std::size_t statuses = 64; /**< in one StatusReply */
     static constexpr std::size_t statusInstances = 64; /**< in each status of a StatusReply */
@@ -110,29 +110,39 @@
 };
 
 /** A change of the health of a backend server. */
-struct ServerHealth {
+struct ServerHealthChange {
     std::string pool;
     std::string server;
     bool healthy = true;
     HybridTime at; /**< when the prober saw the change; the newest one counts */
 
-    friend bool operator==(const ServerHealth &, const ServerHealth &) = default;
+    friend bool operator==(const ServerHealthChange &, const ServerHealthChange &) = default;
 };
 
 /** Changes of backend servers; forwarded by each instance to which they are news. */
 struct ServerStates {
-    std::vector<ServerHealth> states;
+    std::vector<ServerHealthChange> states;
 
     friend bool operator==(const ServerStates &, const ServerStates &) = default;
 };
 
 /** Keys of flows that stay on the old server of their bucket. */
-struct FlowExceptions {
+struct FlowExceptionBatch {
     std::string service;
     std::uint64_t generation = 0;
     std::vector<std::uint64_t> keys;
+    Endpoint server; /**< address of the backend server that has the flows */
+    std::string failureDomain; /**< failure domain of that server */
+    std::uint64_t sequence = 0; /**< chosen by the sender, for FlowExceptionAck */
 
-    friend bool operator==(const FlowExceptions &, const FlowExceptions &) = default;
+    friend bool operator==(const FlowExceptionBatch &, const FlowExceptionBatch &) = default;
+};
+
+/** Tells the sender of FlowExceptionBatch that the receiver holds them. */
+struct FlowExceptionAck {
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const FlowExceptionAck &, const FlowExceptionAck &) = default;
 };
 
 /** Asks for the status of the failure domains that the instance knows. */
@@ -185,8 +195,8 @@
 };
 
 /** Any message; the position in the list, counted from 1, is the type on the wire, so new types go to the end. */
-using Message = std::variant<Hello, Heartbeat, Announce, PartRequest, PartReply, MemberEvents, ServerStates, FlowExceptions, StatusQuery,
-    StatusReply, EventsQuery, EventsReply, DrainRequest, DrainReply, GenerationReport>;
+using Message = std::variant<Hello, Heartbeat, Announce, PartRequest, PartReply, MemberEvents, ServerStates, FlowExceptionBatch,
+    StatusQuery, StatusReply, EventsQuery, EventsReply, DrainRequest, DrainReply, GenerationReport, FlowExceptionAck>;
 
 /** A message and the hybrid time at which it was sent. */
 struct Envelope {
--- a/src/peer/messagecodec.cpp
+++ b/src/peer/messagecodec.cpp
@@ -22,8 +22,8 @@
 static_assert(std::is_same_v<std::variant_alternative_t<partReplyIndex, Message>, PartReply>);
 
 constexpr std::array<std::string_view, typeCount> typeNames { "hello", "heartbeat", "announce", "part_request", "part_reply",
-    "member_events", "server_states", "flow_exceptions", "status_query", "status_reply", "events_query", "events_reply", "drain_request",
-    "drain_reply", "generation_report" };
+    "member_events", "server_states", "flow_exception_batch", "status_query", "status_reply", "events_query", "events_reply",
+    "drain_request", "drain_reply", "generation_report", "flow_exception_ack" };
 
 template<std::size_t... Indexes>
 Message makeMessage(std::size_t wanted, std::index_sequence<Indexes...>)
--- a/src/peer/peerlistener.h
+++ b/src/peer/peerlistener.h
@@ -18,7 +18,10 @@
     virtual void serverStatesChanged(const ServerStates &states) = 0;
 
     /** A peer hands over flows whose bucket this instance owns. */
-    virtual void flowExceptionsReceived(const std::string &peer, const FlowExceptions &exceptions) = 0;
+    virtual void flowExceptionsReceived(const std::string &peer, const FlowExceptionBatch &exceptions) = 0;
+
+    /** A peer holds the flows that were sent to it with this sequence number. */
+    virtual void flowExceptionsDelivered(const std::string &peer, std::uint64_t sequence) = 0;
 
     /** All live members of the reachable failure domains are prepared for @p generation; it only rises. */
     virtual void preparedEverywhere(std::uint64_t generation) = 0;
--- a/src/peer/serverstateboard.cpp
+++ b/src/peer/serverstateboard.cpp
@@ -6,7 +6,7 @@
 ServerStates ServerStateBoard::accept(const ServerStates &states)
 {
     ServerStates news;
-    for (const ServerHealth &state : states.states) {
+    for (const ServerHealthChange &state : states.states) {
         const auto key = std::pair(state.pool, state.server);
         const auto found = m_states.find(key);
         if (found != m_states.end() && found->second.at >= state.at) {
--- a/src/peer/serverstateboard.h
+++ b/src/peer/serverstateboard.h
@@ -27,7 +27,7 @@
     void prune(std::uint64_t nowMs);
 
 private:
-    std::map<std::pair<std::string, std::string>, ServerHealth> m_states;
+    std::map<std::pair<std::string, std::string>, ServerHealthChange> m_states;
 };
 
 } // namespace Samphirepitch
--- a/src/peer/statuswriter.h
+++ b/src/peer/statuswriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer/backoff.h"
+#include "peer/dialbackoff.h"
 #include "peer/domainstatus.h"
 #include "peer/platformcontext.h"
 
@@ -29,7 +29,7 @@
     bool isDue(const DomainStatus &status, TimePoint now) const;
 
     PlatformContext m_context;
-    Backoff m_backoff;
+    DialBackoff m_backoff;
     DomainStatus m_written;
     TimePoint m_writtenAt {};
     std::uint64_t m_version = 0;
--- a/tests/peer/controlplanetests.cpp
+++ b/tests/peer/controlplanetests.cpp
@@ -59,7 +59,7 @@
     }
     SECTION("states of backend servers reach every instance once")
     {
-        const ServerStates states { { ServerHealth { "pool", "server", false, { 1, 1 } } } };
+        const ServerStates states { { ServerHealthChange { "pool", "server", false, { 1, 1 } } } };
         group.instances[7]->plane().spreadServerStates(states);
         CHECK(group.until([&] {
             return std::count_if(group.instances.begin(), group.instances.end(), [&](const auto &instance) {
@@ -69,7 +69,7 @@
     }
     SECTION("flow exceptions reach an instance of another failure domain")
     {
-        const FlowExceptions exceptions { "pondwatch", 2, { 7, 8 } };
+        const FlowExceptionBatch exceptions { "pondwatch", 2, { 7, 8 } };
         for (const auto &sender : group.instances) {
             CHECK(sender->plane().sendFlowExceptions(sender.get() == group.instances[7].get() ? "a1" : "o2", exceptions));
         }
--- a/tests/peer/messagecodectests.cpp
+++ b/tests/peer/messagecodectests.cpp
@@ -26,9 +26,10 @@
     return { Hello { 1, "entry-1", 42, "lokoja", "dewnet", 7, Endpoint(0x7f000001, 7000), Endpoint(0x7f000001, 7001) },
         Heartbeat { 42, 7, 7, 6, 15, { someMember() }, { DomainProgress { "okene", 7, 6, 99 } } }, Announce { { 7, name } },
         PartRequest { { name, ContentName::of("other") } }, PartReply { name, std::string("\0part", 5) }, MemberEvents { { someMember() } },
-        ServerStates { { ServerHealth { "pool", "server", false, { 1, 2 } } } }, FlowExceptions { "pondwatch", 7, { 1, ~0ULL } },
-        StatusQuery {}, StatusReply { { status } }, EventsQuery { 9 }, EventsReply { { event } }, DrainRequest {}, DrainReply { true },
-        GenerationReport { 6, 5, 7, 3, { instance } } };
+        ServerStates { { ServerHealthChange { "pool", "server", false, { 1, 2 } } } },
+        FlowExceptionBatch { "pondwatch", 7, { 1, ~0ULL }, Endpoint(0x7f000001, 9000), "okene", 11 }, StatusQuery {},
+        StatusReply { { status } }, EventsQuery { 9 }, EventsReply { { event } }, DrainRequest {}, DrainReply { true },
+        GenerationReport { 6, 5, 7, 3, { instance } }, FlowExceptionAck { 11 } };
 }
 
 /** Changes, removes or adds some bytes. */
--- a/tests/peer/peerlinktests.cpp
+++ b/tests/peer/peerlinktests.cpp
@@ -148,7 +148,7 @@
     RawConnection connection(group.io, instance.plane().peerAddress());
     connection.write(frameOf(helloOf("l2")));
     REQUIRE(group.until([&] { return instance.plane().linkCount() == 1; }));
-    const FlowExceptions large { "pondwatch", 1, std::vector<std::uint64_t>(MessageLimits::flowKeys, ~0ULL) };
+    const FlowExceptionBatch large { "pondwatch", 1, std::vector<std::uint64_t>(MessageLimits::flowKeys, ~0ULL) };
     // 73 KB each; the socket buffers of the system take some of them.
     for (int count = 0; count < 1000 && instance.plane().linkCounters().slowPeers == 0; ++count) {
         instance.plane().sendFlowExceptions("l2", large);
