--- /dev/null
+++ b/src/load/controlbench.cpp
@@ -0,0 +1,111 @@
+#include "load/controlbench.h"
+
+#include "load/internal/controlcluster.h"
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+using Totals = ControlCluster::Totals;
+
+constexpr std::size_t smallDomain = 8; // instances of a failure domain in the layouts with several of them
+
+double seconds(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+std::string prefix(const ControlBench::Settings &settings)
+{
+    return "bench: name=control instances=" + std::to_string(settings.instances)
+        + " failure_domains=" + std::to_string(settings.failureDomains) + " seed=" + std::to_string(settings.seed);
+}
+
+void printIdle(const ControlBench::Settings &settings, const Totals &from, const Totals &to, std::size_t links, std::ostream &out)
+{
+    const double time = seconds(from.at, to.at);
+    const double share = time * static_cast<double>(settings.instances);
+    out << prefix(settings) << " phase=idle seconds=" << time << " max_links=" << links;
+    double sum = 0;
+    for (std::size_t type = 0; type < to.bytes.size(); ++type) {
+        const double bytes = static_cast<double>(to.bytes[type] - from.bytes[type]) / share;
+        sum += bytes;
+        if (bytes > 0) {
+            out << ' ' << messageTypeName(type) << "_bytes_per_s=" << bytes;
+        }
+    }
+    out << " sent_bytes_per_s=" << sum << " messages_per_s=" << static_cast<double>(to.messages - from.messages) / share
+        << " cpu_percent=" << 100 * (to.cpuSeconds - from.cpuSeconds) / share
+        << " platform_reads_per_s=" << static_cast<double>(to.platformReads - from.platformReads) / time
+        << " platform_writes_per_s=" << static_cast<double>(to.platformWrites - from.platformWrites) / time << '\n';
+}
+
+/** What the changes added to the traffic of an idle time of the same length. */
+void printChanges(
+    const ControlBench::Settings &settings, const Totals &idleFrom, const Totals &from, const Totals &to, double slowest, std::ostream &out)
+{
+    const double idleRatio = seconds(from.at, to.at) / seconds(idleFrom.at, from.at);
+    const double share = static_cast<double>(settings.instances * settings.changes);
+    out << prefix(settings) << " phase=change changes=" << settings.changes;
+    double sum = 0;
+    for (std::size_t type = 0; type < to.bytes.size(); ++type) {
+        const double idle = static_cast<double>(from.bytes[type] - idleFrom.bytes[type]) * idleRatio;
+        const double bytes = (static_cast<double>(to.bytes[type] - from.bytes[type]) - idle) / share;
+        sum += bytes;
+        if (to.bytes[type] > from.bytes[type]) {
+            out << ' ' << messageTypeName(type) << "_bytes=" << bytes;
+        }
+    }
+    const double changes = static_cast<double>(settings.changes);
+    out << " sent_bytes_per_change=" << sum << " cpu_ms_per_change=" << 1000 * (to.cpuSeconds - from.cpuSeconds) / share
+        << " mean_in_force_ms=" << 1000 * seconds(from.at, to.at) / changes << " slowest_in_force_ms=" << 1000 * slowest
+        << " platform_reads_per_change=" << static_cast<double>(to.platformReads - from.platformReads) / changes << '\n';
+}
+
+} // namespace
+
+bool ControlBench::run(const Settings &settings, std::ostream &out)
+{
+    ControlCluster cluster(settings);
+    if (!cluster.start()) {
+        return false;
+    }
+    const Totals idleFrom = cluster.totals();
+    cluster.idle(settings.idleTime);
+    const Totals from = cluster.totals();
+    printIdle(settings, idleFrom, from, cluster.maxLinks(), out);
+    double slowest = 0;
+    for (std::size_t number = 0; number < settings.changes; ++number) {
+        const TimePoint start = cluster.now();
+        if (!cluster.change(number + 2)) {
+            return false;
+        }
+        slowest = std::max(slowest, seconds(start, cluster.now()));
+    }
+    printChanges(settings, idleFrom, from, cluster.totals(), slowest, out);
+    return true;
+}
+
+bool ControlBench::runAll(std::uint64_t seed, std::ostream &out)
+{
+    bool complete = true;
+    for (const std::size_t instances : { 8, 16, 32, 64 }) {
+        Settings settings;
+        settings.instances = instances;
+        settings.seed = seed;
+        complete = run(settings, out) && complete;
+        settings.failureDomains = instances / smallDomain;
+        if (settings.failureDomains > 1) {
+            complete = run(settings, out) && complete;
+        }
+    }
+    return complete;
+}
+
+} // namespace Samphirepitch
--- a/src/peer/controlplane.cpp
+++ b/src/peer/controlplane.cpp
@@ -240,6 +240,11 @@
     return m_links.size();
 }
 
+std::size_t ControlPlane::plannedLinkCount() const
+{
+    return m_plan.targets.size();
+}
+
 void ControlPlane::writeMetrics(MetricWriter &writer) const
 {
     writeLinkMetrics(m_counters, writer);
--- a/src/peer/controlplane.h
+++ b/src/peer/controlplane.h
@@ -112,6 +112,9 @@
     /** Number of ready links to instances. */
     std::size_t linkCount() const;
 
+    /** Number of links that the view asks for. */
+    std::size_t plannedLinkCount() const;
+
     void writeMetrics(MetricWriter &writer) const override;
 
 private:
--- a/src/peer/peerclient.cpp
+++ b/src/peer/peerclient.cpp
@@ -62,6 +62,33 @@
     return failure(ErrorKind::Malformed, std::string(messageTypeName(message->index())), "not the expected reply");
 }
 
+/** A query that only reads has no effect, so that its outcome is never unknown. */
+Result<Message> withoutEffect(Result<Message> reply, bool late)
+{
+    if (!reply && reply.error().kind() == ErrorKind::OutcomeUnknown) {
+        return failure(late ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable, reply.error().subject(), reply.error().detail());
+    }
+    return reply;
+}
+
+/** The error of a query that was not sent. */
+Result<Message> notSent(const Error &error, bool late)
+{
+    if (late && error.kind() == ErrorKind::Unavailable) {
+        return failure(ErrorKind::DeadlineExceeded, error.subject(), "no connection by the deadline");
+    }
+    return tl::unexpected<Error>(error);
+}
+
+/** A connection that ended after the query leaves its outcome unknown. */
+Result<Message> afterSending(Result<Message> reply)
+{
+    if (!reply && reply.error().kind() == ErrorKind::Unavailable) {
+        return failure(ErrorKind::OutcomeUnknown, reply.error().subject(), "the query was sent and no reply came");
+    }
+    return reply;
+}
+
 Result<void> checkHello(const Message &message, const std::string &deployment)
 {
     const Hello *hello = std::get_if<Hello>(&message);
@@ -99,6 +126,13 @@
     }
 }
 
+asio::awaitable<Result<Message>> exchange(tcp::socket &socket, Envelope query)
+{
+    co_await writeMessage(socket, std::move(query));
+    Result<Message> reply = co_await readMessage(socket, FrameCodec::maxBody);
+    co_return afterSending(std::move(reply));
+}
+
 } // namespace
 
 PeerClient::PeerClient(std::string deployment, const Clock &clock)
@@ -110,22 +144,19 @@
 asio::awaitable<Result<StatusReply>> PeerClient::status(Endpoint instance, TimePoint deadline)
 {
     Result<Message> reply = co_await ask(instance, StatusQuery {}, deadline);
-    co_return expect<StatusReply>(std::move(reply));
+    co_return expect<StatusReply>(withoutEffect(std::move(reply), m_clock.now() >= deadline));
 }
 
 asio::awaitable<Result<EventsReply>> PeerClient::events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline)
 {
-    Result<Message> reply = co_await ask(instance, EventsQuery { afterSequence }, deadline);
-    co_return expect<EventsReply>(std::move(reply));
+    Message query = EventsQuery { afterSequence };
+    Result<Message> reply = co_await ask(instance, std::move(query), deadline);
+    co_return expect<EventsReply>(withoutEffect(std::move(reply), m_clock.now() >= deadline));
 }
 
 asio::awaitable<Result<DrainReply>> PeerClient::drain(Endpoint instance, TimePoint deadline)
 {
     Result<Message> reply = co_await ask(instance, DrainRequest {}, deadline);
-    // The instance may have read the request although the connection ended before its answer.
-    if (!reply && (reply.error().kind() == ErrorKind::InputOutput || reply.error().kind() == ErrorKind::DeadlineExceeded)) {
-        co_return failure(ErrorKind::OutcomeUnknown, instance.toString(), "no answer to the drain request");
-    }
     co_return expect<DrainReply>(std::move(reply));
 }
 
@@ -134,17 +165,11 @@
     DeadlineSocket connection(co_await asio::this_coro::executor, deadline - m_clock.now());
     const Result<void> open = co_await openConnection(connection.socket(), instance);
     if (!open) {
-        co_return tl::unexpected<Error>(open.error());
+        co_return notSent(open.error(), m_clock.now() >= deadline);
     }
     // GCC 12 destroys a braced temporary in a co_await expression twice, so the envelopes have names.
     Envelope envelope { m_hybridClock.tick(m_clock.wallNow()), std::move(query) };
-    co_await writeMessage(connection.socket(), std::move(envelope));
-    Result<Message> reply = co_await readMessage(connection.socket(), FrameCodec::maxBody);
-    if (!reply && reply.error().kind() == ErrorKind::Unavailable) {
-        const ErrorKind kind = m_clock.now() >= deadline ? ErrorKind::DeadlineExceeded : ErrorKind::InputOutput;
-        co_return failure(kind, instance.toString(), "the connection ended before the reply");
-    }
-    co_return reply;
+    co_return co_await exchange(connection.socket(), std::move(envelope));
 }
 
 asio::awaitable<Result<void>> PeerClient::openConnection(tcp::socket &socket, Endpoint instance)
--- a/tests/fakes/controlgroup.h
+++ b/tests/fakes/controlgroup.h
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
--- a/tests/membership/membershiptests.cpp
+++ b/tests/membership/membershiptests.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace Samphirepitch;
 using namespace std::chrono_literals;
 
--- a/tests/peer/peerlinktests.cpp
+++ b/tests/peer/peerlinktests.cpp
@@ -5,12 +5,12 @@
 #include "peer/peerserver.h"
 
 #include <asio/co_spawn.hpp>
-#include <asio/connect.hpp>
 #include <asio/use_future.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <optional>
+#include <array>
+#include <list>
 
 using namespace Samphirepitch;
 using namespace std::chrono_literals;
