Let the lint refuse types that are defined twice

Change: tools/lint.sh lists types that are defined in more than one header and fails. Conclusion: the linker's silence is covered.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,6 +11,14 @@
 else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp')
 fi
+# Two types of one name in the namespace are merged by the linker without a word, and crash at run time.
+twice=$(git ls-files -z --cached --others --exclude-standard 'src/*.h' 'standins/*.h' | xargs -0 grep -hE '^(class|struct|enum class) [A-Z]' |
+    grep -v ';$' | sed -E 's/^(class|struct|enum class) ([A-Za-z]+).*/\2/' | sort | uniq -d)
+if [ -n "$twice" ]; then
+    echo "lint: defined more than once: $twice"
+    exit 1
+fi
+
 headers=$(git ls-files -z --cached --others --exclude-standard '*.h' .clang-tidy | xargs -0 cat | sha256sum | cut -c1-16)
 
 # The compilation database is GCC's: clang-tidy gets no precompiled header, and clang 14 does not announce
