--- /dev/null
+++ b/apps/samphirepitch-load/benchcommands.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "subcommand.h"
+
+namespace Samphirepitch
+{
+
+/** Measures what the planned size costs an instance; see docs/CAPACITY.md. */
+class CapacityBenchCommand : public Subcommand
+{
+public:
+    std::string_view name() const override;
+    std::string_view usage() const override;
+    int run() override;
+};
+
+/** Measures the control traffic of instances that are linked over loopback. */
+class ControlBenchCommand : public Subcommand
+{
+public:
+    std::string_view name() const override;
+    std::string_view usage() const override;
+    int run() override;
+};
+
+} // namespace Samphirepitch
--- a/apps/samphirepitch-load/main.cpp
+++ b/apps/samphirepitch-load/main.cpp
@@ -1,3 +1,4 @@
+#include "benchcommands.h"
 #include "runcommand.h"
 
 #include <gflags/gflags.h>
@@ -15,6 +16,8 @@
 {
     std::vector<std::unique_ptr<Subcommand>> table;
     table.push_back(std::make_unique<RunCommand>());
+    table.push_back(std::make_unique<CapacityBenchCommand>());
+    table.push_back(std::make_unique<ControlBenchCommand>());
     return table;
 }
 
