--- a/apps/samphirepitchctl/main.cpp
+++ b/apps/samphirepitchctl/main.cpp
@@ -24,7 +24,7 @@
 DEFINE_string(change_id, "", "apply, drain, undrain: id of the change; give the same id again after an unknown outcome");
 DEFINE_string(change, "", "history: find the change with this id");
 DEFINE_uint64(count, 20, "history, events: the number of newest ones to list");
-DEFINE_string(deployment, "", "events, drain-instance: deployment that the instances belong to");
+DEFINE_string(deployment, "", "events, drain-instance, status IP:PORT: deployment that the instances belong to");
 DEFINE_string(author, "", "apply, drain, undrain: recorded with the change; the user's name by default");
 
 using namespace Samphirepitch;
--- a/src/control/commandcontext.h
+++ b/src/control/commandcontext.h
@@ -25,7 +25,7 @@
     std::string changeId; /**< apply, history: id of a change; empty to make one */
     std::string author; /**< apply, drain: recorded with the change */
     std::size_t count = 20; /**< history, events: the newest ones to show */
-    std::string deployment; /**< events, drain-instance: deployment that the instances belong to */
+    std::string deployment; /**< events, drain-instance, status of an instance: deployment that the instances belong to */
 };
 
 /** What a command works with. All objects outlive the command. */
--- a/src/control/instanceapi.h
+++ b/src/control/instanceapi.h
@@ -18,6 +18,9 @@
 public:
     virtual ~InstanceApi() = default;
 
+    /** Returns what the instance knows of the failure domains. */
+    virtual asio::awaitable<Result<StatusReply>> status(Endpoint instance, TimePoint deadline) = 0;
+
     /** Returns the events after @p afterSequence, at most MessageLimits::events of them. */
     virtual asio::awaitable<Result<EventsReply>> events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline) = 0;
 
--- a/src/control/peerinstanceapi.cpp
+++ b/src/control/peerinstanceapi.cpp
@@ -10,6 +10,11 @@
 {
 }
 
+asio::awaitable<Result<StatusReply>> PeerInstanceApi::status(Endpoint instance, TimePoint deadline)
+{
+    return m_client.status(instance, deadline);
+}
+
 asio::awaitable<Result<EventsReply>> PeerInstanceApi::events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline)
 {
     return m_client.events(instance, afterSequence, deadline);
--- a/src/control/peerinstanceapi.h
+++ b/src/control/peerinstanceapi.h
@@ -18,6 +18,7 @@
      */
     PeerInstanceApi(std::string deployment, const Clock &clock);
 
+    asio::awaitable<Result<StatusReply>> status(Endpoint instance, TimePoint deadline) override;
     asio::awaitable<Result<EventsReply>> events(Endpoint instance, std::uint64_t afterSequence, TimePoint deadline) override;
     asio::awaitable<Result<DrainReply>> drain(Endpoint instance, TimePoint deadline) override;
 
--- a/src/control/renderer.h
+++ b/src/control/renderer.h
@@ -30,7 +30,7 @@
 
     virtual void records(const std::vector<HeadRecord> &records) = 0;
 
-    /** Writes the state of the deployment; @p head is none if nothing was ever accepted. */
+    /** Writes the state of the deployment; @p head is none if nothing was ever accepted or an instance was asked. */
     virtual void status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now) = 0;
 
     /** Writes events in the order given, and the instances that could not be asked. */
--- a/src/control/statuscommand.cpp
+++ b/src/control/statuscommand.cpp
@@ -6,10 +6,31 @@
 #include "platform/configloader.h"
 
 #include <optional>
+#include <utility>
 
 namespace Samphirepitch
 {
 
+namespace
+{
+
+asio::awaitable<ExitCode> askInstance(CommandContext &context, std::string_view command, std::vector<std::string> words)
+{
+    const auto address = Endpoint::parse(words.front());
+    if (!address || words.size() > 1 || context.options.deployment.empty()) {
+        co_return reportUsage(context, command, "name at most one instance by its address, and the deployment");
+    }
+    StatusReader reader(context);
+    const auto summary = co_await reader.readFrom(*address);
+    if (!summary) {
+        co_return reportError(context, summary.error());
+    }
+    context.renderer.status(std::nullopt, *summary, context.clock.wallNow());
+    co_return ExitCode::Ok;
+}
+
+} // namespace
+
 std::string_view StatusCommand::name() const
 {
     return "status";
@@ -17,7 +38,7 @@
 
 std::string_view StatusCommand::arguments() const
 {
-    return "";
+    return "[IP:PORT --deployment NAME]";
 }
 
 std::string_view StatusCommand::summary() const
@@ -28,7 +49,7 @@
 asio::awaitable<ExitCode> StatusCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (!words.empty()) {
-        co_return reportUsage(context, name(), "takes no arguments");
+        co_return co_await askInstance(context, name(), std::move(words));
     }
     ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
     const auto records = co_await loader.history(1, context.deadline);
--- a/src/control/statusreader.cpp
+++ b/src/control/statusreader.cpp
@@ -1,8 +1,10 @@
 #include "control/statusreader.h"
 
+#include "control/instanceapi.h"
 #include "platform/retry.h"
 #include "platform/timer.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -51,6 +53,19 @@
     co_return StatusSummary(generation, std::move(*listed), std::move(domains), std::move(unreadable));
 }
 
+asio::awaitable<Result<StatusSummary>> StatusReader::readFrom(Endpoint instance)
+{
+    auto reply = co_await m_context.instances.status(instance, m_context.deadline);
+    if (!reply) {
+        co_return tl::unexpected(reply.error());
+    }
+    std::uint64_t generation = 0;
+    for (const DomainStatus &domain : reply->statuses) {
+        generation = std::max(generation, domain.highestHeld);
+    }
+    co_return StatusSummary(generation, {}, std::move(reply->statuses), {});
+}
+
 asio::awaitable<Result<StatusSummary>> StatusReader::waitUntilInForce(std::uint64_t generation)
 {
     auto last = co_await read(generation);
--- a/src/control/tablerenderer.cpp
+++ b/src/control/tablerenderer.cpp
@@ -27,6 +27,13 @@
         + (record.author().empty() ? "(unnamed)" : record.author()) + " at " + timeText(record.acceptedAt());
 }
 
+std::string unreadHead(const StatusSummary &summary)
+{
+    return summary.generation() == 0
+        ? "no configuration was accepted yet"
+        : "not read from the platform; the instance knows of generation " + std::to_string(summary.generation());
+}
+
 } // namespace
 
 TableRenderer::TableRenderer(std::ostream &out, std::ostream &errors)
@@ -124,7 +131,7 @@
 void TableRenderer::status(const std::optional<HeadRecord> &head, const StatusSummary &summary, WallTime now)
 {
     m_out << "time: " << timeText(now) << '\n';
-    m_out << "head: " << (head ? recordText(*head) : "no configuration was accepted yet") << '\n';
+    m_out << "head: " << (head ? recordText(*head) : unreadHead(summary)) << '\n';
     TextTable table({ "INSTANCE", "FAILURE DOMAIN", "STATE", "IN LIST", "GENERATION", "LAST HEARD" });
     for (const InstanceReport &instance : summary.instances()) {
         table.add({ instance.id, instance.failureDomain, instance.state.empty() ? "-" : instance.state, instance.listed ? "yes" : "no",
--- a/tests/control/commandtests.cpp
+++ b/tests/control/commandtests.cpp
@@ -27,6 +27,19 @@
 public:
     std::vector<Event> all;
 
+    asio::awaitable<Result<StatusReply>> status(Endpoint, TimePoint) override
+    {
+        DomainStatus domain;
+        domain.failureDomain = "lokoja";
+        domain.highestHeld = 7;
+        domain.lowestInForce = 6;
+        domain.reported = domain.expected = 1;
+        domain.instances.push_back({ "i-1", MemberState::Alive, 7, 6, 1767225600000 });
+        StatusReply reply;
+        reply.statuses.push_back(domain);
+        co_return reply;
+    }
+
     asio::awaitable<Result<EventsReply>> events(Endpoint instance, std::uint64_t after, TimePoint) override
     {
         EventsReply reply;
@@ -287,5 +300,8 @@
         client.platform.fault = [](const auto &) { return Fault::Outage; };
         CHECK(client.run("drain-instance", { "127.0.0.1:1" }) == ExitCode::Ok);
         CHECK(client.run("drain-instance", { "i-1" }) == ExitCode::Unavailable);
+        CHECK(client.run("status", {}) == ExitCode::Unavailable);
+        CHECK(client.run("status", { "127.0.0.1:1" }) == ExitCode::Ok);
+        CHECK_THAT(client.out.str(), Catch::Contains("generation 7 is not known to be in force everywhere: 1 of 1"));
     }
 }
