Rename the retry waits of platform calls to RetrySchedule

src/peer has a class Backoff of another form; two classes of one name in one namespace violate the one-definition rule.

--- a/src/control/internal/instancelookup.cpp
+++ b/src/control/internal/instancelookup.cpp
@@ -34,7 +34,7 @@
     if (words.empty() || !onlyAddresses) {
         Platform &platform = *context.platform;
         const auto readList = [&platform](TimePoint deadline) { return platform.instances(deadline); };
-        auto list = co_await retryRead(readList, Backoff(context.clock, context.timer, context.random, context.deadline));
+        auto list = co_await retryRead(readList, RetrySchedule(context.clock, context.timer, context.random, context.deadline));
         if (!list) {
             co_return tl::unexpected(list.error());
         }
--- a/src/control/statusreader.cpp
+++ b/src/control/statusreader.cpp
@@ -29,14 +29,14 @@
 asio::awaitable<Result<StatusSummary>> StatusReader::read(std::uint64_t generation)
 {
     Platform &platform = *m_context.platform;
-    const Backoff backoff(m_context.clock, m_context.timer, m_context.random, m_context.deadline);
+    const RetrySchedule schedule(m_context.clock, m_context.timer, m_context.random, m_context.deadline);
     const auto readList = [&platform](TimePoint deadline) { return platform.instances(deadline); };
-    auto listed = co_await retryRead(readList, backoff);
+    auto listed = co_await retryRead(readList, schedule);
     if (!listed) {
         co_return tl::unexpected(listed.error());
     }
     const auto readObjects = [&platform](TimePoint deadline) { return platform.list(std::string(statusPrefix), deadline); };
-    const auto objects = co_await retryRead(readObjects, backoff);
+    const auto objects = co_await retryRead(readObjects, schedule);
     if (!objects) {
         co_return tl::unexpected(objects.error());
     }
--- a/src/platform/configloader.cpp
+++ b/src/platform/configloader.cpp
@@ -27,7 +27,7 @@
 asio::awaitable<Result<PlatformObject>> ConfigLoader::read(std::string key, TimePoint deadline)
 {
     const auto attempt = [this, key = std::move(key)](TimePoint attemptDeadline) { return m_platform.read(key, attemptDeadline); };
-    return retryRead(attempt, Backoff(m_clock, m_timer, m_random, deadline));
+    return retryRead(attempt, RetrySchedule(m_clock, m_timer, m_random, deadline));
 }
 
 asio::awaitable<Result<VersionedHead>> ConfigLoader::head(TimePoint deadline)
--- a/src/platform/publisher.cpp
+++ b/src/platform/publisher.cpp
@@ -3,7 +3,7 @@
 #include "model/configchecker.h"
 #include "model/limits.h"
 #include "model/partmap.h"
-#include "platform/backoff.h"
+#include "platform/retryschedule.h"
 
 #include <set>
 #include <utility>
@@ -217,17 +217,17 @@
 
 asio::awaitable<Result<void>> Publisher::writePart(ContentName name, const std::string &content, TimePoint deadline)
 {
-    Backoff backoff(m_clock, m_timer, m_random, deadline);
+    RetrySchedule schedule(m_clock, m_timer, m_random, deadline);
     while (true) {
         const auto version
-            = co_await m_platform.write(ConfigLoader::partKey(name), content, Platform::mustNotExist, backoff.attemptDeadline());
+            = co_await m_platform.write(ConfigLoader::partKey(name), content, Platform::mustNotExist, schedule.attemptDeadline());
         // A part that exists has the same content, because its name is the hash of the content.
         if (version || version.error().kind() == ErrorKind::VersionConflict) {
             co_return Result<void>();
         }
         const ErrorKind kind = version.error().kind();
         const bool mayRetry = hadNoEffect(kind) || kind == ErrorKind::OutcomeUnknown;
-        const bool again = mayRetry ? co_await backoff.wait() : false;
+        const bool again = mayRetry ? co_await schedule.wait() : false;
         if (!again) {
             co_return tl::unexpected(version.error());
         }
@@ -237,11 +237,11 @@
 asio::awaitable<ApplyOutcome> Publisher::updateHead(
     const ApplyRequest &request, const ConfigTree &tree, const Base &base, HeadPointer pointer)
 {
-    Backoff backoff(m_clock, m_timer, m_random, request.deadline);
+    RetrySchedule schedule(m_clock, m_timer, m_random, request.deadline);
     const std::string body = pointer.encode();
     bool sent = false; // whether an attempt without an answer may have taken effect or still may
     while (true) {
-        const auto version = co_await m_platform.write("head", body, base.head.version, backoff.attemptDeadline());
+        const auto version = co_await m_platform.write("head", body, base.head.version, schedule.attemptDeadline());
         if (version) {
             co_return reached(ApplyStatus::Accepted, request, pointer.generation);
         }
@@ -256,7 +256,7 @@
         } else if (!hadNoEffect(kind)) {
             co_return failed(sent ? ApplyStatus::Unknown : ApplyStatus::NotAccepted, request, version.error());
         }
-        const bool again = co_await backoff.wait();
+        const bool again = co_await schedule.wait();
         if (!again) {
             co_return failed(sent ? ApplyStatus::Unknown : ApplyStatus::NotAccepted, request, version.error());
         }
--- a/src/platform/retry.h
+++ b/src/platform/retry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/error.h"
-#include "platform/backoff.h"
+#include "platform/retryschedule.h"
 
 #include <asio/awaitable.hpp>
 
@@ -16,18 +16,18 @@
 }
 
 /**
- * Calls @p read until it succeeds, fails for good, or the deadline of @p backoff comes.
+ * Calls @p read until it succeeds, fails for good, or the deadline of @p schedule comes.
  * @param read takes the deadline of one attempt and returns an awaitable of a Result
  */
 template<typename Read>
-auto retryRead(Read read, Backoff backoff) -> decltype(read(TimePoint()))
+auto retryRead(Read read, RetrySchedule schedule) -> decltype(read(TimePoint()))
 {
     while (true) {
-        auto result = co_await read(backoff.attemptDeadline());
+        auto result = co_await read(schedule.attemptDeadline());
         if (result || !mayRetryRead(result.error().kind())) {
             co_return result;
         }
-        const bool again = co_await backoff.wait();
+        const bool again = co_await schedule.wait();
         if (!again) {
             co_return result;
         }
--- a/src/platform/backoff.cpp
+++ b/src/platform/retryschedule.cpp
@@ -1,4 +1,4 @@
-#include "platform/backoff.h"
+#include "platform/retryschedule.h"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 constexpr std::chrono::seconds attemptTimeout { 1 };
 } // namespace
 
-Backoff::Backoff(const Clock &clock, Timer &timer, RandomSource &random, TimePoint deadline)
+RetrySchedule::RetrySchedule(const Clock &clock, Timer &timer, RandomSource &random, TimePoint deadline)
     : m_clock(clock)
     , m_timer(timer)
     , m_random(random)
@@ -19,7 +19,7 @@
 {
 }
 
-asio::awaitable<bool> Backoff::wait()
+asio::awaitable<bool> RetrySchedule::wait()
 {
     const auto half = m_next / 2;
     const auto jitter = static_cast<std::uint64_t>(half.count()) + 1;
@@ -32,7 +32,7 @@
     co_return true;
 }
 
-TimePoint Backoff::attemptDeadline() const
+TimePoint RetrySchedule::attemptDeadline() const
 {
     return std::min<TimePoint>(m_deadline, m_clock.now() + attemptTimeout);
 }
--- a/src/platform/backoff.h
+++ b/src/platform/retryschedule.h
@@ -10,14 +10,14 @@
 {
 
 /** The times between the attempts of one call: doubled each time, with jitter, so that many clients do not retry at once. */
-class Backoff
+class RetrySchedule
 {
 public:
     static constexpr std::chrono::milliseconds first { 20 }; /**< upper bound of the first wait */
     static constexpr std::chrono::milliseconds longest { 1000 }; /**< upper bound of any wait */
 
     /** All arguments outlive the object. No wait goes beyond @p deadline. */
-    Backoff(const Clock &clock, Timer &timer, RandomSource &random, TimePoint deadline);
+    RetrySchedule(const Clock &clock, Timer &timer, RandomSource &random, TimePoint deadline);
 
     /** Waits before the next attempt. @return false, without waiting, if the deadline comes first */
     asio::awaitable<bool> wait();
