Start backend servers from the operator objects

Cause: the demo starts the backend servers of a pool from the configuration file and adds instances without an id in the body. Conclusion: fits the demo's calls; the demo itself was not run here.

--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -119,9 +119,12 @@
     return list.dump();
 }
 
-Result<ListedInstance> PlatformCodec::decodeInstance(std::string_view json)
+Result<ListedInstance> PlatformCodec::decodeInstance(std::string_view json, std::string_view id)
 {
-    const Json entry = parse(json);
+    Json entry = parse(json);
+    if (entry.is_object() && !entry.contains("id") && !id.empty()) {
+        entry["id"] = id;
+    }
     auto instance = entry.is_object() ? readInstance(entry) : std::nullopt;
     if (!instance) {
         return failure(ErrorKind::Malformed, "instance", "an entry has id, failure_domain, peer_address, data_address and leaving");
--- a/src/platform/platformcodec.h
+++ b/src/platform/platformcodec.h
@@ -21,8 +21,12 @@
     static std::string encodeInstance(const ListedInstance &instance);
     static std::string encodeInstances(const std::vector<ListedInstance> &instances);
 
-    /** Reads one entry of the instance list. @return the entry, or Malformed */
-    static Result<ListedInstance> decodeInstance(std::string_view json);
+    /**
+     * Reads one entry of the instance list.
+     * @param id the id if the entry has none
+     * @return the entry, or Malformed
+     */
+    static Result<ListedInstance> decodeInstance(std::string_view json, std::string_view id = {});
 
     /** Reads the answer of /v1/instances. @return the list, or Malformed */
     static Result<std::vector<ListedInstance>> decodeInstances(std::string_view json);
--- a/standins/lib/backendgroup.cpp
+++ b/standins/lib/backendgroup.cpp
@@ -1,5 +1,7 @@
 #include "lib/backendgroup.h"
 
+#include "model/configset.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -65,6 +67,28 @@
     return members;
 }
 
+Result<std::vector<BackendGroup::Member>> BackendGroup::membersOf(
+    const ConfigSet &set, std::string_view pool, const BackendStandIn::Options &defaults)
+{
+    if (!pool.empty() && set.pool(pool) == nullptr) {
+        return failure(ErrorKind::NotFound, std::string(pool), "the configuration has no such pool");
+    }
+    std::vector<Member> members;
+    for (const BackendPool &candidate : set.pools()) {
+        if (!pool.empty() && candidate.name() != pool) {
+            continue;
+        }
+        for (const BackendServer &server : candidate.servers()) {
+            Member member { defaults, server.health() };
+            member.options.name = server.name();
+            member.options.address = server.address();
+            member.options.slots = server.slots();
+            members.push_back(std::move(member));
+        }
+    }
+    return members;
+}
+
 Result<std::unique_ptr<BackendGroup>> BackendGroup::start(
     const asio::any_io_executor &executor, const Clock &clock, const std::vector<Member> &members)
 {
@@ -85,12 +109,16 @@
     if (!server) {
         return tl::unexpected(server.error());
     }
-    auto health = HttpServer::listen(executor, member.healthAddress, **server);
-    if (!health) {
-        return tl::unexpected(health.error());
+    std::unique_ptr<HttpServer> health;
+    if (!member.healthAddress.isUnset()) {
+        auto listening = HttpServer::listen(executor, member.healthAddress, **server);
+        if (!listening) {
+            return tl::unexpected(listening.error());
+        }
+        health = std::move(*listening);
     }
     m_servers.push_back(std::move(*server));
-    m_health.push_back(std::move(*health));
+    m_health.push_back(std::move(health));
     return {};
 }
 
@@ -178,7 +206,7 @@
 
 Endpoint BackendGroup::healthAddress(std::size_t index) const
 {
-    return m_health[index]->address();
+    return m_health[index] ? m_health[index]->address() : Endpoint();
 }
 
 std::size_t BackendGroup::size() const
--- a/standins/lib/backendgroup.h
+++ b/standins/lib/backendgroup.h
@@ -9,6 +9,11 @@
 #include <string>
 #include <vector>
 
+namespace Samphirepitch
+{
+class ConfigSet;
+}
+
 namespace Samphirepitch::StandIn
 {
 
@@ -19,7 +24,7 @@
     /** A server and its health endpoint. */
     struct Member {
         BackendStandIn::Options options;
-        Endpoint healthAddress; /**< port 0 takes a free port */
+        Endpoint healthAddress; /**< port 0 takes a free port; an unset one means no health endpoint */
     };
 
     static constexpr std::size_t ledgerLimit = 200000; /**< requests; bounds the memory of long trials */
@@ -31,6 +36,14 @@
      */
     static Result<std::vector<Member>> parseMembers(std::string_view text, const BackendStandIn::Options &defaults);
 
+    /**
+     * Lists the servers of a pool, with their slots.
+     * @param pool name of a pool; empty for all pools
+     * @param defaults all other options
+     * @return the members, or NotFound
+     */
+    static Result<std::vector<Member>> membersOf(const ConfigSet &set, std::string_view pool, const BackendStandIn::Options &defaults);
+
     /**
      * Starts all servers and health endpoints.
      * @param executor runs all operations; single-threaded; the group must outlive its last operation
@@ -43,7 +56,10 @@
     asio::awaitable<std::optional<HttpResponse>> handle(HttpRequest request) override;
 
     BackendStandIn &server(std::size_t index);
+
+    /** Returns the bound address of a server's health endpoint; unset if it has none. */
     Endpoint healthAddress(std::size_t index) const;
+
     std::size_t size() const;
     const RunLedger &ledger() const;
 
@@ -60,7 +76,7 @@
     RunLedger m_ledger { ledgerLimit };
     ReceiveBatch m_batch;
     std::vector<std::unique_ptr<BackendStandIn>> m_servers;
-    std::vector<std::unique_ptr<HttpServer>> m_health;
+    std::vector<std::unique_ptr<HttpServer>> m_health; /**< for each server; null if it has no health endpoint */
 };
 
 } // namespace Samphirepitch::StandIn
--- a/standins/lib/platformstandin.cpp
+++ b/standins/lib/platformstandin.cpp
@@ -250,7 +250,7 @@
     if (request.method != "PUT") {
         return HttpResponse::empty(405);
     }
-    auto instance = PlatformCodec::decodeInstance(request.body);
+    auto instance = PlatformCodec::decodeInstance(request.body, id);
     if (!instance || instance->id != id) {
         return badRequest(instance ? "the id in the path differs from the one in the body" : instance.error().describe());
     }
--- a/standins/standin-backend/main.cpp
+++ b/standins/standin-backend/main.cpp
@@ -1,5 +1,6 @@
 #include "lib/backendgroup.h"
 #include "lib/program.h"
+#include "model/configreader.h"
 
 #include <asio/io_context.hpp>
 #include <gflags/gflags.h>
@@ -7,8 +8,10 @@
 #include <iostream>
 
 DEFINE_string(servers, "", "backend servers, NAME=ip:port=ip:port (datagram address, health address) separated by commas");
-DEFINE_string(admin_address, "127.0.0.1:8502", "address of the HTTP admin path");
-DEFINE_uint32(slots, 2, "requests that a server runs at a time");
+DEFINE_string(config, "", "TOML file of operator objects whose backend servers are started, instead of --servers");
+DEFINE_string(pool, "", "pool of --config; empty for all pools");
+DEFINE_string(admin_address, "", "address of the HTTP admin path; empty for none");
+DEFINE_uint32(slots, 2, "requests that a server of --servers runs at a time");
 DEFINE_uint32(queue_limit, 16, "requests that wait at a server; further ones are shed");
 DEFINE_uint32(work_us, 2000, "service time of a request that names none, in microseconds");
 DEFINE_uint32(cold_start_ms, 0, "time after the start in which requests take cold_factor times as long");
@@ -32,10 +35,23 @@
     return options;
 }
 
+Result<std::vector<StandIn::BackendGroup::Member>> readMembers()
+{
+    if (FLAGS_config.empty()) {
+        return StandIn::BackendGroup::parseMembers(FLAGS_servers, defaults());
+    }
+    ConfigReader reader;
+    reader.readFile(FLAGS_config);
+    if (hasErrors(reader.findings())) {
+        return failure(ErrorKind::Rejected, FLAGS_config, reader.findings().front().describe());
+    }
+    return StandIn::BackendGroup::membersOf(reader.set(), FLAGS_pool, defaults());
+}
+
 int run()
 {
-    const auto members = StandIn::BackendGroup::parseMembers(FLAGS_servers, defaults());
-    const auto adminAddress = Endpoint::parse(FLAGS_admin_address);
+    const auto members = readMembers();
+    const auto adminAddress = FLAGS_admin_address.empty() ? Result<Endpoint>() : Endpoint::parse(FLAGS_admin_address);
     if (!members || !adminAddress) {
         return StandIn::reportStartFailure(!members ? members.error() : adminAddress.error());
     }
@@ -45,12 +61,15 @@
     if (!group) {
         return StandIn::reportStartFailure(group.error());
     }
-    const auto admin = HttpServer::listen(context.get_executor(), *adminAddress, **group);
-    if (!admin) {
-        return StandIn::reportStartFailure(admin.error());
+    std::unique_ptr<HttpServer> admin;
+    if (!adminAddress->isUnset()) {
+        auto listening = HttpServer::listen(context.get_executor(), *adminAddress, **group);
+        if (!listening) {
+            return StandIn::reportStartFailure(listening.error());
+        }
+        admin = std::move(*listening);
     }
-    std::cout << "event=listening program=standin-backend servers=" << (*group)->size() << " admin=" << (*admin)->address().toString()
-              << std::endl;
+    std::cout << "event=listening program=standin-backend servers=" << (*group)->size() << " admin=" << FLAGS_admin_address << std::endl;
     StandIn::runUntilSignal(context);
     return 0;
 }
--- a/tests/standins/backendtests.cpp
+++ b/tests/standins/backendtests.cpp
@@ -1,4 +1,5 @@
 #include "lib/backendgroup.h"
+#include "model/configset.h"
 #include "standins/udppeer.h"
 
 #include <msgpack.hpp>
@@ -305,3 +306,20 @@
         CHECK(BackendGroup::parseMembers(text, {}).error().kind() == ErrorKind::Malformed);
     }
 }
+
+TEST_CASE("the backend servers of a pool come from the operator objects", "[standins][backend]")
+{
+    BackendServer::Fields server { .name = "s1", .address = Endpoint(0x7f000001, 1), .health = Endpoint(0x7f000001, 2), .slots = 3 };
+    BackendServer::Fields other { .name = "s2", .address = Endpoint(0x7f000001, 3) };
+    ConfigSet::Fields fields;
+    fields.pools = { BackendPool({ .name = "a", .servers = { BackendServer(server) } }),
+        BackendPool({ .name = "b", .servers = { BackendServer(other) } }) };
+    const ConfigSet set(fields);
+    const auto members = BackendGroup::membersOf(set, "a", {});
+    REQUIRE(members.has_value());
+    REQUIRE(members->size() == 1);
+    CHECK(members->front().options.slots == 3);
+    CHECK(members->front().healthAddress == Endpoint(0x7f000001, 2));
+    CHECK(BackendGroup::membersOf(set, "", {})->size() == 2);
+    CHECK(BackendGroup::membersOf(set, "c", {}).error().kind() == ErrorKind::NotFound);
+}
