Read the platform's lists in pages

Cause: 7,600 instances take more than 1 MB of JSON, and an answer is bounded to 1 MB + 4 KB. Change: lists are answered in pages with a Next-After header; HttpPlatform reads all pages and refuses positions that do not advance. Instance ids follow the rule for keys, since they appear in the query. Conclusion: the instance list works at the size to design for; each page counts as one read.

--- a/src/platform/httpplatform.cpp
+++ b/src/platform/httpplatform.cpp
@@ -5,6 +5,7 @@
 #include "platform/platformcodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Samphirepitch
@@ -89,6 +90,20 @@
     return tl::unexpected(error);
 }
 
+template<typename T>
+Result<std::vector<T>> joined(const std::vector<std::string> &pages, Result<std::vector<T>> (*decode)(std::string_view))
+{
+    std::vector<T> all;
+    for (const std::string &page : pages) {
+        Result<std::vector<T>> values = decode(page);
+        if (!values) {
+            return values;
+        }
+        std::move(values->begin(), values->end(), std::back_inserter(all));
+    }
+    return all;
+}
+
 /** Only these errors of an exchange say that nothing was sent; after any other one the write may have taken effect. */
 bool isBeforeSend(ErrorKind kind)
 {
@@ -217,31 +232,55 @@
     co_return failure(ErrorKind::DeadlineExceeded, std::move(key), "the object did not change before the deadline");
 }
 
+asio::awaitable<Result<std::vector<std::string>>> HttpPlatform::pages(std::string target, TimePoint deadline)
+{
+    std::vector<std::string> bodies;
+    std::string after;
+    while (bodies.size() < maxPages) {
+        std::string page = target;
+        if (!after.empty()) {
+            page += (target.find('?') == std::string::npos ? "?after=" : "&after=") + after;
+        }
+        Result<HttpResponse> response = co_await get(std::move(page), deadline);
+        if (!response) {
+            co_return tl::unexpected(response.error());
+        }
+        if (response->status != 200) {
+            co_return tl::unexpected(statusError(target, *response));
+        }
+        bodies.push_back(std::move(response->body));
+        const std::string *const next = response->headers.find("next-after");
+        if (next == nullptr) {
+            co_return bodies;
+        }
+        // A position that does not advance would read the same page again and again.
+        if (!PlatformCodec::isKey(*next) || *next <= after) {
+            break;
+        }
+        after = *next;
+    }
+    co_return failure(ErrorKind::Malformed, std::move(target), "the pages of the list have no end");
+}
+
 asio::awaitable<Result<std::vector<PlatformObject>>> HttpPlatform::list(std::string prefix, TimePoint deadline)
 {
     if (!PlatformCodec::isPrefix(prefix)) {
         co_return tl::unexpected(invalidKey(prefix));
     }
-    const Result<HttpResponse> response = co_await get("/v1/list?prefix=" + prefix, deadline);
-    if (!response) {
-        co_return tl::unexpected(response.error());
-    }
-    if (response->status != 200) {
-        co_return tl::unexpected(statusError(prefix, *response));
+    const Result<std::vector<std::string>> bodies = co_await pages("/v1/list?prefix=" + prefix, deadline);
+    if (!bodies) {
+        co_return tl::unexpected(bodies.error());
     }
-    co_return PlatformCodec::decodeObjects(response->body);
+    co_return joined(*bodies, PlatformCodec::decodeObjects);
 }
 
 asio::awaitable<Result<std::vector<ListedInstance>>> HttpPlatform::instances(TimePoint deadline)
 {
-    const Result<HttpResponse> response = co_await get("/v1/instances", deadline);
-    if (!response) {
-        co_return tl::unexpected(response.error());
-    }
-    if (response->status != 200) {
-        co_return tl::unexpected(statusError("instances", *response));
+    const Result<std::vector<std::string>> bodies = co_await pages("/v1/instances", deadline);
+    if (!bodies) {
+        co_return tl::unexpected(bodies.error());
     }
-    co_return PlatformCodec::decodeInstances(response->body);
+    co_return joined(*bodies, PlatformCodec::decodeInstances);
 }
 
 } // namespace Samphirepitch
--- a/src/platform/httpplatform.h
+++ b/src/platform/httpplatform.h
@@ -22,6 +22,7 @@
 {
 public:
     static constexpr std::size_t maxBodySize = 1024 * 1024; /**< bytes of an object */
+    static constexpr std::size_t maxPages = 1000; /**< of one list; more are refused as Malformed */
 
     /**
      * @param executor runs all operations; single-threaded
@@ -45,6 +46,9 @@
 
     asio::awaitable<Result<HttpResponse>> call(HttpRequest request, TimePoint deadline);
     asio::awaitable<Result<HttpResponse>> get(std::string target, TimePoint deadline);
+
+    /** Reads all pages of a list. @return the body of each page */
+    asio::awaitable<Result<std::vector<std::string>>> pages(std::string target, TimePoint deadline);
     Result<HttpResponse> readFailure(Error error, TimePoint deadline) const;
 
     asio::any_io_executor m_executor;
--- a/src/platform/platformcodec.cpp
+++ b/src/platform/platformcodec.cpp
@@ -52,7 +52,7 @@
     const auto domain = text(entry, "failure_domain");
     const auto peerAddress = text(entry, "peer_address");
     const auto dataAddress = text(entry, "data_address");
-    if (!id || id->empty() || !domain || !peerAddress || !dataAddress) {
+    if (!id || !PlatformCodec::isKey(*id) || !domain || !peerAddress || !dataAddress) {
         return std::nullopt;
     }
     const auto peer = Endpoint::parse(*peerAddress);
@@ -83,21 +83,11 @@
     return values;
 }
 
-Json toJson(const ListedInstance &instance)
-{
-    return Json { { "id", instance.id }, { "failure_domain", instance.failureDomain }, { "peer_address", instance.peerAddress.toString() },
-        { "data_address", instance.dataAddress.toString() }, { "leaving", instance.leaving } };
-}
-
 } // namespace
 
-std::string PlatformCodec::encodeObjects(const std::vector<PlatformObject> &objects)
+std::string PlatformCodec::encodeObject(const PlatformObject &object)
 {
-    Json list = Json::array();
-    for (const PlatformObject &object : objects) {
-        list.push_back({ { "key", object.key }, { "version", object.version }, { "body", encodeBase64(object.body) } });
-    }
-    return list.dump();
+    return Json { { "key", object.key }, { "version", object.version }, { "body", encodeBase64(object.body) } }.dump();
 }
 
 Result<std::vector<PlatformObject>> PlatformCodec::decodeObjects(std::string_view json)
@@ -107,16 +97,10 @@
 
 std::string PlatformCodec::encodeInstance(const ListedInstance &instance)
 {
-    return toJson(instance).dump();
-}
-
-std::string PlatformCodec::encodeInstances(const std::vector<ListedInstance> &instances)
-{
-    Json list = Json::array();
-    for (const ListedInstance &instance : instances) {
-        list.push_back(toJson(instance));
-    }
-    return list.dump();
+    return Json {
+        { "id", instance.id }, { "failure_domain", instance.failureDomain }, { "peer_address", instance.peerAddress.toString() },
+        { "data_address", instance.dataAddress.toString() }, { "leaving", instance.leaving }
+    }.dump();
 }
 
 Result<ListedInstance> PlatformCodec::decodeInstance(std::string_view json, std::string_view id)
--- a/src/platform/platformcodec.h
+++ b/src/platform/platformcodec.h
@@ -13,13 +13,12 @@
 class PlatformCodec
 {
 public:
-    static std::string encodeObjects(const std::vector<PlatformObject> &objects);
+    static std::string encodeObject(const PlatformObject &object);
 
     /** Reads the answer of /v1/list. @return the objects, or Malformed */
     static Result<std::vector<PlatformObject>> decodeObjects(std::string_view json);
 
     static std::string encodeInstance(const ListedInstance &instance);
-    static std::string encodeInstances(const std::vector<ListedInstance> &instances);
 
     /**
      * Reads one entry of the instance list.
--- a/standins/lib/platformstandin.cpp
+++ b/standins/lib/platformstandin.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t maxBodySize = 1024 * 1024; // bytes of an object
 constexpr std::size_t maxListSize = HttpLimits().maxBodySize; // bytes of JSON
+constexpr std::size_t maxPageSize = 512 * 1024; // bytes of JSON; a page with one larger entry has this entry alone
 constexpr std::chrono::milliseconds maxWatch { 60000 };
 constexpr std::string_view objectPath = "/v1/objects/";
 constexpr std::string_view instancePath = "/standin/instances/";
@@ -38,6 +39,32 @@
     return HttpResponse::of(400, "text/plain", std::move(detail));
 }
 
+/**
+ * Returns the page of a sorted list behind the query parameter "after".
+ * @param key the field that the list is sorted by
+ */
+template<typename T>
+HttpResponse page(const HttpRequest &request, const std::vector<T> &list, std::string T::*key, std::string (*encode)(const T &))
+{
+    const std::string after = request.query("after").value_or("");
+    auto entry
+        = std::upper_bound(list.begin(), list.end(), after, [key](const std::string &left, const T &right) { return left < right.*key; });
+    std::string body = "[";
+    while (entry != list.end()) {
+        const std::string text = encode(*entry);
+        if (body.size() > 1 && body.size() + text.size() > maxPageSize) {
+            break;
+        }
+        body += (body.size() > 1 ? "," : "") + text;
+        ++entry;
+    }
+    HttpResponse response = json(body + "]");
+    if (entry != list.end()) {
+        response.headers.add("next-after", (*std::prev(entry)).*key);
+    }
+    return response;
+}
+
 /** Reads If-Match or If-None-Match. @return the expected version, or nothing if there is no valid condition */
 std::optional<std::uint64_t> expectedVersion(const HttpRequest &request)
 {
@@ -81,7 +108,7 @@
         co_return list(request);
     }
     if (path == "/v1/instances" && request.method == "GET") {
-        co_return listInstances();
+        co_return listInstances(request);
     }
     co_return HttpResponse::empty(404);
 }
@@ -182,15 +209,15 @@
     if (!PlatformCodec::isPrefix(prefix)) {
         return badRequest("the prefix is not valid");
     }
-    return json(PlatformCodec::encodeObjects(m_store.list(prefix)));
+    return page(request, m_store.list(prefix), &PlatformObject::key, PlatformCodec::encodeObject);
 }
 
-PlatformStandIn::Answer PlatformStandIn::listInstances()
+PlatformStandIn::Answer PlatformStandIn::listInstances(const HttpRequest &request)
 {
     if (Answer refusal = admitRead(m_counters.instanceLists)) {
         return refusal;
     }
-    return json(PlatformCodec::encodeInstances(m_instances.visible(m_clock.now())));
+    return page(request, m_instances.visible(m_clock.now()), &ListedInstance::id, PlatformCodec::encodeInstance);
 }
 
 PlatformStandIn::Answer PlatformStandIn::admitRead(std::uint64_t &counter)
--- a/standins/lib/platformstandin.h
+++ b/standins/lib/platformstandin.h
@@ -40,7 +40,7 @@
     Answer read(const std::string &key) const;
     Answer write(const std::string &key, HttpRequest &request);
     Answer list(const HttpRequest &request);
-    Answer listInstances();
+    Answer listInstances(const HttpRequest &request);
     Answer admin(const HttpRequest &request);
     Answer changeInstance(const HttpRequest &request);
     Answer changeFaultsBy(const HttpRequest &request);
--- a/tests/platform/httpplatformtests.cpp
+++ b/tests/platform/httpplatformtests.cpp
@@ -259,6 +259,40 @@
     CHECK(await(context, platform->instances(soon()))->empty());
 }
 
+TEST_CASE_METHOD(PlatformFixture, "lists above the size of one answer are read in pages", "[platform][httpplatform]")
+{
+    // 7,600 instances, the size to design for, take more than 1 MB of JSON.
+    for (int index = 0; index < 7600; ++index) {
+        const std::string id = "region-1-domain-03-instance-" + std::to_string(10000 + index);
+        standIn.instances().put(
+            { id, "region-1-domain-03", Endpoint(0x7f000001, 10000), Endpoint(0x7f000001, 10001), false }, standInClock.now());
+    }
+    const auto instances = await(context, platform->instances(soon()));
+    REQUIRE(instances.has_value());
+    CHECK(instances->size() == 7600);
+    CHECK(instances->back().id == "region-1-domain-03-instance-17599");
+    CHECK(standIn.counters().instanceLists > 1);
+
+    CHECK(write("part/a", mebibyte.substr(0, 700000), Platform::mustNotExist) == 1);
+    CHECK(write("part/b", mebibyte.substr(0, 700000), Platform::mustNotExist) == 1);
+    CHECK(write("part/c", "c", Platform::mustNotExist) == 1);
+    CHECK(await(context, platform->list("part/", soon()))->size() == 3);
+
+    SECTION("an object that is larger than an answer in base64 cannot be listed")
+    {
+        CHECK(write("part/d", mebibyte, Platform::mustNotExist) == 1);
+        CHECK(await(context, platform->list("part/", soon())).error().kind() == ErrorKind::TooLarge);
+    }
+}
+
+TEST_CASE("pages that do not advance are refused", "[platform][httpplatform]")
+{
+    // Guards against an endless loop on a faulty platform.
+    const std::string next = GENERATE(as<std::string>(), "", "A", "a b");
+    ScriptedFixture fixture("HTTP/1.1 200 OK\r\nnext-after: " + next + "\r\ncontent-length: 2\r\n\r\n[]");
+    CHECK(await(fixture.context, fixture.platform->instances(fixture.in(testTimeout))).error().kind() == ErrorKind::Malformed);
+}
+
 TEST_CASE_METHOD(PlatformFixture, "connections are kept between calls and replaced when the server closed them", "[platform][httpplatform]")
 {
     CHECK(write("head", "one", Platform::mustNotExist) == 1);
