--- a/standins/lib/fabricstandin.cpp
+++ b/standins/lib/fabricstandin.cpp
@@ -71,6 +71,10 @@
     while (open) {
         const std::size_t count = m_batch.receive(service.descriptor());
         for (std::size_t index = 0; index < count; ++index) {
+            if (m_batch.isCut(index)) {
+                ++m_counters.malformed;
+                continue;
+            }
             if (m_options.instances.empty()) {
                 ++m_counters.withoutInstance;
                 continue;
--- a/standins/lib/fabricstandin.h
+++ b/standins/lib/fabricstandin.h
@@ -35,7 +35,7 @@
         std::uint64_t toCallers = 0;
         std::uint64_t lost = 0; /**< by the fault, or not taken by a socket */
         std::uint64_t withoutInstance = 0; /**< no instance was listed */
-        std::uint64_t malformed = 0; /**< from instances, without a readable header or for an unknown service address */
+        std::uint64_t malformed = 0; /**< above 16 KB, or from instances without a readable header or for an unknown service address */
         std::uint64_t duplicated = 0;
         std::uint64_t reordered = 0;
     };
--- a/standins/lib/receivebatch.cpp
+++ b/standins/lib/receivebatch.cpp
@@ -27,11 +27,14 @@
     return count > 0 ? static_cast<std::size_t>(count) : 0;
 }
 
+bool ReceiveBatch::isCut(std::size_t index) const
+{
+    return (m_messages[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+}
+
 std::span<std::uint8_t> ReceiveBatch::datagram(std::size_t index)
 {
-    const mmsghdr &message = m_messages[index];
-    const bool tooLong = (message.msg_hdr.msg_flags & MSG_TRUNC) != 0;
-    return { m_bytes.data() + index * slotSize + headroom, tooLong ? 0 : message.msg_len };
+    return { m_bytes.data() + index * slotSize + headroom, isCut(index) ? 0 : m_messages[index].msg_len };
 }
 
 std::span<std::uint8_t> ReceiveBatch::withHeader(std::size_t index, const ProxyHeader &header)
--- a/standins/lib/receivebatch.h
+++ b/standins/lib/receivebatch.h
@@ -18,7 +18,7 @@
 {
 public:
     static constexpr std::size_t capacity = 64; /**< datagrams */
-    static constexpr std::size_t maxDatagramSize = 16 * 1024; /**< bytes; longer datagrams are dropped */
+    static constexpr std::size_t maxDatagramSize = 16 * 1024; /**< bytes; longer datagrams are cut */
     static constexpr std::size_t headroom = ProxyHeader::maxSize; /**< free bytes in front of each datagram */
 
     ReceiveBatch();
@@ -28,7 +28,10 @@
     /** Replaces the content by the datagrams that wait on @p descriptor, without blocking. @return their number */
     std::size_t receive(int descriptor);
 
-    /** Returns the bytes of a datagram; empty if it was too long. */
+    /** Returns whether a datagram was longer than maxDatagramSize and lost its end. */
+    bool isCut(std::size_t index) const;
+
+    /** Returns the bytes of a datagram; empty if it was cut. */
     std::span<std::uint8_t> datagram(std::size_t index);
 
     /** Puts a header in front of a datagram. @return header and datagram */
--- a/tests/standins/fabrictests.cpp
+++ b/tests/standins/fabrictests.cpp
@@ -71,6 +71,15 @@
     CHECK(fabric->counters().lost == 0);
 }
 
+TEST_CASE_METHOD(FabricFixture, "a datagram that is too long for the fabric is dropped as a whole", "[standins][fabric]")
+{
+    fabric->changeInstances({ first.address() });
+    caller.send(service(), std::string(16 * 1024 + 1, 'x'));
+    caller.send(service(), std::string(16 * 1024, 'y'));
+    CHECK(first.receive().payload() == std::string(16 * 1024, 'y'));
+    CHECK(fabric->counters().malformed == 1);
+}
+
 TEST_CASE_METHOD(FabricFixture, "a caller gets answers from the address of the service", "[standins][fabric]")
 {
     first.send(fabric->returnAddress(), ProxyHeader({ .source = service(), .destination = caller.address() }), "answer");
