Pass on progress without waiting for the heartbeat; send statuses to peers at most once a second

A complete domain is now told by names, because a report can count twice while the tree changes. New test: a failure domain that was cut off rejoins at the higher generation.

--- a/src/peer/controlplane.cpp
+++ b/src/peer/controlplane.cpp
@@ -503,7 +503,7 @@
     m_dialer->advance(m_plan.targets, now);
     m_links.closeUnwanted(m_plan.targets, now);
     flush(now);
-    if (now >= m_nextHeartbeat) {
+    if (now >= m_heartbeatAt + PeerLink::heartbeatInterval) {
         const bool full = now >= m_nextRefresh;
         broadcastHeartbeat(now, full);
         if (full) {
@@ -535,6 +535,9 @@
     updatePlan();
     updateProgress(now);
     notifyPrepared();
+    if (m_board.hasChanges() && now >= m_heartbeatAt + progressInterval) {
+        broadcastHeartbeat(now, false);
+    }
 }
 
 void ControlPlane::updatePlan()
@@ -583,17 +586,15 @@
 void ControlPlane::publishProgress(const GenerationReport &report, TimePoint now)
 {
     // Without the reports of all members nobody may conclude that they are prepared.
-    const bool complete = report.count >= m_plan.domainSize;
+    const bool complete = isComplete(report);
     const DomainProgress progress { m_settings.failureDomain, complete ? report.lowestPrepared : 0, complete ? report.lowestActive : 0,
         wallMs() };
     const GenerationReport compared = withoutTimes(report);
-    const bool changed = m_board.update(progress);
-    if (changed) {
-        broadcastHeartbeat(now, false);
-    }
-    if (compared != m_lastReport || now >= m_nextReport) {
+    m_board.update(progress);
+    const bool due = compared != m_lastReport ? now >= m_statusAt + minStatusInterval : now >= m_statusAt + refreshInterval;
+    if (due) {
         m_lastReport = compared;
-        m_nextReport = now + refreshInterval;
+        m_statusAt = now;
         m_links.broadcast(StatusReply { { ownStatus() } });
     }
 }
@@ -631,7 +632,7 @@
 
 void ControlPlane::broadcastHeartbeat(TimePoint now, bool full)
 {
-    m_nextHeartbeat = now + PeerLink::heartbeatInterval;
+    m_heartbeatAt = now;
     std::vector<DomainProgress> progress = m_board.takeChanges();
     if (full) {
         progress = m_board.all();
@@ -704,6 +705,21 @@
     return status;
 }
 
+bool ControlPlane::isComplete(const GenerationReport &report) const
+{
+    if (m_plan.domainSize > ProgressTree::namedSize) {
+        return report.count >= m_plan.domainSize;
+    }
+    // While the tree changes, a report can be counted twice or name an instance that is gone, so the names decide.
+    std::set<std::string_view> named;
+    for (const InstanceStatus &instance : report.instances) {
+        named.insert(instance.id);
+    }
+    return std::all_of(m_plan.view->members().begin(), m_plan.view->members().end(), [&](const Member &member) {
+        return member.failureDomain() != m_settings.failureDomain || member.state() == MemberState::Dead || named.contains(member.id());
+    });
+}
+
 std::uint64_t ControlPlane::wallMs() const
 {
     return static_cast<std::uint64_t>(m_parts.clock.wallNow().time_since_epoch().count());
--- a/src/peer/controlplane.h
+++ b/src/peer/controlplane.h
@@ -50,6 +50,9 @@
 public:
     static constexpr std::chrono::milliseconds tickInterval { 250 };
     static constexpr std::chrono::milliseconds refreshInterval { 5000 }; /**< between full reports without a change */
+    static constexpr std::chrono::milliseconds minStatusInterval { 1000 }; /**< between two statuses that a root sends to its peers */
+    /** News of progress do not wait for the next heartbeat, but several changes share one: 13 failure domains report each change. */
+    static constexpr std::chrono::milliseconds progressInterval { 100 };
     static constexpr std::chrono::milliseconds startTimeout { 2000 }; /**< seeds are tried this long before the platform is asked */
     static constexpr std::chrono::milliseconds syncTime { 500 }; /**< from the first link to a view that names the watchers */
     /** Without a sign of platform contact from a watcher, any instance starts to watch after this and a random delay. */
@@ -180,6 +183,7 @@
     void deliverWaiting(const std::string &peer);
     void dropWaiting(TimePoint now);
     GenerationReport combinedReport(TimePoint now) const;
+    bool isComplete(const GenerationReport &report) const;
     DomainStatus ownStatus() const;
     std::uint64_t wallMs() const;
     bool isRoot() const;
@@ -214,7 +218,8 @@
     TimePoint m_startDeadline;
     TimePoint m_contactAt;
     std::chrono::milliseconds m_contactDelay { 0 };
-    TimePoint m_nextHeartbeat {};
+    TimePoint m_heartbeatAt {};
+    TimePoint m_statusAt {};
     TimePoint m_nextRefresh {};
     TimePoint m_nextReport {};
     GenerationReport m_lastReport;
--- a/src/peer/progressboard.cpp
+++ b/src/peer/progressboard.cpp
@@ -27,6 +27,11 @@
     return true;
 }
 
+bool ProgressBoard::hasChanges() const
+{
+    return !m_changed.empty();
+}
+
 std::vector<DomainProgress> ProgressBoard::takeChanges()
 {
     std::vector<DomainProgress> changes;
--- a/src/peer/progressboard.h
+++ b/src/peer/progressboard.h
@@ -19,6 +19,9 @@
     /** Takes the progress of a failure domain. @return whether it changes anything but the time */
     bool update(const DomainProgress &progress);
 
+    /** Returns whether something changed since the last takeChanges(). */
+    bool hasChanges() const;
+
     /** Takes all that changed since the last call. */
     std::vector<DomainProgress> takeChanges();
 
--- a/tests/peer/controlplanetests.cpp
+++ b/tests/peer/controlplanetests.cpp
@@ -144,6 +144,34 @@
     runBoth([&] { return sleeper.hasEnded(); });
 }
 
+TEST_CASE("a failure domain that was cut off rejoins at the higher generation", "[peer][controlplane]")
+{
+    asio::io_context cutOff;
+    ControlGroup group;
+    group.add("a1", "ajaokuta");
+    group.add("a2", "ajaokuta");
+    ControlInstance &first = group.add("l1", "lokoja", &cutOff);
+    ControlInstance &second = group.add("l2", "lokoja", &cutOff);
+    const auto runBoth = [&](auto done) {
+        return group.until([&] {
+            cutOff.poll();
+            return done();
+        });
+    };
+    group.publish(1);
+    REQUIRE(runBoth([&] { return group.allHave(1) && group.allSeeAll(); }));
+    // The others go on without the silent failure domain, which a new generation must not wait for.
+    group.publish(2);
+    REQUIRE(group.until([&] { return group.instances[0]->activeGeneration() == 2 && group.instances[1]->activeGeneration() == 2; }));
+    CHECK(group.instances[0]->plane().view()->ranked(1, 9, "lokoja").empty());
+    CHECK(first.plane().held().generation == 1);
+    CHECK(runBoth([&] { return group.allHave(2) && group.allSeeAll(); }));
+    for (ControlInstance *instance : { &first, &second }) {
+        instance->plane().stop();
+    }
+    CHECK(runBoth([&] { return first.hasEnded() && second.hasEnded(); }));
+}
+
 TEST_CASE("an instance that starts again with a higher incarnation counts at once", "[peer][controlplane]")
 {
     ControlGroup group;
