--- /dev/null
+++ b/tests/fakes/recordingchannel.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "peer/peerchannel.h"
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/** Keeps what is sent; peers in "full" take nothing. */
+class RecordingChannel : public Samphirepitch::PeerChannel
+{
+public:
+    bool send(const std::string &peer, const Samphirepitch::Message &message) override
+    {
+        if (full.contains(peer)) {
+            return false;
+        }
+        sent.emplace_back(peer, message);
+        return true;
+    }
+
+    void broadcast(const Samphirepitch::Message &message) override
+    {
+        sent.emplace_back("*", message);
+    }
+
+    std::vector<std::pair<std::string, Samphirepitch::Message>> sent;
+    std::set<std::string> full;
+};
--- /dev/null
+++ b/tests/peer/distributortests.cpp
@@ -0,0 +1,156 @@
+#include "core/eventsink.h"
+#include "fakes/recordingchannel.h"
+#include "model/configtree.h"
+#include "peer/distributor.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Samphirepitch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+class NoEvents : public EventSink
+{
+public:
+    void record(EventSeverity, std::string_view name, std::vector<EventField>) override
+    {
+        ++counts[std::string(name)];
+    }
+
+    std::map<std::string, int> counts;
+};
+
+/** All parts of one generation with their head. */
+struct Generation {
+    explicit Generation(std::uint64_t number, const std::string &region = "kogi")
+    {
+        ConfigSet::Fields objects;
+        objects.failureDomains.emplace_back(FailureDomain::Fields { "lokoja", region });
+        const ConfigTree tree = ConfigTree::of(ConfigSet(objects));
+        parts = tree.parts();
+        const std::string record = HeadRecord({ number, tree.indexes(), {}, "change", "operator", {} }).encode();
+        head = { number, ContentName::of(record) };
+        parts.emplace(head.record, record);
+    }
+
+    std::map<ContentName, std::string> parts;
+    HeadPointer head;
+};
+
+struct Fixture {
+    ConfigStore store;
+    RecordingChannel channel;
+    NoEvents events;
+    Distributor distributor { store, channel, events, {} };
+    TimePoint now {};
+
+    /** Answers the newest request as @p peer until none is left. */
+    void serve(const std::string &peer, const Generation &generation)
+    {
+        while (!channel.sent.empty() && channel.sent.back().first == peer) {
+            const auto request = std::get<PartRequest>(channel.sent.back().second);
+            channel.sent.clear();
+            for (const ContentName &name : request.names) {
+                const auto found = generation.parts.find(name);
+                distributor.partReceived(peer, { name, found == generation.parts.end() ? "" : found->second }, now);
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("an announced generation is pulled part by part, adopted and announced", "[peer][distributor]")
+{
+    Fixture fixture;
+    const Generation one(1);
+    fixture.distributor.announced("b", one.head, fixture.now);
+    fixture.serve("b", one);
+    CHECK(fixture.distributor.held() == one.head);
+    REQUIRE(fixture.channel.sent.size() == 1);
+    CHECK(fixture.channel.sent[0] == std::pair<std::string, Message>("*", Announce { one.head }));
+    SECTION("a lower or equal generation is not pulled, and an equal one with another record is reported")
+    {
+        fixture.channel.sent.clear();
+        fixture.distributor.announced("b", one.head, fixture.now);
+        fixture.distributor.announced("b", Generation(1, "other").head, fixture.now);
+        CHECK(fixture.channel.sent.empty());
+        CHECK(fixture.events.counts["generation_conflict"] == 1);
+    }
+    SECTION("parts that the next generation does not refer to are dropped")
+    {
+        const Generation two(2, "other");
+        fixture.distributor.announced("b", two.head, fixture.now);
+        fixture.serve("b", two);
+        CHECK(fixture.distributor.held() == two.head);
+        CHECK(fixture.store.part(one.head.record) == nullptr);
+        std::size_t bytes = 0;
+        for (const auto &[name, content] : two.parts) {
+            bytes += content.size();
+        }
+        CHECK(fixture.store.bytes() == bytes);
+    }
+}
+
+TEST_CASE("a pull continues from another peer", "[peer][distributor]")
+{
+    Fixture fixture;
+    const Generation one(1);
+    fixture.distributor.announced("b", one.head, fixture.now);
+    fixture.distributor.announced("c", one.head, fixture.now);
+    SECTION("when the first is silent until the deadline")
+    {
+        fixture.distributor.advance(fixture.now + Distributor::pullTimeout);
+    }
+    SECTION("when the link of the first ends")
+    {
+        fixture.distributor.linkDown("b", fixture.now);
+    }
+    SECTION("when the first does not hold the part")
+    {
+        fixture.distributor.partReceived("b", { one.head.record, "" }, fixture.now);
+    }
+    SECTION("when the first sends another content")
+    {
+        fixture.distributor.partReceived("b", { one.head.record, "forged" }, fixture.now);
+        CHECK(fixture.distributor.refusedParts() == 1);
+        CHECK(fixture.store.bytes() == 0);
+    }
+    fixture.serve("c", one);
+    CHECK(fixture.distributor.held() == one.head);
+}
+
+TEST_CASE("parts that were not asked for take no memory", "[peer][distributor]")
+{
+    Fixture fixture;
+    fixture.distributor.partReceived("b", { ContentName::of("x"), "x" }, fixture.now);
+    CHECK(fixture.store.bytes() == 0);
+    CHECK(fixture.distributor.refusedParts() == 1);
+}
+
+TEST_CASE("a record of another generation than announced is rejected and not asked for again", "[peer][distributor]")
+{
+    Fixture fixture;
+    const Generation one(1);
+    const HeadPointer wrong { 9, one.head.record };
+    fixture.distributor.announced("b", wrong, fixture.now);
+    fixture.serve("b", one);
+    CHECK(fixture.distributor.held().generation == 0);
+    CHECK(fixture.events.counts["generation_rejected"] == 1);
+    fixture.distributor.announced("b", wrong, fixture.now);
+    CHECK(fixture.channel.sent.empty());
+}
+
+TEST_CASE("a full store refuses parts", "[peer][configstore]")
+{
+    ConfigStore store(4);
+    CHECK(store.put(ContentName::of("abcd"), "abcd").has_value());
+    CHECK(store.put(ContentName::of("e"), "e").error().kind() == ErrorKind::TooLarge);
+    CHECK(store.put(ContentName::of("e"), "f").error().kind() == ErrorKind::Malformed);
+    store.retain({});
+    CHECK(store.bytes() == 0);
+}
