--- /dev/null
+++ b/apps/samphirepitch-load/relaybenchcommand.cpp
@@ -0,0 +1,44 @@
+#include "relaybenchcommand.h"
+
+#include "load/relaybench.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_uint64(relay_flows, 300000, "relay-bench: flows that the data path holds");
+DEFINE_uint64(relay_phase_ms, 2000, "relay-bench: length of each measurement in milliseconds");
+DEFINE_uint64(relay_rounds, 3, "relay-bench: measurements of each of the two");
+DEFINE_uint64(relay_window, 256, "relay-bench: packets under way at the same time");
+DEFINE_double(relay_min_ratio, 0, "relay-bench: fails below this ratio");
+
+namespace Samphirepitch
+{
+
+std::string_view RelayBenchCommand::name() const
+{
+    return "relay-bench";
+}
+
+std::string_view RelayBenchCommand::summary() const
+{
+    return "packets a second and latency of the data path and of a plain relay";
+}
+
+int RelayBenchCommand::run()
+{
+    const SteadyClock clock;
+    const auto result = RelayBench::run({ .flows = FLAGS_relay_flows,
+                                            .phase = std::chrono::milliseconds(FLAGS_relay_phase_ms),
+                                            .rounds = FLAGS_relay_rounds,
+                                            .window = FLAGS_relay_window },
+        clock);
+    if (!result) {
+        std::cerr << result.error().describe() << "\n";
+        return 1;
+    }
+    std::cout << result->line() << std::endl;
+    return result->ratio >= FLAGS_relay_min_ratio ? 0 : 1;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/apps/samphirepitch-load/relaybenchcommand.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "command.h"
+
+namespace Samphirepitch
+{
+
+/** relay-bench: compares the data path with a plain relay. */
+class RelayBenchCommand : public Command
+{
+public:
+    std::string_view name() const override;
+    std::string_view summary() const override;
+    int run() override;
+};
+
+} // namespace Samphirepitch
