--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::chrono::seconds loadReportAge { 1 }; // an older report says little, because demand varies within seconds
+constexpr std::chrono::milliseconds retryAfterRefusal { 50 }; // time for a change of members or servers to spread
 constexpr std::string_view repeatedReason = "repeated";
 constexpr std::string_view quarantineReason = "quarantine";
 constexpr std::string_view timeoutReason = "deadline";
@@ -140,7 +141,7 @@
     case RouteAction::Refuse:
         break;
     }
-    refuse(incoming.request, true, refusalName(decision.reason));
+    refuse(incoming.request, true, refusalName(decision.reason), retryAfterRefusal);
     return false;
 }
 
