Hold a server for down only if it is silent

Cause: three long requests that lapse together made a server down that had just answered others, which would break its flows. Change: a request without an answer counts only if the server has answered nothing since it was sent; waiting requests of a removed service are refused.

--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -268,10 +268,11 @@
     if (m_queued == 0) {
         return; // a pass over 6,200 services every 10 ms would cost several percent of a core
     }
-    for (const auto &[id, service] : m_router.services().services()) {
-        ServiceState &state = m_services[id];
-        if (state.queue.size() > 0) {
-            refuseLapsed(state, now);
+    for (auto &[id, state] : m_services) {
+        const RoutedService *service = m_router.services().service(id);
+        // The requests of a service that was taken out of the configuration can't start any more.
+        refuseLapsed(state, service ? now : TimePoint::max());
+        if (service) {
             pump(*service, now);
         }
     }
@@ -279,7 +280,7 @@
 
 void RequestHandler::expire(PendingRequest &pending, TimePoint now)
 {
-    m_router.health().notAnswered(m_router.servers().server(pending.server).machine, now);
+    m_router.health().notAnswered(m_router.servers().server(pending.server).machine, pending.sentAt, now);
     if (now < pending.deadline) {
         if (!retry(pending, false, now)) {
             m_pending.schedule(pending, pending.deadline);
--- a/src/routing/serverhealth.cpp
+++ b/src/routing/serverhealth.cpp
@@ -14,16 +14,17 @@
 void ServerHealth::answered(std::uint32_t machine, TimePoint now)
 {
     State &known = state(machine);
-    known.seenAt = now;
+    known.answeredAt = now;
     known.failures = 0;
-    known.answers = true;
 }
 
-void ServerHealth::notAnswered(std::uint32_t machine, TimePoint now)
+void ServerHealth::notAnswered(std::uint32_t machine, TimePoint sentAt, TimePoint now)
 {
     State &known = state(machine);
-    known.seenAt = now;
-    known.answers = ++known.failures < failuresUntilDown && known.answers;
+    if (known.answeredAt <= sentAt) {
+        known.failedAt = now;
+        ++known.failures;
+    }
 }
 
 void ServerHealth::stateSpread(std::uint32_t machine, bool up, WallTime at)
@@ -41,8 +42,11 @@
         return true;
     }
     const State &known = m_states[machine];
-    const bool ownCounts = (known.answers || known.failures >= failuresUntilDown) && now - known.seenAt < ownObservationAge;
-    return ownCounts ? known.answers : known.spreadUp;
+    if (known.failures >= failuresUntilDown && now - known.failedAt < ownObservationAge) {
+        return false;
+    }
+    const bool hasAnswered = known.answeredAt != TimePoint() && now - known.answeredAt < ownObservationAge;
+    return hasAnswered || known.spreadUp;
 }
 
 } // namespace Samphirepitch
--- a/src/routing/serverhealth.h
+++ b/src/routing/serverhealth.h
@@ -24,8 +24,11 @@
     /** Notes that the server answered. */
     void answered(std::uint32_t machine, TimePoint now);
 
-    /** Notes that a request of this instance got no answer in time. */
-    void notAnswered(std::uint32_t machine, TimePoint now);
+    /**
+     * Notes that a request of this instance got no answer in time.
+     * @param sentAt when it was sent; a server that has answered anything since is slow with this request and not down
+     */
+    void notAnswered(std::uint32_t machine, TimePoint sentAt, TimePoint now);
 
     /**
      * Takes a state that was spread by a prober.
@@ -37,10 +40,10 @@
 
 private:
     struct State {
-        TimePoint seenAt {}; /**< when the own observation was made */
+        TimePoint answeredAt {}; /**< last answer */
+        TimePoint failedAt {}; /**< last request without an answer */
         WallTime spreadAt {};
         std::uint32_t failures = 0;
-        bool answers = false;
         bool spreadUp = true;
     };
 
