Let an owner learn answers that the owner of the flow got

Cause: a repeated request heard "unknown" although it was answered, if the owner of its flow had sent it for the owner of the request. Change: the owner of the flow passes the answer to the owner of the request, which keeps it.

--- a/src/data/packetengine.cpp
+++ b/src/data/packetengine.cpp
@@ -40,6 +40,10 @@
         return;
     }
     const RoutedService *service = m_router.services().service(header->destination());
+    if (!service && header->hops() > 0 && m_router.services().service(header->source())) {
+        instanceAnswer(*header, payload, sender);
+        return;
+    }
     if (!service) {
         ++m_counters.unknownService;
         m_events.record(EventSeverity::Warning, "unknown_service", { { "address", header->destination().toString() } });
@@ -59,6 +63,23 @@
     }
 }
 
+bool PacketEngine::isInstance(Endpoint address) const
+{
+    const std::vector<Member> &members = m_router.view().members();
+    return std::any_of(members.begin(), members.end(), [address](const Member &member) { return member.dataAddress() == address; });
+}
+
+/** Takes the answer to a request that this instance, as its owner, sent to the owner of its flow. */
+void PacketEngine::instanceAnswer(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender)
+{
+    const auto envelope = RpcEnvelope::decode(payload);
+    if (!envelope || envelope->kind != RpcKind::Response || !isInstance(sender)) {
+        ++m_counters.malformed;
+        return;
+    }
+    m_requests.answerOfOwned({ header.destination(), header.source(), envelope->id }, *envelope, payload);
+}
+
 void PacketEngine::flowPacket(const RoutedService &service, const ProxyHeader &header, std::span<const std::uint8_t> payload, TimePoint now)
 {
     const RouteDecision decision = m_router.route(service, flowKey(header.source(), header.destination()), now, header.hops());
--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -116,7 +116,9 @@
         refuse(incoming.request, true, refusalName(RefusalReason::MemoryFull));
         return;
     }
-    if (!start(incoming, now)) {
+    IncomingRequest accepted = incoming;
+    accepted.owner = owner.isDelegated ? incoming.sender : Endpoint();
+    if (!start(accepted, now)) {
         m_memory.forget(incoming.request);
     }
 }
@@ -174,6 +176,7 @@
     pending->deadline = incoming.deadline;
     pending->wallDeadline = incoming.wallDeadline;
     pending->idempotent = incoming.idempotent;
+    pending->owner = incoming.owner;
     ServiceState &state = m_services[incoming.service->id];
     state.budget.requestSent();
     // Only requests that may go to another server can be retried; the requests of a flow stay together.
@@ -211,17 +214,25 @@
         answerCaller(request, payload);
     }
     if (!pending.idempotent) {
-        if (envelope.notRun) {
-            m_memory.forget(request);
-        } else {
-            m_memory.answered(request, payload);
-        }
+        answerOfOwned(request, envelope, payload);
+    }
+    if (!pending.owner.isUnset()) {
+        m_output.toInstance(pending.owner, ProxyHeader({ .source = request.service, .destination = request.caller, .hops = 1 }), payload);
     }
     m_services[service.id].queue.finished(now - pending.sentAt);
     finish(pending);
     pump(service, now);
 }
 
+void RequestHandler::answerOfOwned(const RequestId &request, const RpcEnvelope &envelope, std::span<const std::uint8_t> payload)
+{
+    if (envelope.notRun) {
+        m_memory.forget(request);
+    } else {
+        m_memory.answered(request, payload);
+    }
+}
+
 /** Sends a request to another server, if it may run twice and the budget and the deadline allow it. */
 bool RequestHandler::retry(PendingRequest &pending, bool wasRefused, TimePoint now)
 {
@@ -307,8 +318,12 @@
             return;
         }
         --m_queued;
-        const IncomingRequest incoming { &service, queued->request, Endpoint(), 0, queued->idempotent, queued->deadline,
-            queued->wallDeadline, queued->payload };
+        const IncomingRequest incoming { .service = &service,
+            .request = queued->request,
+            .idempotent = queued->idempotent,
+            .deadline = queued->deadline,
+            .wallDeadline = queued->wallDeadline,
+            .payload = queued->payload };
         if (!dispatch(incoming, server, now) && !queued->idempotent) {
             m_memory.forget(queued->request);
         }
--- a/src/data/requesthandler.h
+++ b/src/data/requesthandler.h
@@ -37,6 +37,7 @@
     Endpoint sender; /**< fabric or instance */
     std::uint8_t hops = 0;
     bool idempotent = false;
+    Endpoint owner; /**< of a non-idempotent request that its owner sent to the owner of its flow */
     TimePoint deadline;
     std::uint64_t wallDeadline = 0; /**< milliseconds since the Unix epoch */
     std::span<const std::uint8_t> payload;
@@ -64,6 +65,9 @@
     void answer(const RoutedService &service, ServerIndex server, const RequestId &request, const RpcEnvelope &envelope,
         std::span<const std::uint8_t> payload, TimePoint now);
 
+    /** Takes the answer that the owner of a flow got for a request that this instance owns. */
+    void answerOfOwned(const RequestId &request, const RpcEnvelope &envelope, std::span<const std::uint8_t> payload);
+
     /** Takes a load report of a server. */
     void loadReported(ServerIndex server, const LoadReport &load, TimePoint now);
 
--- a/src/request/requesttable.h
+++ b/src/request/requesttable.h
@@ -19,6 +19,7 @@
     TimePoint sentAt;
     TimePoint deadline; /**< the caller hears "unknown" at this time */
     std::uint64_t wallDeadline = 0; /**< the same deadline as sent to servers: milliseconds since the Unix epoch */
+    Endpoint owner; /**< data address of the instance that sent the request here as its owner; unset if it came otherwise */
     bool idempotent = false;
     std::uint8_t attempts = 0; /**< how often it was sent */
     bool onlyRefused = true; /**< every server that it was sent to before refused it without running it */
--- a/tests/data/enginegrouptests.cpp
+++ b/tests/data/enginegrouptests.cpp
@@ -139,9 +139,7 @@
             const auto envelope = RpcEnvelope::decode(payload);
             REQUIRE(envelope.has_value());
             const std::string outcome = !envelope->failed ? "answered" : envelope->notRun ? "not_run" : "unknown";
-            // A repetition after the answer may hear "unknown" if the owner of the flow had sent the request.
-            std::string &heard = m_group.m_outcomes[{ header.destination().port(), envelope->id }];
-            heard = heard == "answered" ? heard : outcome;
+            m_group.m_outcomes[{ header.destination().port(), envelope->id }] = outcome;
         }
 
         void toInstance(Endpoint instance, const ProxyHeader &header, std::span<const std::uint8_t> payload) override
