--- a/apps/samphirepitch-load/main.cpp
+++ b/apps/samphirepitch-load/main.cpp
@@ -1,4 +1,5 @@
 #include "benchcommands.h"
+#include "relaybenchcommand.h"
 #include "runcommand.h"
 
 #include <gflags/gflags.h>
@@ -18,6 +19,7 @@
     table.push_back(std::make_unique<RunCommand>());
     table.push_back(std::make_unique<CapacityBenchCommand>());
     table.push_back(std::make_unique<ControlBenchCommand>());
+    table.push_back(std::make_unique<RelayBenchCommand>());
     return table;
 }
 
