Add the instance: control plane, metrics, signals and graceful stop

Cause: the parts of a daemon have to be created, supervised and stopped in order. Change: Instance wires platform client, control plane, event log, metrics server and supervisor; StopPlan decides when a leaving instance may end; SignalHandler maps SIGTERM, SIGINT and SIGHUP; settings that no part uses are removed.

--- a/apps/samphirepitchd/main.cpp
+++ b/apps/samphirepitchd/main.cpp
@@ -1,8 +1,14 @@
+#include "daemon/instance.h"
 #include "daemon/settings.h"
 #include "daemon/settingstable.h"
+#include "daemon/signalhandler.h"
 
+#include <asio/co_spawn.hpp>
+#include <asio/io_context.hpp>
 #include <gflags/gflags.h>
 
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file (TOML)");
@@ -14,14 +20,44 @@
 namespace
 {
 
-constexpr int usageError = 2;
-
-int printFindings(const KeyFindings &findings)
+int report(const KeyFindings &findings)
 {
     for (const KeyFinding &finding : findings) {
         std::cerr << finding.describe() << '\n';
     }
-    return usageError;
+    return static_cast<int>(ExitCode::WrongUsage);
+}
+
+void reload(Instance &instance)
+{
+    if (const auto next = Settings::load(FLAGS_settings)) {
+        instance.reload(*next);
+    } else {
+        instance.reloadFailed(next.error());
+    }
+}
+
+/** Returns only if the instance could not be created. */
+int run(const Settings &settings)
+{
+    asio::io_context context(1);
+    const SteadyClock clock;
+    const auto created = Instance::create(context.get_executor(), clock, settings);
+    if (!created) {
+        std::cerr << created.error().describe() << '\n';
+        return static_cast<int>(ExitCode::Failed);
+    }
+    Instance &instance = **created;
+    ExitCode code = ExitCode::Interrupted;
+    asio::co_spawn(context, instance.run(), [&](const std::exception_ptr &thrown, ExitCode ended) {
+        code = thrown ? ExitCode::Failed : ended;
+        context.stop();
+    });
+    SignalHandler signals(
+        context.get_executor(), [&] { instance.requestStop("signal"); }, [&] { context.stop(); }, [&] { reload(instance); });
+    context.run();
+    // Tasks that did not end refer to the instance, and sockets to the context; neither can be destroyed before the other.
+    std::_Exit(static_cast<int>(code));
 }
 
 } // namespace
@@ -29,19 +65,19 @@
 int main(int argc, char **argv)
 {
     gflags::SetVersionString(SAMPHIREPITCH_VERSION);
-    gflags::SetUsageMessage("samphirepitchd --settings FILE [--check]");
+    gflags::SetUsageMessage("samphirepitchd --settings FILE [--check] | --print_settings_reference");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_print_settings_reference) {
         std::cout << settingsReference();
-        return 0;
+        return static_cast<int>(ExitCode::Done);
     }
     const auto settings = Settings::load(FLAGS_settings);
     if (!settings) {
-        return printFindings(settings.error());
+        return report(settings.error());
     }
     if (FLAGS_check) {
         std::cout << FLAGS_settings << ": no findings\n";
-        return 0;
+        return static_cast<int>(ExitCode::Done);
     }
-    return 0;
+    return run(*settings);
 }
--- a/src/daemon/eventlog.cpp
+++ b/src/daemon/eventlog.cpp
@@ -71,7 +71,7 @@
     }
 }
 
-std::vector<Event> EventLog::after(std::uint64_t sequence, std::size_t limit) const
+std::vector<Event> EventLog::eventsAfter(std::uint64_t sequence, std::size_t limit) const
 {
     const auto first = std::find_if(m_events.begin(), m_events.end(), [=](const auto &event) { return event.sequence > sequence; });
     const auto count = std::min<std::size_t>(limit, static_cast<std::size_t>(m_events.end() - first));
--- a/src/daemon/eventlog.h
+++ b/src/daemon/eventlog.h
@@ -5,7 +5,7 @@
 #include "core/hybridclock.h"
 #include "core/metricsource.h"
 #include "daemon/logwriter.h"
-#include "peer/event.h"
+#include "peer/eventsource.h"
 
 #include <cstdint>
 #include <deque>
@@ -17,7 +17,7 @@
 {
 
 /** Writes events to the log and keeps the newest ones for the time line; both are bounded. */
-class EventLog : public EventSink, public MetricSource
+class EventLog : public EventSink, public EventSource, public MetricSource
 {
 public:
     /** The bounds. */
@@ -36,6 +36,7 @@
     EventLog(std::string instance, const Clock &clock, HybridClock &hybrid, LogWriter &writer, Limits limits);
 
     void record(EventSeverity severity, std::string_view name, std::vector<EventField> fields) override;
+    std::vector<Event> eventsAfter(std::uint64_t sequence, std::size_t limit) const override;
     void writeMetrics(MetricWriter &writer) const override;
 
     /** Sets the rate for the events to come. */
@@ -44,9 +45,6 @@
     /** Reports the suppressed events of each name whose second is over; to be called at times, and before the end. */
     void reportSuppressed();
 
-    /** Lists kept events with a sequence above @p sequence, oldest first. */
-    std::vector<Event> after(std::uint64_t sequence, std::size_t limit) const;
-
     std::uint64_t lastSequence() const;
     std::uint64_t dropped() const;
     std::uint64_t suppressed() const;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -19,10 +19,9 @@
 /** Checks that concern several keys. */
 void checkTogether(const KeyDocument &document, const Fields &fields, KeyFindings &findings)
 {
-    if (fields.linkTimeout < 2 * fields.heartbeat) {
-        findings.push_back({ document.file(), lineOf(document.root(), "peer.link_timeout_ms"), "peer.link_timeout_ms",
-            std::to_string(fields.linkTimeout.count()),
-            "at least twice peer.heartbeat_ms, so that one late heartbeat does not end a link" });
+    if (fields.stopLinger > fields.stopTimeout) {
+        findings.push_back({ document.file(), lineOf(document.root(), "stop.linger_ms"), "stop.linger_ms",
+            std::to_string(fields.stopLinger.count()), "at most stop.timeout_ms" });
     }
     if (!fields.dataAddress.isUnset() && fields.dataAddress == fields.dataBackAddress) {
         findings.push_back({ document.file(), lineOf(document.root(), "data.back_address"), "data.back_address",
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -23,22 +23,19 @@
         std::string deployment;
         std::string instanceId;
         std::string failureDomain;
+        std::uint64_t randomSeed = 0;
         Endpoint peerAddress;
         std::vector<Endpoint> peerSeeds;
-        std::chrono::milliseconds heartbeat { 0 };
-        std::chrono::milliseconds linkTimeout { 0 };
         Endpoint dataAddress;
         Endpoint dataBackAddress;
         Endpoint fabricReturnAddress;
         std::uint64_t maxFlows = 0;
         Endpoint platformAddress;
-        std::chrono::milliseconds platformTimeout { 0 };
-        std::chrono::milliseconds watchTimeout { 0 };
-        std::chrono::milliseconds instancesInterval { 0 };
         Endpoint metricsAddress;
         std::string logLevel;
         std::string logFile;
         std::chrono::milliseconds stopTimeout { 0 };
+        std::chrono::milliseconds stopLinger { 0 };
         std::uint64_t eventsCapacity = 0;
         std::uint64_t eventsRate = 0;
 
--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -10,7 +10,7 @@
 using Fields = Settings::Fields;
 
 constexpr double maxName = 64; // characters of instance, failure domain and deployment names
-constexpr double maxSeeds = 64;
+constexpr double maxSeeds = 16; // as many as the control plane tries
 constexpr double minutes = 60000; // milliseconds
 
 KeySpec name(std::string_view key, std::string_view documentation)
@@ -58,20 +58,14 @@
         keyRow<&Fields::deployment>(name("deployment", "Name of the deployment; instances of other deployments are refused.")),
         keyRow<&Fields::instanceId>(name("instance.id", "Instance id, unique in the deployment.")),
         keyRow<&Fields::failureDomain>(name("instance.failure_domain", "Failure domain of this instance.")),
+        keyRow<&Fields::randomSeed>(count("instance.random_seed", 0, 0, 9e15, "Seed of random delays; 0 takes a new one at each start.")),
         keyRow<&Fields::peerAddress>(address("peer.address", "TCP address for other instances and for samphirepitchctl.")),
         keyRow<&Fields::peerSeeds>(seeds()),
-        keyRow<&Fields::heartbeat>(timing("peer.heartbeat_ms", 500, 50, 10000, "Time between two heartbeats on a link.")),
-        keyRow<&Fields::linkTimeout>(
-            timing("peer.link_timeout_ms", 1500, 100, 60000, "Time without a heartbeat after which a peer is suspected.")),
         keyRow<&Fields::dataAddress>(address("data.address", "UDP address for packets from the fabric and from other instances.")),
         keyRow<&Fields::dataBackAddress>(address("data.back_address", "UDP address from which backend servers are reached.")),
         keyRow<&Fields::fabricReturnAddress>(address("data.fabric_return_address", "UDP address of the fabric for packets to callers.")),
         keyRow<&Fields::maxFlows>(count("data.max_flows", 400000, 1000, 4000000, "Flows that the flow table holds at most.")),
         keyRow<&Fields::platformAddress>(address("platform.address", "TCP address of the platform's object API.")),
-        keyRow<&Fields::platformTimeout>(timing("platform.timeout_ms", 1000, 50, minutes, "Deadline of a call to the platform.")),
-        keyRow<&Fields::watchTimeout>(timing("platform.watch_ms", 20000, 100, 10 * minutes, "Longest wait of one watch call.")),
-        keyRow<&Fields::instancesInterval>(
-            timing("platform.instances_interval_ms", 2000, 100, 10 * minutes, "Time between two reads of the instance list by a watcher.")),
         keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
             .fallback = Endpoint(),
             .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
@@ -79,6 +73,8 @@
         keyRow<&Fields::logFile>(text("log.file", "", "", "Log file; empty for the standard error output.")),
         keyRow<&Fields::stopTimeout>(
             reloadable(timing("stop.timeout_ms", 10000, 100, 60 * minutes, "Time after which a graceful stop ends the process."))),
+        keyRow<&Fields::stopLinger>(reloadable(timing("stop.linger_ms", 1500, 0, 60000,
+            "Time for which a leaving instance without pending requests still forwards packets, so that the fabric learns."))),
         keyRow<&Fields::eventsCapacity>(
             count("events.capacity", 4096, 16, 1000000, "Events kept for the time line; the oldest are dropped and counted.")),
         keyRow<&Fields::eventsRate>(
--- /dev/null
+++ b/src/daemon/stopplan.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+
+namespace Samphirepitch
+{
+
+/** Decides when a leaving instance may end. */
+class StopPlan
+{
+public:
+    /** What the plan says now. */
+    enum class Step {
+        Wait, /**< Requests are pending, or the fabric may still send packets here. */
+        End, /**< Nothing is pending and the linger time is over. */
+        EndLate, /**< The deadline passed before. */
+    };
+
+    /**
+     * @param begun when the stop began
+     * @param timeout time until the deadline
+     * @param linger time for which nothing has to be pending
+     */
+    StopPlan(TimePoint begun, std::chrono::nanoseconds timeout, std::chrono::nanoseconds linger);
+
+    TimePoint deadline() const;
+
+    /** Takes the number of pending requests at @p now. */
+    Step update(TimePoint now, std::size_t pending);
+
+private:
+    const TimePoint m_deadline;
+    const std::chrono::nanoseconds m_linger;
+    TimePoint m_lingerEnd;
+};
+
+} // namespace Samphirepitch
