--- a/src/platform/configloader.cpp
+++ b/src/platform/configloader.cpp
@@ -1,25 +1,16 @@
 #include "platform/configloader.h"
 
 #include "model/configtree.h"
-#include "model/partmap.h"
-#include "platform/backoff.h"
+#include "platform/retry.h"
 
+#include <asio/experimental/awaitable_operators.hpp>
+
+#include <memory>
 #include <utility>
 
 namespace Samphirepitch
 {
 
-namespace
-{
-
-bool mayRetryRead(ErrorKind kind)
-{
-    return kind == ErrorKind::Unavailable || kind == ErrorKind::RateLimited || kind == ErrorKind::DeadlineExceeded
-        || kind == ErrorKind::OutcomeUnknown;
-}
-
-} // namespace
-
 ConfigLoader::ConfigLoader(Platform &platform, const Clock &clock, Timer &timer, RandomSource &random)
     : m_platform(platform)
     , m_clock(clock)
@@ -35,17 +26,8 @@
 
 asio::awaitable<Result<PlatformObject>> ConfigLoader::read(std::string key, TimePoint deadline)
 {
-    Backoff backoff(m_clock, m_timer, m_random, deadline);
-    while (true) {
-        auto object = co_await m_platform.read(key, backoff.attemptDeadline());
-        if (object || !mayRetryRead(object.error().kind())) {
-            co_return object;
-        }
-        const bool again = co_await backoff.wait();
-        if (!again) {
-            co_return object;
-        }
-    }
+    const auto attempt = [this, key = std::move(key)](TimePoint attemptDeadline) { return m_platform.read(key, attemptDeadline); };
+    return retryRead(attempt, Backoff(m_clock, m_timer, m_random, deadline));
 }
 
 asio::awaitable<Result<VersionedHead>> ConfigLoader::head(TimePoint deadline)
@@ -88,24 +70,63 @@
     co_return HeadRecord::decode(*content);
 }
 
+asio::awaitable<void> ConfigLoader::readParts(PartQueue &queue, TimePoint deadline)
+{
+    while (!queue.error && queue.next < queue.names.size()) {
+        const ContentName name = queue.names[queue.next++];
+        auto content = co_await part(name, deadline);
+        if (content) {
+            queue.parts.add(name, std::move(*content));
+        } else {
+            queue.error = content.error();
+        }
+    }
+}
+
 asio::awaitable<Result<ConfigSet>> ConfigLoader::set(HeadRecord head, TimePoint deadline)
 {
-    PartMap parts;
-    auto missing = ConfigTree::missingParts(head, parts);
-    while (missing && !missing->empty()) {
-        for (const ContentName &name : *missing) {
-            auto content = co_await part(name, deadline);
-            if (!content) {
-                co_return tl::unexpected(content.error());
-            }
-            parts.add(name, std::move(*content));
+    using namespace asio::experimental::awaitable_operators;
+    PartQueue queue;
+    while (true) {
+        auto missing = ConfigTree::missingParts(head, queue.parts);
+        if (!missing) {
+            co_return tl::unexpected(missing.error());
+        }
+        if (missing->empty()) {
+            co_return ConfigTree::assemble(head, queue.parts);
         }
-        missing = ConfigTree::missingParts(head, parts);
+        queue.names = std::move(*missing);
+        queue.next = 0;
+        // Four calls at a time stay below the platform's rate when it answers within two milliseconds.
+        co_await (readParts(queue, deadline) && readParts(queue, deadline) && readParts(queue, deadline) && readParts(queue, deadline));
+        if (queue.error) {
+            co_return tl::unexpected(*queue.error);
+        }
+    }
+}
+
+asio::awaitable<Result<ConfigGeneration>> ConfigLoader::current(TimePoint deadline)
+{
+    const auto newest = co_await head(deadline);
+    if (!newest) {
+        co_return tl::unexpected(newest.error());
+    }
+    ConfigGeneration generation;
+    generation.head = newest->pointer;
+    if (newest->version == Platform::mustNotExist) {
+        generation.set = std::make_shared<const ConfigSet>();
+        co_return generation;
+    }
+    auto found = co_await record(newest->pointer.record, deadline);
+    if (!found) {
+        co_return tl::unexpected(found.error());
     }
-    if (!missing) {
-        co_return tl::unexpected(missing.error());
+    auto objects = co_await set(std::move(*found), deadline);
+    if (!objects) {
+        co_return tl::unexpected(objects.error());
     }
-    co_return ConfigTree::assemble(head, parts);
+    generation.set = std::make_shared<const ConfigSet>(std::move(*objects));
+    co_return generation;
 }
 
 asio::awaitable<Result<HeadRecord>> ConfigLoader::recordOf(HeadPointer head, std::uint64_t generation, TimePoint deadline)
--- a/src/platform/configloader.h
+++ b/src/platform/configloader.h
@@ -2,8 +2,10 @@
 
 #include "core/clock.h"
 #include "core/random.h"
+#include "model/configgeneration.h"
 #include "model/configset.h"
 #include "model/headrecord.h"
+#include "model/partmap.h"
 #include "platform/platform.h"
 #include "platform/timer.h"
 
@@ -45,6 +47,9 @@
     /** Reads all parts of a generation. */
     asio::awaitable<Result<ConfigSet>> set(HeadRecord head, TimePoint deadline);
 
+    /** Reads the current generation; an empty set with generation 0 if nothing was ever accepted. */
+    asio::awaitable<Result<ConfigGeneration>> current(TimePoint deadline);
+
     /**
      * Follows the previous records from @p head to the record of @p generation.
      * @return NotFound if @p head is older than @p generation or the chain ends before it
@@ -58,6 +63,15 @@
     asio::awaitable<Result<HeadRecord>> findChange(std::string changeId, TimePoint deadline);
 
 private:
+    /** Parts of one call that are still to be read, shared by its readers. */
+    struct PartQueue {
+        std::vector<ContentName> names;
+        std::size_t next = 0;
+        PartMap parts;
+        std::optional<Error> error;
+    };
+
+    asio::awaitable<void> readParts(PartQueue &queue, TimePoint deadline);
     asio::awaitable<Result<PlatformObject>> read(std::string key, TimePoint deadline);
 
     Platform &m_platform;
--- a/tests/fakes/controlgroup.h
+++ b/tests/fakes/controlgroup.h
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -74,6 +76,7 @@
     {
         const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(40);
         while (!done() && std::chrono::steady_clock::now() < deadline) {
+            io.restart(); // a context without work stops, for example after the only instance has ended
             io.run_one_for(std::chrono::milliseconds(20));
         }
         return done();
--- a/tests/peer/controlplanetests.cpp
+++ b/tests/peer/controlplanetests.cpp
@@ -59,7 +59,7 @@
     }
     SECTION("states of backend servers reach every instance once")
     {
-        const ServerStates states { { ServerHealth { "pool", "server", false, { 1, 1 } } } };
+        const ServerStates states { { ServerHealthChange { "pool", "server", false, { 1, 1 } } } };
         group.instances[7]->plane().spreadServerStates(states);
         CHECK(group.until([&] {
             return std::count_if(group.instances.begin(), group.instances.end(), [&](const auto &instance) {
@@ -69,7 +69,7 @@
     }
     SECTION("flow exceptions reach an instance of another failure domain")
     {
-        const FlowExceptions exceptions { "pondwatch", 2, { 7, 8 } };
+        const FlowExceptionBatch exceptions { "pondwatch", 2, { 7, 8 } };
         for (const auto &sender : group.instances) {
             CHECK(sender->plane().sendFlowExceptions(sender.get() == group.instances[7].get() ? "a1" : "o2", exceptions));
         }
@@ -101,12 +101,14 @@
     }
     group.publish(1);
     REQUIRE(group.until([&] { return group.allHave(1) && group.allSeeAll(); }));
-    REQUIRE(group.until([&] { return group.platform.waitingCount() == 2; }));
+    // Instances that watched before they knew the others end their watch with this change.
+    group.publish(2);
+    REQUIRE(group.until([&] { return group.allHave(2) && group.platform.waitingCount() == 2; }));
     // Twelve instances that each read the head for a change would make more than two watches and a few reads.
     const std::uint64_t watches = group.platform.callCount(MemoryPlatform::Call::Watch);
     const std::uint64_t reads = group.platform.callCount(MemoryPlatform::Call::Read);
-    group.publish(2);
-    REQUIRE(group.until([&] { return group.allHave(2); }));
+    group.publish(3);
+    REQUIRE(group.until([&] { return group.allHave(3); }));
     CHECK(group.platform.callCount(MemoryPlatform::Call::Watch) - watches <= 4);
     CHECK(group.platform.callCount(MemoryPlatform::Call::Read) - reads <= 2 * 3 + 2);
     // The seed of all others is linked by each of them at first; links outside the plan must end.
