--- a/apps/samphirepitch-load/main.cpp
+++ b/apps/samphirepitch-load/main.cpp
@@ -1,3 +1,4 @@
+#include "relaybenchcommand.h"
 #include "runcommand.h"
 
 #include <gflags/gflags.h>
@@ -11,18 +12,21 @@
 namespace
 {
 
-std::vector<std::unique_ptr<Subcommand>> subcommands()
+using Commands = std::vector<std::unique_ptr<Command>>;
+
+Commands makeCommands()
 {
-    std::vector<std::unique_ptr<Subcommand>> table;
-    table.push_back(std::make_unique<RunCommand>());
-    return table;
+    Commands commands;
+    commands.push_back(std::make_unique<RunCommand>());
+    commands.push_back(std::make_unique<RelayBenchCommand>());
+    return commands;
 }
 
-std::string usage()
+std::string usage(const Commands &commands)
 {
-    std::string text = "samphirepitch-load SUBCOMMAND [FLAGS]\n";
-    for (const auto &subcommand : subcommands()) {
-        text.append("  ").append(subcommand->usage()).append("\n");
+    std::string text = "samphirepitch-load COMMAND [flags]\n";
+    for (const auto &command : commands) {
+        text.append("  ").append(command->name()).append("  ").append(command->summary()).append("\n");
     }
     return text;
 }
@@ -31,15 +35,15 @@
 
 int main(int argc, char **argv)
 {
+    const Commands commands = makeCommands();
     gflags::SetVersionString(SAMPHIREPITCH_VERSION);
-    gflags::SetUsageMessage(usage());
+    gflags::SetUsageMessage(usage(commands));
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::string_view word = argc == 2 ? argv[1] : "";
-    for (const auto &subcommand : subcommands()) {
-        if (subcommand->name() == word) {
-            return subcommand->run();
+    for (const auto &command : commands) {
+        if (argc == 2 && command->name() == argv[1]) {
+            return command->run();
         }
     }
-    std::cerr << usage();
+    std::cerr << usage(commands);
     return 2;
 }
--- a/src/routing/serverregistry.h
+++ b/src/routing/serverregistry.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Samphirepitch
