--- a/apps/samphirepitch-load/benchcommands.cpp
+++ b/apps/samphirepitch-load/benchcommands.cpp
@@ -27,9 +27,9 @@
     return "capacity-bench";
 }
 
-std::string_view CapacityBenchCommand::usage() const
+std::string_view CapacityBenchCommand::summary() const
 {
-    return "capacity-bench [--seed N]   prints memory and processor time of configuration, member view and flow table at four sizes";
+    return "memory and processor time of configuration, member view and flow table at four sizes";
 }
 
 int CapacityBenchCommand::run()
@@ -43,9 +43,9 @@
     return "control-bench";
 }
 
-std::string_view ControlBenchCommand::usage() const
+std::string_view ControlBenchCommand::summary() const
 {
-    return "control-bench [--seed N]   prints the control traffic of 8 to 64 instances, idle and for each change";
+    return "control traffic of 8 to 64 instances, idle and for each change";
 }
 
 int ControlBenchCommand::run()
--- a/apps/samphirepitch-load/relaybenchcommand.cpp
+++ b/apps/samphirepitch-load/relaybenchcommand.cpp
@@ -20,9 +20,9 @@
     return "relay-bench";
 }
 
-std::string_view RelayBenchCommand::usage() const
+std::string_view RelayBenchCommand::summary() const
 {
-    return "relay-bench [--relay_...]   packets a second and latency of the data path and of a plain relay";
+    return "packets a second and latency of the data path and of a plain relay";
 }
 
 int RelayBenchCommand::run()
--- a/apps/samphirepitch-load/relaybenchcommand.h
+++ b/apps/samphirepitch-load/relaybenchcommand.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "subcommand.h"
+#include "command.h"
 
 namespace Samphirepitch
 {
 
 /** relay-bench: compares the data path with a plain relay. */
-class RelayBenchCommand : public Subcommand
+class RelayBenchCommand : public Command
 {
 public:
     std::string_view name() const override;
-    std::string_view usage() const override;
+    std::string_view summary() const override;
     int run() override;
 };
 
--- a/apps/samphirepitch-load/runcommand.h
+++ b/apps/samphirepitch-load/runcommand.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "subcommand.h"
+#include "command.h"
 
 namespace Samphirepitch
 {
 
 /** Offers the load of a scenario and prints the report. */
-class RunCommand : public Subcommand
+class RunCommand : public Command
 {
 public:
     std::string_view name() const override;
-    std::string_view usage() const override;
+    std::string_view summary() const override;
     int run() override;
 };
 
