--- a/src/platform/httpserver.cpp
+++ b/src/platform/httpserver.cpp
@@ -209,7 +209,7 @@
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(
-    const asio::any_io_executor &executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits)
+    asio::any_io_executor executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits)
 {
     auto state = std::make_shared<State>(executor, handler, limits);
     if (const std::error_code error = state->open(address)) {
--- a/src/platform/httpserver.h
+++ b/src/platform/httpserver.h
@@ -25,7 +25,7 @@
      * @return the server, or InputOutput if the address cannot be bound
      */
     static Result<std::unique_ptr<HttpServer>> listen(
-        const asio::any_io_executor &executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits = {});
+        asio::any_io_executor executor, Endpoint address, HttpHandler &handler, const HttpLimits &limits = {});
 
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
