--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::chrono::seconds loadReportAge { 1 }; // an older report says little, because demand varies within seconds
+constexpr std::chrono::milliseconds retryAfterRefusal { 50 }; // time for a change of members or servers to spread
 constexpr std::string_view repeatedReason = "repeated";
 constexpr std::string_view quarantineReason = "quarantine";
 constexpr std::string_view timeoutReason = "deadline";
@@ -115,7 +116,9 @@
         refuse(incoming.request, true, refusalName(RefusalReason::MemoryFull));
         return;
     }
-    if (!start(incoming, now)) {
+    IncomingRequest accepted = incoming;
+    accepted.owner = owner.isDelegated ? incoming.sender : Endpoint();
+    if (!start(accepted, now)) {
         m_memory.forget(incoming.request);
     }
 }
@@ -140,7 +143,7 @@
     case RouteAction::Refuse:
         break;
     }
-    refuse(incoming.request, true, refusalName(decision.reason));
+    refuse(incoming.request, true, refusalName(decision.reason), retryAfterRefusal);
     return false;
 }
 
@@ -159,6 +162,7 @@
         refuse(incoming.request, true, refusalName(admitted.error().reason), admitted.error().retryAfter);
         return false;
     }
+    ++m_queued;
     return true;
 }
 
@@ -172,6 +176,7 @@
     pending->deadline = incoming.deadline;
     pending->wallDeadline = incoming.wallDeadline;
     pending->idempotent = incoming.idempotent;
+    pending->owner = incoming.owner;
     ServiceState &state = m_services[incoming.service->id];
     state.budget.requestSent();
     // Only requests that may go to another server can be retried; the requests of a flow stay together.
@@ -209,17 +214,25 @@
         answerCaller(request, payload);
     }
     if (!pending.idempotent) {
-        if (envelope.notRun) {
-            m_memory.forget(request);
-        } else {
-            m_memory.answered(request, payload);
-        }
+        answerOfOwned(request, envelope, payload);
+    }
+    if (!pending.owner.isUnset()) {
+        m_output.toInstance(pending.owner, ProxyHeader({ .source = request.service, .destination = request.caller, .hops = 1 }), payload);
     }
     m_services[service.id].queue.finished(now - pending.sentAt);
     finish(pending);
     pump(service, now);
 }
 
+void RequestHandler::answerOfOwned(const RequestId &request, const RpcEnvelope &envelope, std::span<const std::uint8_t> payload)
+{
+    if (envelope.notRun) {
+        m_memory.forget(request);
+    } else {
+        m_memory.answered(request, payload);
+    }
+}
+
 /** Sends a request to another server, if it may run twice and the budget and the deadline allow it. */
 bool RequestHandler::retry(PendingRequest &pending, bool wasRefused, TimePoint now)
 {
@@ -263,10 +276,14 @@
         expire(*pending, now);
     }
     m_memory.expire(now);
-    for (const auto &[id, service] : m_router.services().services()) {
-        ServiceState &state = m_services[id];
-        if (state.queue.size() > 0) {
-            refuseLapsed(state, now);
+    if (m_queued == 0) {
+        return; // a pass over 6,200 services every 10 ms would cost several percent of a core
+    }
+    for (auto &[id, state] : m_services) {
+        const RoutedService *service = m_router.services().service(id);
+        // The requests of a service that was taken out of the configuration can't start any more.
+        refuseLapsed(state, service ? now : TimePoint::max());
+        if (service) {
             pump(*service, now);
         }
     }
@@ -274,7 +291,7 @@
 
 void RequestHandler::expire(PendingRequest &pending, TimePoint now)
 {
-    m_router.health().notAnswered(m_router.servers().server(pending.server).machine, now);
+    m_router.health().notAnswered(m_router.servers().server(pending.server).machine, pending.sentAt, now);
     if (now < pending.deadline) {
         if (!retry(pending, false, now)) {
             m_pending.schedule(pending, pending.deadline);
@@ -300,8 +317,13 @@
         if (!queued) {
             return;
         }
-        const IncomingRequest incoming { &service, queued->request, Endpoint(), 0, queued->idempotent, queued->deadline,
-            queued->wallDeadline, queued->payload };
+        --m_queued;
+        const IncomingRequest incoming { .service = &service,
+            .request = queued->request,
+            .idempotent = queued->idempotent,
+            .deadline = queued->deadline,
+            .wallDeadline = queued->wallDeadline,
+            .payload = queued->payload };
         if (!dispatch(incoming, server, now) && !queued->idempotent) {
             m_memory.forget(queued->request);
         }
@@ -311,6 +333,7 @@
 void RequestHandler::refuseLapsed(ServiceState &state, TimePoint now)
 {
     while (const auto lapsed = state.queue.takeLapsed(now)) {
+        --m_queued;
         refuse(lapsed->request, true, refusalName(RefusalReason::DeadlinePassed));
         if (!lapsed->idempotent) {
             m_memory.forget(lapsed->request);
@@ -392,11 +415,7 @@
 
 std::size_t RequestHandler::waiting() const
 {
-    std::size_t count = m_pending.size();
-    for (const auto &[id, state] : m_services) {
-        count += state.queue.size();
-    }
-    return count;
+    return m_pending.size() + m_queued;
 }
 
 std::size_t RequestHandler::unfinished() const
