--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -5,9 +5,9 @@
 cd "$(dirname "$0")/.."
 bin="${BUILD_DIR:-build}/bin"
 run=$(mktemp -d)
-traffic_ms="${DEMO_TRAFFIC_MS:-8000}"
+traffic_ms="${DEMO_TRAFFIC_MS:-5000}"
 declare -A pids=()
-served=0 failed=0 unknown=0 refused=0
+served=0 failed=0 unknown=0
 
 cleanup() {
     for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
@@ -50,6 +50,7 @@
 [instance]
 id = "$id"
 failure_domain = "$domain"
+new_id = true
 
 [peer]
 address = "$address:7100"
@@ -67,7 +68,7 @@
 address = "$address:7500"
 
 [stop]
-timeout_ms = 5000
+timeout_ms = 20000
 TOML
 }
 
@@ -130,7 +131,9 @@
     "$bin/samphirepitchctl" status --platform "$platform" || true
 
     say "$name: planned stop of all instances"
-    for id in "${ids[@]}"; do [ -n "${pids[$id]:-}" ] && kill -TERM "${pids[$id]}"; done
+    for id in "${ids[@]}"; do
+        if [ -n "${pids[$id]:-}" ]; then kill -TERM "${pids[$id]}"; fi
+    done
     for id in "${ids[@]}"; do
         if [ -n "${pids[$id]:-}" ]; then
             wait "${pids[$id]}" || { echo "demo: $id did not stop in order" >&2; exit 1; }
