--- a/src/daemon/metricsserver.cpp
+++ b/src/daemon/metricsserver.cpp
@@ -29,7 +29,7 @@
     HttpLimits limits;
     limits.maxConnections = maxConnections;
     limits.maxBodySize = 0;
-    auto server = HttpServer::listen(std::move(executor), address, *this, limits);
+    auto server = HttpServer::listen(executor, address, *this, limits);
     if (!server) {
         return tl::unexpected(server.error());
     }
