--- a/apps/samphirepitchctl/main.cpp
+++ b/apps/samphirepitchctl/main.cpp
@@ -55,7 +55,7 @@
     return options;
 }
 
-asio::awaitable<void> runCommand(Command &command, CommandContext &context, std::vector<std::string> words, ExitCode &code)
+asio::awaitable<void> runCommand(Command &command, CommandContext &context, std::vector<std::string> words, CommandExit &code)
 {
     code = co_await command.run(context, std::move(words));
 }
@@ -63,7 +63,7 @@
 int reportUsage(const Error &error)
 {
     std::cerr << "error: " << error.describe() << '\n';
-    return static_cast<int>(ExitCode::Usage);
+    return static_cast<int>(CommandExit::Usage);
 }
 
 int run(Command &command, std::vector<std::string> words, Renderer &renderer)
@@ -83,7 +83,7 @@
     PeerInstanceApi instances(FLAGS_deployment, clock);
     const CommandOptions options = optionsOf(command);
     CommandContext commandContext { platform->get(), instances, clock, timer, random, renderer, options, clock.now() + options.timeout };
-    ExitCode code = ExitCode::Refused;
+    CommandExit code = CommandExit::Refused;
     asio::co_spawn(context, runCommand(command, commandContext, std::move(words), code), [](const std::exception_ptr &thrown) {
         if (thrown) {
             std::rethrow_exception(thrown);
@@ -104,16 +104,16 @@
     }
     if (CommandLine::isSet("version")) {
         std::cout << "samphirepitchctl " << SAMPHIREPITCH_VERSION << '\n';
-        return static_cast<int>(ExitCode::Ok);
+        return static_cast<int>(CommandExit::Ok);
     }
     if (CommandLine::isSet("help")) {
         std::cout << commands.usage();
-        return static_cast<int>(ExitCode::Ok);
+        return static_cast<int>(CommandExit::Ok);
     }
     Command *command = words->empty() ? nullptr : commands.find(words->front());
     if (command == nullptr) {
         std::cerr << commands.usage();
-        return static_cast<int>(ExitCode::Usage);
+        return static_cast<int>(CommandExit::Usage);
     }
     if ((FLAGS_output != "table" && FLAGS_output != "json") || FLAGS_timeout_ms == 0 || FLAGS_timeout_ms > maxTimeout) {
         return reportUsage(Error(ErrorKind::InvalidArgument, "flags", "--output is table or json, --timeout_ms is 1..3600000"));
--- a/src/control/applycommand.cpp
+++ b/src/control/applycommand.cpp
@@ -25,7 +25,7 @@
     return "publishes the files as the new configuration";
 }
 
-asio::awaitable<ExitCode> ApplyCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> ApplyCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (words.empty()) {
         co_return reportUsage(context, name(), "name at least one file");
@@ -33,7 +33,7 @@
     const ConfigFiles files = ConfigFiles::read(words);
     if (hasErrors(files.findings)) {
         context.renderer.findings(files.findings);
-        co_return ExitCode::Refused;
+        co_return CommandExit::Refused;
     }
     ApplyRequest request;
     request.set = files.set;
--- a/src/control/command.h
+++ b/src/control/command.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/commandcontext.h"
-#include "control/exitcode.h"
+#include "control/commandexit.h"
 
 #include <asio/awaitable.hpp>
 
@@ -34,7 +34,7 @@
     }
 
     /** Runs the command with the words after its name and writes results to the context's renderer. */
-    virtual asio::awaitable<ExitCode> run(CommandContext &context, std::vector<std::string> words) = 0;
+    virtual asio::awaitable<CommandExit> run(CommandContext &context, std::vector<std::string> words) = 0;
 };
 
 } // namespace Samphirepitch
--- a/src/control/exitcode.h
+++ b/src/control/commandexit.h
@@ -4,7 +4,7 @@
 {
 
 /** The exit codes of samphirepitchctl; scripts rely on the numbers. */
-enum class ExitCode {
+enum class CommandExit {
     Ok = 0, /**< Done, or nothing to do. */
     Refused = 1, /**< Findings, a refused input, or a thing that does not exist. */
     Usage = 2, /**< The command line is wrong. */
--- a/src/control/diffcommand.cpp
+++ b/src/control/diffcommand.cpp
@@ -23,7 +23,7 @@
     return "shows what the files would change";
 }
 
-asio::awaitable<ExitCode> DiffCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> DiffCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (words.empty()) {
         co_return reportUsage(context, name(), "name at least one file");
@@ -31,7 +31,7 @@
     const ConfigFiles files = ConfigFiles::read(words);
     if (hasErrors(files.findings)) {
         context.renderer.findings(files.findings);
-        co_return ExitCode::Refused;
+        co_return CommandExit::Refused;
     }
     ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
     const auto current = co_await loader.current(context.deadline);
@@ -39,7 +39,7 @@
         co_return reportError(context, current.error());
     }
     context.renderer.diff(ConfigDiff::between(*current->set, files.set));
-    co_return ExitCode::Ok;
+    co_return CommandExit::Ok;
 }
 
 } // namespace Samphirepitch
--- a/src/control/draininstancecommand.cpp
+++ b/src/control/draininstancecommand.cpp
@@ -23,7 +23,7 @@
     return "asks an instance to stop gracefully";
 }
 
-asio::awaitable<ExitCode> DrainInstanceCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> DrainInstanceCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (words.size() != 1 || context.options.deployment.empty()) {
         co_return reportUsage(context, name(), "name one instance and the deployment");
@@ -35,11 +35,11 @@
     const AskedInstance &instance = instances->front();
     const auto reply = co_await context.instances.drain(instance.address, context.deadline);
     if (!reply) {
-        const ExitCode code = reportError(context, reply.error());
-        co_return reply.error().kind() == ErrorKind::OutcomeUnknown ? ExitCode::UnknownOutcome : code;
+        const CommandExit code = reportError(context, reply.error());
+        co_return reply.error().kind() == ErrorKind::OutcomeUnknown ? CommandExit::UnknownOutcome : code;
     }
     context.renderer.instanceDrain(instance.id, reply->accepted);
-    co_return ExitCode::Ok;
+    co_return CommandExit::Ok;
 }
 
 } // namespace Samphirepitch
--- a/src/control/eventscommand.cpp
+++ b/src/control/eventscommand.cpp
@@ -60,7 +60,7 @@
     return "merges the events of instances in causal order";
 }
 
-asio::awaitable<ExitCode> EventsCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> EventsCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (context.options.deployment.empty()) {
         co_return reportUsage(context, name(), "name the deployment");
@@ -84,7 +84,7 @@
         merged.erase(merged.begin(), merged.end() - static_cast<std::ptrdiff_t>(context.options.count));
     }
     context.renderer.events(merged, unreachable);
-    co_return unreachable.empty() ? ExitCode::Ok : exitCodeOf(unreachable.front());
+    co_return unreachable.empty() ? CommandExit::Ok : exitCodeOf(unreachable.front());
 }
 
 } // namespace Samphirepitch
--- a/src/control/historycommand.cpp
+++ b/src/control/historycommand.cpp
@@ -22,7 +22,7 @@
     return "lists accepted changes, or finds one by its change id";
 }
 
-asio::awaitable<ExitCode> HistoryCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> HistoryCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (!words.empty()) {
         co_return reportUsage(context, name(), "takes no arguments");
@@ -35,14 +35,14 @@
         }
         const std::vector<HeadRecord> found { *record };
         context.renderer.records(found);
-        co_return ExitCode::Ok;
+        co_return CommandExit::Ok;
     }
     const auto records = co_await loader.history(context.options.count, context.deadline);
     if (!records) {
         co_return reportError(context, records.error());
     }
     context.renderer.records(*records);
-    co_return ExitCode::Ok;
+    co_return CommandExit::Ok;
 }
 
 } // namespace Samphirepitch
--- a/src/control/internal/changes.cpp
+++ b/src/control/internal/changes.cpp
@@ -12,16 +12,16 @@
 namespace
 {
 
-ExitCode exitCodeOf(const ApplyOutcome &outcome)
+CommandExit exitCodeOf(const ApplyOutcome &outcome)
 {
     switch (outcome.status) {
     case ApplyStatus::Accepted:
     case ApplyStatus::Unchanged:
-        return ExitCode::Ok;
+        return CommandExit::Ok;
     case ApplyStatus::Conflict:
-        return ExitCode::Conflict;
+        return CommandExit::Conflict;
     case ApplyStatus::Unknown:
-        return ExitCode::UnknownOutcome;
+        return CommandExit::UnknownOutcome;
     case ApplyStatus::NotAccepted:
         break;
     }
@@ -43,40 +43,40 @@
     return text;
 }
 
-ExitCode exitCodeOf(const Error &error)
+CommandExit exitCodeOf(const Error &error)
 {
     switch (error.kind()) {
     case ErrorKind::Unavailable:
     case ErrorKind::RateLimited:
     case ErrorKind::DeadlineExceeded:
     case ErrorKind::InputOutput:
-        return ExitCode::Unavailable;
+        return CommandExit::Unavailable;
     case ErrorKind::OutcomeUnknown:
         // Only reads and writes of parts end here, and neither can make a change take effect.
-        return ExitCode::Unavailable;
+        return CommandExit::Unavailable;
     case ErrorKind::VersionConflict:
-        return ExitCode::Conflict;
+        return CommandExit::Conflict;
     default:
-        return ExitCode::Refused;
+        return CommandExit::Refused;
     }
 }
 
-ExitCode reportError(CommandContext &context, const Error &error)
+CommandExit reportError(CommandContext &context, const Error &error)
 {
     context.renderer.error(error);
     return exitCodeOf(error);
 }
 
-ExitCode reportUsage(CommandContext &context, std::string_view command, std::string detail)
+CommandExit reportUsage(CommandContext &context, std::string_view command, std::string detail)
 {
     context.renderer.error(Error(ErrorKind::InvalidArgument, std::string(command), std::move(detail)));
-    return ExitCode::Usage;
+    return CommandExit::Usage;
 }
 
-asio::awaitable<ExitCode> finishChange(CommandContext &context, ApplyOutcome outcome)
+asio::awaitable<CommandExit> finishChange(CommandContext &context, ApplyOutcome outcome)
 {
-    const ExitCode code = exitCodeOf(outcome);
-    if (!context.options.wait || code != ExitCode::Ok) {
+    const CommandExit code = exitCodeOf(outcome);
+    if (!context.options.wait || code != CommandExit::Ok) {
         context.renderer.outcome(outcome, nullptr);
         co_return code;
     }
@@ -85,10 +85,10 @@
     if (!summary) {
         context.renderer.outcome(outcome, nullptr);
         context.renderer.error(summary.error());
-        co_return ExitCode::WaitExpired;
+        co_return CommandExit::WaitExpired;
     }
     context.renderer.outcome(outcome, &*summary);
-    co_return summary->inForceEverywhere() ? ExitCode::Ok : ExitCode::WaitExpired;
+    co_return summary->inForceEverywhere() ? CommandExit::Ok : CommandExit::WaitExpired;
 }
 
 } // namespace Samphirepitch
--- a/src/control/internal/changes.h
+++ b/src/control/internal/changes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/commandcontext.h"
-#include "control/exitcode.h"
+#include "control/commandexit.h"
 #include "core/error.h"
 #include "platform/applyoutcome.h"
 
@@ -16,15 +16,15 @@
 std::string changeIdOf(CommandContext &context);
 
 /** Returns the exit code for a command that failed with @p error and changed nothing. */
-ExitCode exitCodeOf(const Error &error);
+CommandExit exitCodeOf(const Error &error);
 
 /** Writes @p error and returns its exit code. */
-ExitCode reportError(CommandContext &context, const Error &error);
+CommandExit reportError(CommandContext &context, const Error &error);
 
 /** Reports a wrong command line. */
-ExitCode reportUsage(CommandContext &context, std::string_view command, std::string detail);
+CommandExit reportUsage(CommandContext &context, std::string_view command, std::string detail);
 
 /** Waits for an accepted change if --wait asks for it, writes the outcome and returns its exit code. */
-asio::awaitable<ExitCode> finishChange(CommandContext &context, ApplyOutcome outcome);
+asio::awaitable<CommandExit> finishChange(CommandContext &context, ApplyOutcome outcome);
 
 } // namespace Samphirepitch
--- a/src/control/serverstatecommand.cpp
+++ b/src/control/serverstatecommand.cpp
@@ -58,7 +58,7 @@
                                          : "sends new work to a backend server again";
 }
 
-asio::awaitable<ExitCode> ServerStateCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> ServerStateCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     const std::size_t slash = words.size() == 1 ? words[0].find('/') : std::string::npos;
     if (slash == std::string::npos) {
--- a/src/control/statuscommand.cpp
+++ b/src/control/statuscommand.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-asio::awaitable<ExitCode> askInstance(CommandContext &context, std::string_view command, std::vector<std::string> words)
+asio::awaitable<CommandExit> askInstance(CommandContext &context, std::string_view command, std::vector<std::string> words)
 {
     const auto address = Endpoint::parse(words.front());
     if (!address || words.size() > 1 || context.options.deployment.empty()) {
@@ -26,7 +26,7 @@
         co_return reportError(context, summary.error());
     }
     context.renderer.status(std::nullopt, *summary, context.clock.wallNow());
-    co_return ExitCode::Ok;
+    co_return CommandExit::Ok;
 }
 
 } // namespace
@@ -46,7 +46,7 @@
     return "shows the head, the instances and what has not reported the head generation";
 }
 
-asio::awaitable<ExitCode> StatusCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> StatusCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (!words.empty()) {
         co_return co_await askInstance(context, name(), std::move(words));
@@ -66,7 +66,7 @@
         co_return reportError(context, summary.error());
     }
     context.renderer.status(head, *summary, context.clock.wallNow());
-    co_return ExitCode::Ok;
+    co_return CommandExit::Ok;
 }
 
 } // namespace Samphirepitch
--- a/src/control/validatecommand.cpp
+++ b/src/control/validatecommand.cpp
@@ -27,14 +27,14 @@
     return false;
 }
 
-asio::awaitable<ExitCode> ValidateCommand::run(CommandContext &context, std::vector<std::string> words)
+asio::awaitable<CommandExit> ValidateCommand::run(CommandContext &context, std::vector<std::string> words)
 {
     if (words.empty()) {
         co_return reportUsage(context, name(), "name at least one file");
     }
     const ConfigFiles files = ConfigFiles::read(words);
     context.renderer.findings(files.findings);
-    co_return hasErrors(files.findings) ? ExitCode::Refused : ExitCode::Ok;
+    co_return hasErrors(files.findings) ? CommandExit::Refused : CommandExit::Ok;
 }
 
 } // namespace Samphirepitch
--- a/tests/control/commandtests.cpp
+++ b/tests/control/commandtests.cpp
@@ -76,7 +76,7 @@
     std::ostringstream out;
     std::ostringstream errors;
 
-    ExitCode run(const std::string &name, std::vector<std::string> words)
+    CommandExit run(const std::string &name, std::vector<std::string> words)
     {
         out.str("");
         errors.str("");
@@ -84,7 +84,7 @@
         return runWith(renderer, name, std::move(words));
     }
 
-    ExitCode runWith(Renderer &renderer, const std::string &name, std::vector<std::string> words)
+    CommandExit runWith(Renderer &renderer, const std::string &name, std::vector<std::string> words)
     {
         CommandContext context { &platform, instances, clock, timer, random, renderer, options, clock.now() + options.timeout };
         return await(CommandTable().find(name)->run(context, std::move(words)));
@@ -109,12 +109,12 @@
 TEST_CASE("files are validated without the platform", "[control]")
 {
     Client client;
-    CHECK(client.run("validate", { dewnet }) == ExitCode::Ok);
-    CHECK(client.run("validate", { "examples/none.toml" }) == ExitCode::Refused);
+    CHECK(client.run("validate", { dewnet }) == CommandExit::Ok);
+    CHECK(client.run("validate", { "examples/none.toml" }) == CommandExit::Refused);
     CHECK_THAT(client.errors.str(), Catch::StartsWith("examples/none.toml: error: file: the file cannot be read"));
-    CHECK(client.run("validate", {}) == ExitCode::Usage);
+    CHECK(client.run("validate", {}) == CommandExit::Usage);
     // The same objects twice: every duplicate is named with its place.
-    CHECK(client.run("validate", { dewnet, dewnet }) == ExitCode::Refused);
+    CHECK(client.run("validate", { dewnet, dewnet }) == CommandExit::Refused);
     CHECK_THAT(client.errors.str(), Catch::Contains("examples/dewnet/config.toml:3: error: failure_domain lokoja: name = lokoja"));
     CHECK(client.platform.calls.empty());
 }
@@ -122,32 +122,32 @@
 TEST_CASE("a change is shown, applied and listed", "[control]")
 {
     Client client;
-    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("diff", { dewnet }) == CommandExit::Ok);
     CHECK_THAT(client.out.str(), Catch::Contains("+ service pondwatch"));
-    CHECK(client.run("apply", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("apply", { dewnet }) == CommandExit::Ok);
     CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 1, change c-"));
-    CHECK(client.run("apply", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("apply", { dewnet }) == CommandExit::Ok);
     CHECK_THAT(client.out.str(), Catch::StartsWith("unchanged: generation 1"));
-    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("diff", { dewnet }) == CommandExit::Ok);
     CHECK(client.out.str() == "no differences\n");
-    CHECK(client.run("history", {}) == ExitCode::Ok);
+    CHECK(client.run("history", {}) == CommandExit::Ok);
     CHECK_THAT(client.out.str(), Catch::Contains("bola"));
 }
 
 TEST_CASE("each outcome of a change has its own exit code", "[control]")
 {
     Client client;
-    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    REQUIRE(client.run("apply", { dewnet }) == CommandExit::Ok);
     SECTION("a conflict names the winner")
     {
         client.options.expectedGeneration = 0;
-        CHECK(client.run("apply", { tuganKun }) == ExitCode::Conflict);
+        CHECK(client.run("apply", { tuganKun }) == CommandExit::Conflict);
         CHECK_THAT(client.errors.str(), Catch::Contains("generation 1, change c-"));
     }
     SECTION("an outage is not accepted")
     {
         client.platform.fault = [](const auto &) { return Fault::Outage; };
-        CHECK(client.run("apply", { tuganKun }) == ExitCode::Unavailable);
+        CHECK(client.run("apply", { tuganKun }) == CommandExit::Unavailable);
         CHECK_THAT(client.errors.str(), Catch::StartsWith("not accepted"));
     }
     SECTION("an outage after the head was sent is unknown, and the same id can be asked for and repeated")
@@ -160,11 +160,11 @@
             return fault;
         };
         client.options.changeId = "night-shift";
-        CHECK(client.run("apply", { tuganKun }) == ExitCode::UnknownOutcome);
+        CHECK(client.run("apply", { tuganKun }) == CommandExit::UnknownOutcome);
         client.platform.fault = nullptr;
-        CHECK(client.run("history", {}) == ExitCode::Ok);
+        CHECK(client.run("history", {}) == CommandExit::Ok);
         CHECK_THAT(client.out.str(), Catch::Contains("night-shift"));
-        CHECK(client.run("apply", { tuganKun }) == ExitCode::Ok);
+        CHECK(client.run("apply", { tuganKun }) == CommandExit::Ok);
         CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 2"));
     }
     SECTION("a wait that ends too early names the instances")
@@ -172,7 +172,7 @@
         client.options.wait = true;
         client.platform.listed = { { .id = "i-1", .failureDomain = "almaly" }, { .id = "i-2", .failureDomain = "medeu" } };
         client.report("almaly", 2, { "i-1" });
-        CHECK(client.run("apply", { tuganKun }) == ExitCode::WaitExpired);
+        CHECK(client.run("apply", { tuganKun }) == CommandExit::WaitExpired);
         CHECK_THAT(
             client.out.str(), Catch::Contains("1 of 2 instances have not reported it\n  i-2 in medeu: generation -, last heard never"));
     }
@@ -181,22 +181,22 @@
 TEST_CASE("a server is drained although another change comes between", "[control]")
 {
     Client client;
-    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    REQUIRE(client.run("apply", { dewnet }) == CommandExit::Ok);
     client.platform.beforeHeadWrite = [&client] {
         std::ostringstream ignored;
         TableRenderer renderer(ignored, ignored);
-        CHECK(client.runWith(renderer, "drain", { "mapvault/mapvault-01" }) == ExitCode::Ok);
+        CHECK(client.runWith(renderer, "drain", { "mapvault/mapvault-01" }) == CommandExit::Ok);
     };
-    CHECK(client.run("drain", { "pondwatch/pondwatch-03" }) == ExitCode::Ok);
+    CHECK(client.run("drain", { "pondwatch/pondwatch-03" }) == CommandExit::Ok);
     CHECK_THAT(client.out.str(), Catch::StartsWith("accepted: generation 3"));
-    CHECK(client.run("diff", { dewnet }) == ExitCode::Ok);
+    CHECK(client.run("diff", { dewnet }) == CommandExit::Ok);
     CHECK(client.out.str()
         == "~ server mapvault/mapvault-01\n    state: drain -> active\n~ server pondwatch/pondwatch-03\n    state: drain -> active\n");
-    CHECK(client.run("undrain", { "pondwatch/pondwatch-03" }) == ExitCode::Ok);
-    CHECK(client.run("drain", { "pondwatch/none" }) == ExitCode::Refused);
-    CHECK(client.run("drain", { "pondwatch" }) == ExitCode::Usage);
+    CHECK(client.run("undrain", { "pondwatch/pondwatch-03" }) == CommandExit::Ok);
+    CHECK(client.run("drain", { "pondwatch/none" }) == CommandExit::Refused);
+    CHECK(client.run("drain", { "pondwatch" }) == CommandExit::Usage);
     // mapvault must keep an active server in each failure domain, and okene has only one.
-    CHECK(client.run("drain", { "mapvault/mapvault-03" }) == ExitCode::Refused);
+    CHECK(client.run("drain", { "mapvault/mapvault-03" }) == CommandExit::Refused);
     CHECK_THAT(client.errors.str(), Catch::Contains("pool mapvault: domains = okene"));
 }
 
@@ -204,10 +204,10 @@
 {
     // Guards invariant 8: an operator who is told "everywhere" acts on it.
     Client client;
-    REQUIRE(client.run("apply", { dewnet }) == ExitCode::Ok);
+    REQUIRE(client.run("apply", { dewnet }) == CommandExit::Ok);
     client.platform.listed = { { .id = "i-1", .failureDomain = "lokoja" }, { .id = "i-2", .failureDomain = "okene" } };
     const auto status = [&client] {
-        REQUIRE(client.run("status", {}) == ExitCode::Ok);
+        REQUIRE(client.run("status", {}) == CommandExit::Ok);
         return client.out.str();
     };
     const std::string everywhere = "generation 1 is in force everywhere (";
@@ -218,7 +218,7 @@
         CHECK_THAT(status(), Catch::Contains(everywhere));
         std::ostringstream json;
         JsonRenderer renderer(json);
-        CHECK(client.runWith(renderer, "status", {}) == ExitCode::Ok);
+        CHECK(client.runWith(renderer, "status", {}) == CommandExit::Ok);
         CHECK_THAT(json.str(), Catch::Contains("\"in_force_everywhere\": true"));
     }
     SECTION("a listed instance is in no status")
@@ -276,32 +276,32 @@
         client.instances.all = { { "i-1", 1, { 10, 0 }, EventSeverity::Info, "first", {} },
             { "i-1", 2, { 10, 2 }, EventSeverity::Info, "third", {} }, { "i-1", 3, { 11, 0 }, EventSeverity::Info, "fourth", {} },
             { "i-2", 1, { 10, 1 }, EventSeverity::Warning, "second", { { "peer", "i-1" } } } };
-        CHECK(client.run("events", { "i-1", "i-2" }) == ExitCode::Ok);
+        CHECK(client.run("events", { "i-1", "i-2" }) == CommandExit::Ok);
         const std::string text = client.out.str();
         CHECK(text.find("first") < text.find("second"));
         CHECK(text.find("second  peer=i-1") < text.find("third"));
         CHECK(text.find("third") < text.find("fourth"));
         client.options.count = 1;
-        CHECK(client.run("events", {}) == ExitCode::Unavailable);
+        CHECK(client.run("events", {}) == CommandExit::Unavailable);
         CHECK_THAT(client.out.str(), Catch::Contains("fourth") && !Catch::Contains("third"));
         CHECK_THAT(client.errors.str(), Catch::Contains("instance i-3: Connection refused"));
     }
     SECTION("to stop gracefully")
     {
-        CHECK(client.run("drain-instance", { "i-1" }) == ExitCode::Ok);
+        CHECK(client.run("drain-instance", { "i-1" }) == CommandExit::Ok);
         CHECK(client.out.str() == "instance i-1 stops gracefully\n");
-        CHECK(client.run("drain-instance", { "i-2" }) == ExitCode::Ok);
+        CHECK(client.run("drain-instance", { "i-2" }) == CommandExit::Ok);
         CHECK(client.out.str() == "instance i-2 was leaving already\n");
-        CHECK(client.run("drain-instance", { "i-3" }) == ExitCode::UnknownOutcome);
-        CHECK(client.run("drain-instance", { "i-9" }) == ExitCode::Refused);
+        CHECK(client.run("drain-instance", { "i-3" }) == CommandExit::UnknownOutcome);
+        CHECK(client.run("drain-instance", { "i-9" }) == CommandExit::Refused);
     }
     SECTION("by address during an outage of the platform")
     {
         client.platform.fault = [](const auto &) { return Fault::Outage; };
-        CHECK(client.run("drain-instance", { "127.0.0.1:1" }) == ExitCode::Ok);
-        CHECK(client.run("drain-instance", { "i-1" }) == ExitCode::Unavailable);
-        CHECK(client.run("status", {}) == ExitCode::Unavailable);
-        CHECK(client.run("status", { "127.0.0.1:1" }) == ExitCode::Ok);
+        CHECK(client.run("drain-instance", { "127.0.0.1:1" }) == CommandExit::Ok);
+        CHECK(client.run("drain-instance", { "i-1" }) == CommandExit::Unavailable);
+        CHECK(client.run("status", {}) == CommandExit::Unavailable);
+        CHECK(client.run("status", { "127.0.0.1:1" }) == CommandExit::Ok);
         CHECK_THAT(client.out.str(), Catch::Contains("generation 7 is not known to be in force everywhere: 1 of 1"));
     }
 }
