--- a/apps/samphirepitch-load/main.cpp
+++ b/apps/samphirepitch-load/main.cpp
@@ -1,3 +1,4 @@
+#include "benchcommands.h"
 #include "relaybenchcommand.h"
 #include "runcommand.h"
 
@@ -19,6 +20,8 @@
     Commands commands;
     commands.push_back(std::make_unique<RunCommand>());
     commands.push_back(std::make_unique<RelayBenchCommand>());
+    commands.push_back(std::make_unique<CapacityBenchCommand>());
+    commands.push_back(std::make_unique<ControlBenchCommand>());
     return commands;
 }
 
--- a/src/routing/serverregistry.h
+++ b/src/routing/serverregistry.h
@@ -8,7 +8,6 @@
 #include <span>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace Samphirepitch
