--- a/src/peer/controlplane.cpp
+++ b/src/peer/controlplane.cpp
@@ -104,6 +104,7 @@
     , m_listReader({ m_parts.platform, *this, m_parts.clock, m_parts.random, m_parts.events })
     , m_statusWriter({ m_parts.platform, *this, m_parts.clock, m_parts.random, m_parts.events })
     , m_tasksEnded(executor, asio::steady_timer::time_point::max())
+    , m_progressTimer(executor)
     , m_startDeadline(m_parts.clock.now())
     , m_contactAt(m_parts.clock.now())
     , m_contactDelay(m_parts.random.below(contactJitter.count()))
@@ -133,6 +134,7 @@
 {
     if (!std::exchange(m_stopped, true)) {
         m_server->stop();
+        m_progressTimer.cancel();
         for (asio::cancellation_signal &signal : m_signals) {
             signal.emit(asio::cancellation_type::terminal);
         }
@@ -543,8 +545,24 @@
     updatePlan();
     updateProgress(now);
     notifyPrepared();
-    if (m_board.hasChanges() && now >= m_heartbeatAt + progressInterval) {
+    if (m_board.hasChanges()) {
+        sendProgress(now);
+    }
+}
+
+void ControlPlane::sendProgress(TimePoint now)
+{
+    const TimePoint allowed = m_heartbeatAt + progressInterval;
+    if (now >= allowed) {
         broadcastHeartbeat(now, false);
+    } else if (!std::exchange(m_progressScheduled, true)) {
+        m_progressTimer.expires_after(allowed - now);
+        m_progressTimer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](const asio::error_code &) {
+            if (!alive.expired()) {
+                m_progressScheduled = false;
+                flush(m_parts.clock.now());
+            }
+        });
     }
 }
 
--- a/src/peer/controlplane.h
+++ b/src/peer/controlplane.h
@@ -171,6 +171,7 @@
     void tick(TimePoint now);
     void scheduleFlush();
     void flush(TimePoint now);
+    void sendProgress(TimePoint now);
     void updatePlan();
     void updateProgress(TimePoint now);
     void reportProgress(const GenerationReport &report, TimePoint now);
@@ -210,10 +211,12 @@
     std::unique_ptr<PeerDialer> m_dialer;
 
     asio::steady_timer m_tasksEnded; // cancelled when a task ends
+    asio::steady_timer m_progressTimer; // sends news of progress that came within progressInterval of the last heartbeat
     std::list<asio::cancellation_signal> m_signals;
     std::size_t m_tasks = 0;
     bool m_stopped = false;
     bool m_flushScheduled = false;
+    bool m_progressScheduled = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // lets posted work see that the object is gone
 
     TimePoint m_startDeadline;
