--- a/apps/samphirepitch-load/runcommand.cpp
+++ b/apps/samphirepitch-load/runcommand.cpp
@@ -39,9 +39,9 @@
     return "run";
 }
 
-std::string_view RunCommand::usage() const
+std::string_view RunCommand::summary() const
 {
-    return "run --scenario FILE [--duration_ms N] [--seed N] [--json FILE]   offers a load and prints the report";
+    return "--scenario FILE [--duration_ms N] [--seed N] [--json FILE]   offers a load and prints the report";
 }
 
 int RunCommand::run()
--- a/src/control/statusreader.cpp
+++ b/src/control/statusreader.cpp
@@ -1,8 +1,10 @@
 #include "control/statusreader.h"
 
+#include "control/instanceapi.h"
 #include "platform/retry.h"
 #include "platform/timer.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -27,14 +29,14 @@
 asio::awaitable<Result<StatusSummary>> StatusReader::read(std::uint64_t generation)
 {
     Platform &platform = *m_context.platform;
-    const Backoff backoff(m_context.clock, m_context.timer, m_context.random, m_context.deadline);
+    const RetrySchedule schedule(m_context.clock, m_context.timer, m_context.random, m_context.deadline);
     const auto readList = [&platform](TimePoint deadline) { return platform.instances(deadline); };
-    auto listed = co_await retryRead(readList, backoff);
+    auto listed = co_await retryRead(readList, schedule);
     if (!listed) {
         co_return tl::unexpected(listed.error());
     }
     const auto readObjects = [&platform](TimePoint deadline) { return platform.list(std::string(statusPrefix), deadline); };
-    const auto objects = co_await retryRead(readObjects, backoff);
+    const auto objects = co_await retryRead(readObjects, schedule);
     if (!objects) {
         co_return tl::unexpected(objects.error());
     }
@@ -51,6 +53,19 @@
     co_return StatusSummary(generation, std::move(*listed), std::move(domains), std::move(unreadable));
 }
 
+asio::awaitable<Result<StatusSummary>> StatusReader::readFrom(Endpoint instance)
+{
+    auto reply = co_await m_context.instances.status(instance, m_context.deadline);
+    if (!reply) {
+        co_return tl::unexpected(reply.error());
+    }
+    std::uint64_t generation = 0;
+    for (const DomainStatus &domain : reply->statuses) {
+        generation = std::max(generation, domain.highestHeld);
+    }
+    co_return StatusSummary(generation, {}, std::move(reply->statuses), {});
+}
+
 asio::awaitable<Result<StatusSummary>> StatusReader::waitUntilInForce(std::uint64_t generation)
 {
     auto last = co_await read(generation);
