Do not wait for instances that are dead and no longer listed

Cause: after the demo killed an instance and the platform had removed it, status never said "in force everywhere" again. Change: StatusSummary::missing() passes over an instance that its peers hold for dead and that the platform's list does not name; without a list, or while the list names it, it still counts, because it may only be cut off.

--- a/src/control/statussummary.cpp
+++ b/src/control/statussummary.cpp
@@ -40,6 +40,7 @@
     : m_generation(generation)
     , m_domains(std::move(domains))
     , m_unreadable(std::move(unreadable))
+    , m_listKnown(!listed.empty())
 {
     std::map<std::string, InstanceReport> byId;
     for (const ListedInstance &instance : listed) {
@@ -104,10 +105,16 @@
 {
     std::vector<InstanceReport> found;
     std::copy_if(m_instances.begin(), m_instances.end(), std::back_inserter(found),
-        [this](const InstanceReport &instance) { return !instance.generation || *instance.generation < m_generation; });
+        [this](const InstanceReport &instance) { return mayHoldFlows(instance) && instance.generation.value_or(0) < m_generation; });
     return found;
 }
 
+bool StatusSummary::mayHoldFlows(const InstanceReport &instance) const
+{
+    // A dead instance that is still listed, or of which no list tells, may only be cut off and go on serving.
+    return instance.listed || !m_listKnown || instance.state != memberStateName(MemberState::Dead);
+}
+
 std::vector<std::string> StatusSummary::laggingDomains() const
 {
     std::vector<std::string> found;
--- a/src/control/statussummary.h
+++ b/src/control/statussummary.h
@@ -50,7 +50,10 @@
     const std::vector<DomainStatus> &domains() const;
     const std::vector<Error> &unreadable() const;
 
-    /** Returns the instances that have not reported the generation as in force. */
+    /**
+     * Returns the instances that may hold flows and have not reported the generation as in force. An instance that is dead for its
+     * peers and that the platform's list no longer names is gone.
+     */
     std::vector<InstanceReport> missing() const;
 
     /** Returns the failure domains whose own count shows that the generation is not in force on all their instances. */
@@ -61,11 +64,13 @@
 
 private:
     void addUnnamed(const DomainStatus &domain);
+    bool mayHoldFlows(const InstanceReport &instance) const;
 
     std::uint64_t m_generation;
     std::vector<InstanceReport> m_instances;
     std::vector<DomainStatus> m_domains;
     std::vector<Error> m_unreadable;
+    bool m_listKnown;
 };
 
 } // namespace Samphirepitch
