--- a/apps/samphirepitchd/main.cpp
+++ b/apps/samphirepitchd/main.cpp
@@ -25,7 +25,7 @@
     for (const KeyFinding &finding : findings) {
         std::cerr << finding.describe() << '\n';
     }
-    return static_cast<int>(ExitCode::WrongUsage);
+    return static_cast<int>(DaemonExit::WrongUsage);
 }
 
 void reload(Instance &instance)
@@ -45,12 +45,12 @@
     const auto created = Instance::create(context.get_executor(), clock, settings);
     if (!created) {
         std::cerr << created.error().describe() << '\n';
-        return static_cast<int>(ExitCode::Failed);
+        return static_cast<int>(DaemonExit::Failed);
     }
     Instance &instance = **created;
-    ExitCode code = ExitCode::Interrupted;
-    asio::co_spawn(context, instance.run(), [&](const std::exception_ptr &thrown, ExitCode ended) {
-        code = thrown ? ExitCode::Failed : ended;
+    DaemonExit code = DaemonExit::Interrupted;
+    asio::co_spawn(context, instance.run(), [&](const std::exception_ptr &thrown, DaemonExit ended) {
+        code = thrown ? DaemonExit::Failed : ended;
         context.stop();
     });
     SignalHandler signals(
@@ -69,7 +69,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_print_settings_reference) {
         std::cout << settingsReference();
-        return static_cast<int>(ExitCode::Done);
+        return static_cast<int>(DaemonExit::Done);
     }
     const auto settings = Settings::load(FLAGS_settings);
     if (!settings) {
@@ -77,7 +77,7 @@
     }
     if (FLAGS_check) {
         std::cout << FLAGS_settings << ": no findings\n";
-        return static_cast<int>(ExitCode::Done);
+        return static_cast<int>(DaemonExit::Done);
     }
     return run(*settings);
 }
--- a/src/daemon/exitcode.h
+++ b/src/daemon/daemonexit.h
@@ -4,7 +4,7 @@
 {
 
 /** The exit codes of samphirepitchd. */
-enum class ExitCode {
+enum class DaemonExit {
     Done = 0, /**< A graceful stop that finished all pending requests. */
     Failed = 1, /**< A part of the instance failed. */
     WrongUsage = 2, /**< The command line or the settings are wrong. */
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -66,7 +66,7 @@
 
 Instance::~Instance() = default;
 
-asio::awaitable<ExitCode> Instance::run()
+asio::awaitable<DaemonExit> Instance::run()
 {
     const Settings::Fields &values = m_settings.values();
     m_events.record(EventSeverity::Info, "instance_started",
@@ -75,7 +75,7 @@
             { "version", SAMPHIREPITCH_VERSION } });
     const Result<void> result = co_await m_supervisor.run();
     m_metricsServer.stop();
-    co_return exitCode(result);
+    co_return exitOf(result);
 }
 
 bool Instance::requestStop(std::string_view reason)
@@ -271,13 +271,13 @@
     m_supervisor.requestStop(m_clock.now() + taskStopTime);
 }
 
-ExitCode Instance::exitCode(const Result<void> &result)
+DaemonExit Instance::exitOf(const Result<void> &result)
 {
-    ExitCode code = m_late ? ExitCode::StopDeadline : ExitCode::Done;
+    DaemonExit code = m_late ? DaemonExit::StopDeadline : DaemonExit::Done;
     if (!result) {
-        code = result.error().kind() == ErrorKind::DeadlineExceeded ? ExitCode::StopDeadline : ExitCode::Failed;
+        code = result.error().kind() == ErrorKind::DeadlineExceeded ? DaemonExit::StopDeadline : DaemonExit::Failed;
     }
-    m_events.record(code == ExitCode::Done ? EventSeverity::Info : EventSeverity::Error, "instance_stopped",
+    m_events.record(code == DaemonExit::Done ? EventSeverity::Info : EventSeverity::Error, "instance_stopped",
         { { "exit_code", std::to_string(static_cast<int>(code)) }, { "pending", std::to_string(pendingWork()) },
             { "error", result ? "" : result.error().describe() } });
     return code;
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -3,8 +3,8 @@
 #include "core/clock.h"
 #include "core/hybridclock.h"
 #include "core/random.h"
+#include "daemon/daemonexit.h"
 #include "daemon/eventlog.h"
-#include "daemon/exitcode.h"
 #include "daemon/healthsource.h"
 #include "daemon/logger.h"
 #include "daemon/loopmonitor.h"
@@ -44,7 +44,7 @@
     ~Instance() override;
 
     /** Runs until a stop or a failure. @return the exit code of the process */
-    asio::awaitable<ExitCode> run();
+    asio::awaitable<DaemonExit> run();
 
     /** Begins a graceful stop; ends at the stop deadline at the latest. @return false if one is going on */
     bool requestStop(std::string_view reason);
@@ -75,7 +75,7 @@
     asio::awaitable<Result<void>> runBridge();
     asio::awaitable<Result<void>> runHousekeeping();
     asio::awaitable<void> finishWork(StopPlan plan);
-    ExitCode exitCode(const Result<void> &result);
+    DaemonExit exitOf(const Result<void> &result);
 
     asio::any_io_executor m_executor;
     const Clock &m_clock;
