Run the health prober in the instance

Cause: the prober had no clock, view, configuration or peers.

Change: Instance creates the prober and supervises it as the child health_prober; it hears of views, configurations and spread states like the data path. DataPathBridge gives its reports to the own data path by the path of spread states, so that own observations still count more, and to the peers.

No trial with running daemons was made for this commit.

Conclusion: spread states now have a source.

--- a/src/daemon/datapathbridge.cpp
+++ b/src/daemon/datapathbridge.cpp
@@ -86,6 +86,18 @@
     return m_dataPath.activeGeneration();
 }
 
+void DataPathBridge::reportServerStates(const ServerStates &states)
+{
+    // The data path takes them like spread states, so that what it observed on its own flows counts more.
+    serverStatesChanged(states);
+    m_controlPlane->spreadServerStates(states);
+}
+
+TimePoint DataPathBridge::viewDeadline() const
+{
+    return m_controlPlane->lapseDeadline();
+}
+
 void DataPathBridge::sendExceptions(const std::string &instance, const ExceptionBatch &batch)
 {
     FlowExceptionBatch message;
--- a/src/daemon/datapathbridge.h
+++ b/src/daemon/datapathbridge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "health/healthreporter.h"
 #include "model/configgeneration.h"
 #include "peer/generationsource.h"
 #include "peer/peerlistener.h"
@@ -14,7 +15,7 @@
 class DataPath;
 
 /** Connects the data path with the control plane: progress of a change, flow exceptions and states of backend servers. */
-class DataPathBridge : public ConfigListener, public PeerListener, public GenerationSource, public ExceptionTransport
+class DataPathBridge : public ConfigListener, public PeerListener, public GenerationSource, public ExceptionTransport, public HealthReporter
 {
 public:
     /** @param dataPath has to outlive the bridge */
@@ -36,6 +37,9 @@
     std::uint64_t preparedGeneration() const override;
     std::uint64_t activeGeneration() const override;
 
+    void reportServerStates(const ServerStates &states) override;
+    TimePoint viewDeadline() const override;
+
     void sendExceptions(const std::string &instance, const ExceptionBatch &batch) override;
 
 private:
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -3,6 +3,8 @@
 #include "core/hash.h"
 #include "daemon/datapathbridge.h"
 #include "data/datapath.h"
+#include "health/healthprober.h"
+#include "health/httpserverprobe.h"
 #include "peer/controlplane.h"
 #include "platform/httpplatform.h"
 
@@ -145,7 +147,7 @@
         return tl::unexpected(platform.error());
     }
     m_platform = *std::move(platform);
-    for (const auto create : { &Instance::createDataPath, &Instance::createControlPlane }) {
+    for (const auto create : { &Instance::createDataPath, &Instance::createHealthProber, &Instance::createControlPlane }) {
         if (auto created = (this->*create)(); !created) {
             return created;
         }
@@ -153,6 +155,7 @@
     m_metrics.add(m_events);
     m_metrics.add(*m_controlPlane);
     m_metrics.add(*m_dataPath);
+    m_metrics.add(*m_healthProber);
     return values.metricsAddress.isUnset() ? Result<void>() : m_metricsServer.listen(m_executor, values.metricsAddress);
 }
 
@@ -177,6 +180,18 @@
     return {};
 }
 
+Result<void> Instance::createHealthProber()
+{
+    const Settings::Fields &values = m_settings.values();
+    HealthProber::Parts parts { m_clock, m_random, m_hybrid, m_events, *m_bridge, std::make_unique<HttpServerProbe>(m_executor, m_clock) };
+    auto prober = HealthProber::create(m_executor, values.instanceId, values.failureDomain, std::move(parts));
+    if (!prober) {
+        return tl::unexpected(prober.error());
+    }
+    m_healthProber = *std::move(prober);
+    return {};
+}
+
 Result<void> Instance::createControlPlane()
 {
     const Settings::Fields &values = m_settings.values();
@@ -189,7 +204,8 @@
     settings.dataAddress = values.dataAddress;
     settings.seeds = values.peerSeeds;
     ControlPlaneParts parts { m_clock, m_random, m_hybrid, m_events, *m_platform, *m_bridge, m_events, *this,
-        { m_bridge.get(), m_dataPath.get() }, { m_dataPath.get() }, { m_bridge.get() } };
+        { m_bridge.get(), m_dataPath.get(), m_healthProber.get() }, { m_dataPath.get(), m_healthProber.get() },
+        { m_bridge.get(), m_healthProber.get() } };
     auto controlPlane = ControlPlane::create(m_executor, std::move(settings), std::move(parts));
     if (!controlPlane) {
         return tl::unexpected(controlPlane.error());
@@ -209,6 +225,9 @@
         .stop = [this](TimePoint) { m_controlPlane->stop(); },
         .restart = Restart::Never });
     m_supervisor.add({ .name = "bridge", .start = [this] { return runBridge(); } });
+    m_supervisor.add({ .name = "health_prober",
+        .start = [this] { return m_healthProber->run(); },
+        .stop = [this](TimePoint) { m_healthProber->stop(); } });
     m_supervisor.add({ .name = "data_path",
         .start = [this] { return runDataPath(); },
         .stop = [this](TimePoint) { m_dataPath->stop(); },
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -28,6 +28,7 @@
 class Platform;
 class DataPath;
 class DataPathBridge;
+class HealthProber;
 
 /** One instance: creates its parts, runs them under a supervisor, and stops them gracefully. */
 class Instance : public HealthSource, private DrainHandler
@@ -67,6 +68,7 @@
     bool drainRequested() override;
     Result<void> createParts();
     Result<void> createDataPath();
+    Result<void> createHealthProber();
     Result<void> createControlPlane();
     void addChildren();
     std::size_t pendingWork() const;
@@ -91,6 +93,7 @@
     std::unique_ptr<Platform> m_platform;
     std::unique_ptr<DataPath> m_dataPath;
     std::unique_ptr<DataPathBridge> m_bridge;
+    std::unique_ptr<HealthProber> m_healthProber;
     std::unique_ptr<ControlPlane> m_controlPlane;
     bool m_leaving = false;
     bool m_late = false;
