Keep spread states of servers that no generation names yet

Cause: peers send the servers that are down as soon as a link is up. DataPathBridge dropped states of servers that the held configuration did not name, so an instance that started during an outage of a server sent new flows to it. ServerHealth also compared dates by the millisecond and dropped the later of two changes of one millisecond.

Change: DataPathBridge keeps the servers that are down (DownServers, at most 16384) and gives the data path those that a new configuration adds or moves; the data path gets the configuration before the bridge. ServerHealth takes a state of the same millisecond; the board of the control plane has put changes in the order of their hybrid times.

Conclusion: a spread state holds on instances that start later.

--- a/src/daemon/datapathbridge.cpp
+++ b/src/daemon/datapathbridge.cpp
@@ -4,6 +4,7 @@
 #include "peer/controlplane.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Samphirepitch
 {
@@ -47,19 +48,32 @@
 
 void DataPathBridge::configurationChanged(const ConfigGeneration &generation)
 {
-    m_config = generation.set;
+    const std::shared_ptr<const ConfigSet> before = std::exchange(m_config, generation.set);
+    // Peers send the servers that are down as soon as they are linked, which can be before the instance holds a generation.
+    for (const ServerHealthChange &change : m_down.all().states) {
+        const BackendServer *server = serverOf(*m_config, change);
+        const BackendServer *known = before ? serverOf(*before, change) : nullptr;
+        if (server && (!known || known->address() != server->address())) {
+            apply(change, *server);
+        }
+    }
 }
 
 void DataPathBridge::serverStatesChanged(const ServerStates &states)
 {
     for (const ServerHealthChange &change : states.states) {
-        const BackendServer *server = m_config ? serverOf(*m_config, change) : nullptr;
-        if (server) {
-            m_dataPath.serverStateSpread(server->address(), change.healthy, WallTime(std::chrono::milliseconds(change.at.wallMs)));
+        m_down.note(change);
+        if (const BackendServer *server = m_config ? serverOf(*m_config, change) : nullptr) {
+            apply(change, *server);
         }
     }
 }
 
+void DataPathBridge::apply(const ServerHealthChange &change, const BackendServer &server)
+{
+    m_dataPath.serverStateSpread(server.address(), change.healthy, WallTime(std::chrono::milliseconds(change.at.wallMs)));
+}
+
 void DataPathBridge::flowExceptionsReceived(const std::string &, const FlowExceptionBatch &exceptions)
 {
     m_dataPath.exceptionsReceived(
--- a/src/daemon/datapathbridge.h
+++ b/src/daemon/datapathbridge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "health/downservers.h"
 #include "health/healthreporter.h"
 #include "model/configgeneration.h"
 #include "peer/generationsource.h"
@@ -27,6 +28,7 @@
     /** Gives the data path the deadline of the member view, and the peers the progress if it changed; to be called often. */
     void refresh();
 
+    /** Gives the data path, which has to have the configuration by now, the states of servers that are new in it. */
     void configurationChanged(const ConfigGeneration &generation) override;
 
     void serverStatesChanged(const ServerStates &states) override;
@@ -43,9 +45,12 @@
     void sendExceptions(const std::string &instance, const ExceptionBatch &batch) override;
 
 private:
+    void apply(const ServerHealthChange &change, const BackendServer &server);
+
     DataPath &m_dataPath;
     ControlPlane *m_controlPlane = nullptr;
     std::shared_ptr<const ConfigSet> m_config;
+    DownServers m_down;
     std::uint64_t m_reportedPrepared = 0;
     std::uint64_t m_reportedActive = 0;
 };
--- a/src/health/healthprober.cpp
+++ b/src/health/healthprober.cpp
@@ -110,7 +110,7 @@
 {
     for (const ServerHealthChange &change : states.states) {
         const ServerKey server(change.pool, change.server);
-        noteSpread(server, change.healthy);
+        m_spreadDown.note(change);
         if (const auto found = m_targets.find(server); found != m_targets.end()) {
             found->second.verdict.stateSpread(change.healthy);
         }
@@ -181,7 +181,7 @@
 HealthProber::Target HealthProber::makeTarget(ProberSelection::Assignment assignment, TimePoint now)
 {
     // A former prober may have spread "down" and be gone, so the verdict starts with the state that the peers hold.
-    const ProbeVerdict verdict(!m_spreadDown.contains(assignment.server));
+    const ProbeVerdict verdict(!m_spreadDown.contains(assignment.server.first, assignment.server.second));
     return { std::move(assignment), verdict, now + milliseconds(m_parts.random.below(interval.count())) };
 }
 
@@ -231,22 +231,13 @@
 
 void HealthProber::report(const ServerKey &server, bool isUp, ProbeResult result)
 {
-    noteSpread(server, isUp);
     m_parts.events.record(isUp ? EventSeverity::Info : EventSeverity::Warning, isUp ? "server_up" : "server_down",
         { { "pool", server.first }, { "server", server.second }, { "source", "probe" },
             { "result", std::string(probeResultName(result)) } });
     ServerStates states;
     states.states.push_back({ server.first, server.second, isUp, m_parts.hybridClock.tick(m_parts.clock.wallNow()) });
+    m_spreadDown.note(states.states.back());
     m_parts.reporter.reportServerStates(states);
 }
 
-void HealthProber::noteSpread(const ServerKey &server, bool isUp)
-{
-    if (isUp) {
-        m_spreadDown.erase(server);
-    } else if (m_spreadDown.size() < maxSpreadDown) {
-        m_spreadDown.insert(server);
-    }
-}
-
 } // namespace Samphirepitch
--- a/src/health/healthprober.h
+++ b/src/health/healthprober.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/metricsource.h"
+#include "health/downservers.h"
 #include "health/proberesult.h"
 #include "health/proberselection.h"
 #include "health/probeverdict.h"
@@ -19,7 +20,6 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace Samphirepitch
@@ -44,7 +44,6 @@
     static constexpr std::chrono::milliseconds probeTimeout { 1000 };
     static constexpr std::chrono::milliseconds tickInterval { 100 }; /**< between two looks for servers that are due */
     static constexpr std::size_t maxProbes = 32; /**< at the same time; an instance has about 20 servers at the planned size */
-    static constexpr std::size_t maxSpreadDown = 16384; /**< servers that were spread as down; as many as peers pass on */
 
     /** What the prober needs; the references outlive it. */
     struct Parts {
@@ -115,7 +114,6 @@
     asio::awaitable<void> probe(ServerKey server, Endpoint health, TimePoint deadline);
     void finished(const ServerKey &server, Endpoint health, ProbeResult result);
     void report(const ServerKey &server, bool isUp, ProbeResult result);
-    void noteSpread(const ServerKey &server, bool isUp);
 
     asio::any_io_executor m_executor;
     Parts m_parts;
@@ -123,7 +121,7 @@
     std::shared_ptr<const MemberView> m_newView; // not yet taken by the selection
     std::shared_ptr<const ConfigSet> m_newConfig;
     std::map<ServerKey, Target> m_targets;
-    std::set<ServerKey> m_spreadDown; // of all probers; a new prober of a server starts with this
+    DownServers m_spreadDown; // by all probers; a new prober of a server starts with this
     std::list<Running> m_running;
     std::array<std::uint64_t, probeResultCount> m_results {};
     asio::steady_timer m_tick;
--- a/src/routing/serverhealth.cpp
+++ b/src/routing/serverhealth.cpp
@@ -30,7 +30,8 @@
 void ServerHealth::stateSpread(std::uint32_t machine, bool up, WallTime at)
 {
     State &known = state(machine);
-    if (at > known.spreadAt) {
+    // States arrive in the order of their hybrid times, of which several can share a millisecond.
+    if (at >= known.spreadAt) {
         known.spreadAt = at;
         known.spreadUp = up;
     }
--- a/tests/routing/routertests.cpp
+++ b/tests/routing/routertests.cpp
@@ -38,6 +38,9 @@
     CHECK_FALSE(health.isUp(0, clock.now()));
     health.stateSpread(0, true, clock.wallNow());
     CHECK(health.isUp(0, clock.now()));
+    health.stateSpread(0, false, clock.wallNow()); // later in the same millisecond
+    CHECK_FALSE(health.isUp(0, clock.now()));
+    health.stateSpread(0, true, clock.wallNow());
     const auto fail = [&](TimePoint sentAt) {
         for (std::uint32_t failure = 0; failure < ServerHealth::failuresUntilDown; ++failure) {
             health.notAnswered(0, sentAt, clock.now());
