--- a/src/daemon/datapathbridge.h
+++ b/src/daemon/datapathbridge.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "health/downservers.h"
+#include "health/healthreporter.h"
 #include "model/configgeneration.h"
 #include "peer/generationsource.h"
 #include "peer/peerlistener.h"
@@ -14,7 +16,7 @@
 class DataPath;
 
 /** Connects the data path with the control plane: progress of a change, flow exceptions and states of backend servers. */
-class DataPathBridge : public ConfigListener, public PeerListener, public GenerationSource, public ExceptionTransport
+class DataPathBridge : public ConfigListener, public PeerListener, public GenerationSource, public ExceptionTransport, public HealthReporter
 {
 public:
     /** @param dataPath has to outlive the bridge */
@@ -26,6 +28,7 @@
     /** Gives the data path the deadline of the member view, and the peers the progress if it changed; to be called often. */
     void refresh();
 
+    /** Gives the data path, which has to have the configuration by now, the states of servers that are new in it. */
     void configurationChanged(const ConfigGeneration &generation) override;
 
     void serverStatesChanged(const ServerStates &states) override;
@@ -36,12 +39,18 @@
     std::uint64_t preparedGeneration() const override;
     std::uint64_t activeGeneration() const override;
 
+    void reportServerStates(const ServerStates &states) override;
+    TimePoint viewDeadline() const override;
+
     void sendExceptions(const std::string &instance, const ExceptionBatch &batch) override;
 
 private:
+    void apply(const ServerHealthChange &change, const BackendServer &server);
+
     DataPath &m_dataPath;
     ControlPlane *m_controlPlane = nullptr;
     std::shared_ptr<const ConfigSet> m_config;
+    DownServers m_down;
     std::uint64_t m_reportedPrepared = 0;
     std::uint64_t m_reportedActive = 0;
 };
