Show events in the demo; print the busiest instance in control-bench

Change: control-bench prints the most that one instance sent; the demo prints the last events of each deployment. Conclusion: the watcher's figure can be measured.

--- a/src/load/controlbench.cpp
+++ b/src/load/controlbench.cpp
@@ -27,6 +27,17 @@
         + " failure_domains=" + std::to_string(settings.failureDomains) + " seed=" + std::to_string(settings.seed);
 }
 
+/** Returns the most that one instance sent between two totals, less @p idleShare of what it sent between two earlier ones. */
+double mostSent(const Totals &from, const Totals &to, const Totals &idleFrom, double idleShare)
+{
+    double most = 0;
+    for (std::size_t instance = 0; instance < to.sentBytes.size(); ++instance) {
+        const double idle = static_cast<double>(from.sentBytes[instance] - idleFrom.sentBytes[instance]) * idleShare;
+        most = std::max(most, static_cast<double>(to.sentBytes[instance] - from.sentBytes[instance]) - idle);
+    }
+    return most;
+}
+
 void printIdle(const ControlBench::Settings &settings, const Totals &from, const Totals &to, std::size_t links, std::ostream &out)
 {
     const double time = seconds(from.at, to.at);
@@ -40,7 +51,8 @@
             out << ' ' << messageTypeName(type) << "_bytes_per_s=" << bytes;
         }
     }
-    out << " sent_bytes_per_s=" << sum << " messages_per_s=" << static_cast<double>(to.messages - from.messages) / share
+    out << " sent_bytes_per_s=" << sum << " most_sent_bytes_per_s=" << mostSent(from, to, from, 0) / time
+        << " messages_per_s=" << static_cast<double>(to.messages - from.messages) / share
         << " cpu_percent=" << 100 * (to.cpuSeconds - from.cpuSeconds) / share
         << " platform_reads_per_s=" << static_cast<double>(to.platformReads - from.platformReads) / time
         << " platform_writes_per_s=" << static_cast<double>(to.platformWrites - from.platformWrites) / time << '\n';
@@ -63,7 +75,8 @@
         }
     }
     const double changes = static_cast<double>(settings.changes);
-    out << " sent_bytes_per_change=" << sum << " cpu_ms_per_change=" << 1000 * (to.cpuSeconds - from.cpuSeconds) / share
+    out << " sent_bytes_per_change=" << sum << " most_sent_bytes_per_change=" << mostSent(from, to, idleFrom, idleRatio) / changes
+        << " cpu_ms_per_change=" << 1000 * (to.cpuSeconds - from.cpuSeconds) / share
         << " mean_in_force_ms=" << 1000 * seconds(from.at, to.at) / changes << " slowest_in_force_ms=" << 1000 * slowest
         << " platform_reads_per_change=" << static_cast<double>(to.platformReads - from.platformReads) / changes << '\n';
 }
--- a/src/load/internal/controlcluster.cpp
+++ b/src/load/internal/controlcluster.cpp
@@ -87,8 +87,10 @@
     Totals totals;
     for (const auto &instance : m_instances) {
         const LinkCounters &counters = instance->plane().linkCounters();
+        totals.sentBytes.push_back(0);
         for (std::size_t type = 0; type < totals.bytes.size(); ++type) {
             totals.bytes[type] += counters.sentBytes[type];
+            totals.sentBytes.back() += counters.sentBytes[type];
             totals.messages += counters.sentMessages[type];
         }
     }
--- a/src/load/internal/controlcluster.h
+++ b/src/load/internal/controlcluster.h
@@ -22,6 +22,7 @@
     /** Sums over all instances. */
     struct Totals {
         std::array<std::uint64_t, std::variant_size_v<Message>> bytes {}; // sent, by message type
+        std::vector<std::uint64_t> sentBytes; // by instance
         std::uint64_t messages = 0;
         std::uint64_t platformReads = 0; // with watches and reads of the list
         std::uint64_t platformWrites = 0;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -130,6 +130,9 @@
     say "$name: status"
     "$bin/samphirepitchctl" status --platform "$platform" || true
 
+    say "$name: the last events of all instances, in causal order"
+    "$bin/samphirepitchctl" events --deployment "$name" --platform "$platform" | tail -n 6
+
     say "$name: planned stop of all instances"
     for id in "${ids[@]}"; do
         if [ -n "${pids[$id]:-}" ]; then kill -TERM "${pids[$id]}"; fi
