Adopt a generation from the earlier one in the distributor

Change: Distributor keeps the set of the held generation and makes the next one from it; it falls back to assemble().

--- a/src/peer/distributor.cpp
+++ b/src/peer/distributor.cpp
@@ -144,12 +144,13 @@
     if (!found) {
         return tl::unexpected<Error>(found.error());
     }
-    Result<ConfigSet> set = ConfigTree::assemble(*found, m_store);
+    Result<ConfigSet> set = assemble(*found);
     if (!set) {
         return tl::unexpected<Error>(set.error());
     }
     m_held = head;
     m_record = std::move(*found);
+    m_set = std::make_shared<const ConfigSet>(std::move(*set));
     if (m_pull && m_pull->head.generation <= head.generation) {
         m_pull.reset();
     }
@@ -160,7 +161,7 @@
     }
     m_events.record(EventSeverity::Info, "generation_adopted",
         { { "generation", std::to_string(head.generation) }, { "source", std::string(source) }, { "change", m_record->changeId() } });
-    const ConfigGeneration generation { head, std::make_shared<const ConfigSet>(std::move(*set)) };
+    const ConfigGeneration generation { head, m_set };
     for (ConfigListener *listener : m_listeners) {
         listener->configurationChanged(generation);
     }
@@ -168,6 +169,18 @@
     return {};
 }
 
+Result<ConfigSet> Distributor::assemble(const HeadRecord &record) const
+{
+    // The parts of the held generation are still in the store, so that only what differs has to be decoded.
+    if (m_record && m_set) {
+        Result<ConfigSet> set = ConfigTree::assembleFrom(*m_set, *m_record, record, m_store);
+        if (set) {
+            return set;
+        }
+    }
+    return ConfigTree::assemble(record, m_store);
+}
+
 std::uint64_t Distributor::refusedParts() const
 {
     return m_refusedParts;
--- a/src/peer/distributor.h
+++ b/src/peer/distributor.h
@@ -84,6 +84,7 @@
     };
 
     Result<HeadRecord> record(const HeadPointer &head) const;
+    Result<ConfigSet> assemble(const HeadRecord &record) const;
     void continuePull(TimePoint now);
     void dropSource(const std::string &peer, TimePoint now);
     void reject(const HeadPointer &head, const Error &error);
@@ -94,6 +95,7 @@
     std::vector<ConfigListener *> m_listeners;
     HeadPointer m_held;
     std::optional<HeadRecord> m_record;
+    std::shared_ptr<const ConfigSet> m_set; // of m_record
     std::optional<Pull> m_pull;
     std::set<ContentName> m_rejected;
     std::uint64_t m_refusedParts = 0;
