Tell three peers of a new generation at once, the others at their heartbeat

Change: Distributor announces to three linked peers, another choice for each generation; a heartbeat that shows an older generation still brings an announcement.

--- a/src/peer/distributor.cpp
+++ b/src/peer/distributor.cpp
@@ -1,6 +1,7 @@
 #include "peer/distributor.h"
 
 #include "core/eventsink.h"
+#include "core/hash.h"
 #include "model/configtree.h"
 #include "peer/peerchannel.h"
 
@@ -37,6 +38,7 @@
 
 void Distributor::linkUp(const std::string &peer)
 {
+    m_peers.insert(peer);
     if (m_held.generation > 0) {
         m_channel.send(peer, Announce { m_held });
     }
@@ -44,6 +46,7 @@
 
 void Distributor::linkDown(const std::string &peer, TimePoint now)
 {
+    m_peers.erase(peer);
     dropSource(peer, now);
 }
 
@@ -165,10 +168,24 @@
     for (ConfigListener *listener : m_listeners) {
         listener->configurationChanged(generation);
     }
-    m_channel.broadcast(Announce { head });
+    announceToSome();
     return {};
 }
 
+/** Tells some peers, another choice for each generation; peerHolds() tells the others if they still lag at their next heartbeat. */
+void Distributor::announceToSome()
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const std::string &peer : m_peers) {
+        ranked.emplace_back(mix64(hash64(peer), m_held.generation), peer);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), firstAnnouncements));
+    for (const auto &[rank, peer] : ranked) {
+        m_channel.send(peer, Announce { m_held });
+    }
+}
+
 Result<ConfigSet> Distributor::assemble(const HeadRecord &record) const
 {
     // The parts of the held generation are still in the store, so that only what differs has to be decoded.
--- a/src/peer/distributor.h
+++ b/src/peer/distributor.h
@@ -25,6 +25,11 @@
 class Distributor
 {
 public:
+    /**
+     * Peers that are told of a new generation at once. Told all at once, every peer pulls the parts from the watcher that has them
+     * first, and it alone sends them nine times.
+     */
+    static constexpr std::size_t firstAnnouncements = 3;
     static constexpr std::chrono::milliseconds pullTimeout { 1000 }; /**< without a part from the peer that was asked */
 
     /** All arguments outlive the distributor; @p listeners hear of each adopted generation. */
@@ -87,6 +92,7 @@
     Result<ConfigSet> assemble(const HeadRecord &record) const;
     void continuePull(TimePoint now);
     void dropSource(const std::string &peer, TimePoint now);
+    void announceToSome();
     void reject(const HeadPointer &head, const Error &error);
 
     ConfigStore &m_store;
@@ -96,6 +102,7 @@
     HeadPointer m_held;
     std::optional<HeadRecord> m_record;
     std::shared_ptr<const ConfigSet> m_set; // of m_record
+    std::set<std::string> m_peers; // with a link
     std::optional<Pull> m_pull;
     std::set<ContentName> m_rejected;
     std::uint64_t m_refusedParts = 0;
