--- /dev/null
+++ b/tests/system/systemcaller.cpp
@@ -0,0 +1,99 @@
+#include "system/systemcaller.h"
+
+#include <algorithm>
+
+namespace Samphirepitch::Testing
+{
+
+namespace
+{
+
+// Ids differ between callers, so that an answer that reaches a wrong caller is seen.
+std::uint32_t nextFirstId()
+{
+    static std::uint32_t callers = 0;
+    return ++callers * 1000;
+}
+
+} // namespace
+
+SystemCaller::SystemCaller(const asio::any_io_executor &executor, std::uint32_t source)
+    : m_source(source)
+    , m_lastId(nextFirstId())
+{
+    m_socket = CallerSocket::open(executor, 0, m_source, [this](std::uint64_t, Endpoint from, std::span<const char> datagram) {
+        receive(from, datagram);
+    }).value();
+}
+
+SystemCaller::~SystemCaller()
+{
+    m_socket->close();
+}
+
+std::uint32_t SystemCaller::request(Endpoint service, const std::string &method, std::uint64_t workUs)
+{
+    const std::uint32_t id = ++m_lastId;
+    const auto &entry = *m_requests.emplace(id, Request { service, method, "body of " + std::to_string(id), workUs, {}, {} }).first;
+    send(id, entry.second);
+    return id;
+}
+
+void SystemCaller::repeat(std::uint32_t id)
+{
+    send(id, m_requests.at(id));
+}
+
+void SystemCaller::feed(Endpoint service)
+{
+    m_socket->send(service, encodeFeed("feed"));
+}
+
+void SystemCaller::sendRaw(Endpoint service, std::string_view bytes)
+{
+    m_socket->send(service, bytes);
+}
+
+const std::map<std::uint32_t, SystemCaller::Request> &SystemCaller::requests() const
+{
+    return m_requests;
+}
+
+std::size_t SystemCaller::unanswered() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [](const auto &entry) { return entry.second.answers.empty(); }));
+}
+
+const std::vector<SeenNotice> &SystemCaller::seen() const
+{
+    return m_seen;
+}
+
+std::size_t SystemCaller::unexpected() const
+{
+    return m_unexpected;
+}
+
+void SystemCaller::receive(Endpoint from, std::span<const char> datagram)
+{
+    const CallerMessage message = CallerMessage::decode(datagram);
+    if (message.seen) {
+        m_seen.push_back(*message.seen);
+        return;
+    }
+    const auto found = message.answer ? m_requests.find(message.answer->id) : m_requests.end();
+    if (found == m_requests.end()) {
+        ++m_unexpected;
+        return;
+    }
+    found->second.answers.push_back(*message.answer);
+    found->second.senders.push_back(from);
+}
+
+void SystemCaller::send(std::uint32_t id, const Request &request)
+{
+    m_socket->send(request.service, encodeRequest(id, request.method, request.workUs, request.body));
+}
+
+} // namespace Samphirepitch::Testing
--- /dev/null
+++ b/tests/system/systemcaller.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "load/callermessage.h"
+#include "load/callersocket.h"
+
+#include <map>
+#include <vector>
+
+namespace Samphirepitch::Testing
+{
+
+/** A caller with one socket, hence one flow for each service address. */
+class SystemCaller
+{
+public:
+    /** A request and all answers to it so far. */
+    struct Request {
+        Endpoint service;
+        std::string method;
+        std::string body;
+        std::uint64_t workUs = 0;
+        std::vector<CallerAnswer> answers;
+        std::vector<Endpoint> senders; /**< of the answers */
+    };
+
+    /** @param source IPv4 address in host byte order */
+    SystemCaller(const asio::any_io_executor &executor, std::uint32_t source);
+    ~SystemCaller();
+
+    SystemCaller(const SystemCaller &) = delete;
+    SystemCaller &operator=(const SystemCaller &) = delete;
+
+    /** Sends a request under a new id. @return the id */
+    std::uint32_t request(Endpoint service, const std::string &method, std::uint64_t workUs = 0);
+
+    /** Sends a request again under its id. */
+    void repeat(std::uint32_t id);
+
+    /** Sends a notification. */
+    void feed(Endpoint service);
+
+    /** Sends any bytes. */
+    void sendRaw(Endpoint service, std::string_view bytes);
+
+    const std::map<std::uint32_t, Request> &requests() const;
+
+    /** Number of requests without any answer. */
+    std::size_t unanswered() const;
+
+    /** What backend servers said of the notifications of this flow. */
+    const std::vector<SeenNotice> &seen() const;
+
+    /** Datagrams that answer none of the requests of this caller. */
+    std::size_t unexpected() const;
+
+private:
+    void receive(Endpoint from, std::span<const char> datagram);
+    void send(std::uint32_t id, const Request &request);
+
+    std::shared_ptr<CallerSocket> m_socket;
+    std::uint32_t m_source;
+    std::uint32_t m_lastId = 0;
+    std::map<std::uint32_t, Request> m_requests;
+    std::vector<SeenNotice> m_seen;
+    std::size_t m_unexpected = 0;
+};
+
+} // namespace Samphirepitch::Testing
