--- a/tests/system/systemcaller.cpp
+++ b/tests/system/systemcaller.cpp
@@ -17,6 +17,21 @@
 
 } // namespace
 
+bool SystemCaller::Request::isIdempotent() const
+{
+    return method != "check_in";
+}
+
+bool SystemCaller::Request::has(AnswerKind kind) const
+{
+    return std::any_of(answers.begin(), answers.end(), [kind](const CallerAnswer &answer) { return answer.kind == kind; });
+}
+
+bool SystemCaller::Request::isSettled() const
+{
+    return isIdempotent() ? has(AnswerKind::Result) : !answers.empty();
+}
+
 SystemCaller::SystemCaller(const asio::any_io_executor &executor, std::uint32_t source)
     : m_source(source)
     , m_lastId(nextFirstId())
@@ -59,10 +74,10 @@
     return m_requests;
 }
 
-std::size_t SystemCaller::unanswered() const
+std::size_t SystemCaller::unsettled() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_requests.begin(), m_requests.end(), [](const auto &entry) { return entry.second.answers.empty(); }));
+        std::count_if(m_requests.begin(), m_requests.end(), [](const auto &entry) { return !entry.second.isSettled(); }));
 }
 
 const std::vector<SeenNotice> &SystemCaller::seen() const
--- a/tests/system/systemcaller.h
+++ b/tests/system/systemcaller.h
@@ -21,6 +21,15 @@
         std::uint64_t workUs = 0;
         std::vector<CallerAnswer> answers;
         std::vector<Endpoint> senders; /**< of the answers */
+
+        /** Returns whether a policy of the deployment declares the method idempotent. */
+        bool isIdempotent() const;
+
+        /** Returns whether any answer is of that kind. */
+        bool has(AnswerKind kind) const;
+
+        /** Returns whether the caller stops repeating: an idempotent request needs a result, any other request an answer. */
+        bool isSettled() const;
     };
 
     /** @param source IPv4 address in host byte order */
@@ -44,8 +53,11 @@
 
     const std::map<std::uint32_t, Request> &requests() const;
 
-    /** Number of requests without any answer. */
-    std::size_t unanswered() const;
+    /** Returns the address that the service sees. */
+    Endpoint address() const;
+
+    /** Number of requests that are not settled. */
+    std::size_t unsettled() const;
 
     /** What backend servers said of the notifications of this flow. */
     const std::vector<SeenNotice> &seen() const;
--- a/tests/system/systemdeployment.cpp
+++ b/tests/system/systemdeployment.cpp
@@ -152,16 +152,16 @@
     return done();
 }
 
-bool SystemDeployment::untilAnswered()
+bool SystemDeployment::untilSettled()
 {
     TimePoint repeatAt = m_clock.now() + repeatInterval;
     return until([&] {
         const bool isTime = m_clock.now() >= repeatAt;
         bool complete = true;
         for (const auto &caller : m_callers) {
-            complete = complete && caller->unanswered() == 0;
+            complete = complete && caller->unsettled() == 0;
             for (const auto &[id, request] : caller->requests()) {
-                if (isTime && request.answers.empty()) {
+                if (isTime && !request.isSettled()) {
                     caller->repeat(id);
                 }
             }
@@ -185,7 +185,7 @@
 
 double SystemDeployment::metric(std::size_t index, const std::string &name)
 {
-    const std::string text = metricsText(index);
+    const std::string text = exchange(metricsPort + index, "GET /metrics");
     const std::size_t place = text.find('\n' + name + ' ');
     return place == std::string::npos ? 0 : std::stod(text.substr(place + name.size() + 2));
 }
@@ -209,6 +209,11 @@
     return m_callers;
 }
 
+void SystemDeployment::postToPlatform(const std::string &path)
+{
+    exchange(platformPort, "POST " + path);
+}
+
 std::vector<std::size_t> SystemDeployment::running() const
 {
     std::vector<std::size_t> indexes;
@@ -240,6 +245,16 @@
     return *m_servers;
 }
 
+Endpoint SystemDeployment::dataAddress(std::size_t index) const
+{
+    return at(dataPort + index);
+}
+
+Endpoint SystemDeployment::backAddress(std::size_t index) const
+{
+    return at(backPort + index);
+}
+
 Endpoint SystemDeployment::desk() const
 {
     return at(deskPort);
@@ -250,13 +265,14 @@
     return at(tilesPort);
 }
 
-std::string SystemDeployment::metricsText(std::size_t index)
+std::string SystemDeployment::exchange(std::size_t port, const std::string &request)
 {
+    const std::string headers = " HTTP/1.1\r\nHost: system-test\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     std::optional<std::string> text;
-    asio::co_spawn(m_context,
-        rawExchange(at(metricsPort + index), "GET /metrics HTTP/1.1\r\nHost: system-test\r\nConnection: close\r\n\r\n"),
+    asio::co_spawn(m_context, rawExchange(at(port), request + headers),
         [&text](const std::exception_ptr &, std::string received) { text = std::move(received); });
     REQUIRE(until([&text] { return text.has_value(); }));
+    REQUIRE(text->substr(0, text->find('\r')).find(" 2") != std::string::npos);
     return *text;
 }
 
--- a/tests/system/systemdeployment.h
+++ b/tests/system/systemdeployment.h
@@ -48,8 +48,8 @@
     /** Runs everything until @p done; the deadline only ends a test that failed. */
     bool until(const std::function<bool()> &done);
 
-    /** Repeats requests without an answer until all callers have answers. */
-    bool untilAnswered();
+    /** Repeats requests that are not settled until all are. */
+    bool untilSettled();
 
     /** Waits until the instances @p indexes show @p value for a metric, given with its labels. */
     bool untilMetric(const std::vector<std::size_t> &indexes, const std::string &name, double value);
@@ -63,16 +63,21 @@
     SystemCaller &addCaller();
     const std::vector<std::unique_ptr<SystemCaller>> &callers() const;
 
+    /** Calls an admin path of the platform stand-in. */
+    void postToPlatform(const std::string &path);
+
     std::vector<std::size_t> running() const;
     bool isServing(std::size_t index) const;
     StandIn::PlatformStandIn &platform();
     StandIn::FabricStandIn &fabric();
     StandIn::BackendGroup &servers();
+    Endpoint dataAddress(std::size_t index) const;
+    Endpoint backAddress(std::size_t index) const;
     Endpoint desk() const;
     Endpoint tiles() const;
 
 private:
-    std::string metricsText(std::size_t index);
+    std::string exchange(std::size_t port, const std::string &request);
     Endpoint at(std::size_t port) const;
     std::string configText(const std::set<std::string> &drained) const;
     ConfigSet config(const std::set<std::string> &drained) const;
