Test a draining server and the sudden end of an instance end to end

Cause: that open flows survive a drain, and that nothing runs twice when an instance is killed, was only tested class by class. Change: one test keeps 120 flows busy while a server is drained, then opens 120 new ones; another one ends an instance among pending requests, repeats what is not settled, and compares the answers with the ledger of the backend servers. CallerSocket tells its address, which the ledger uses as a key.

--- a/src/load/callersocket.cpp
+++ b/src/load/callersocket.cpp
@@ -56,6 +56,13 @@
     return m_flow;
 }
 
+Endpoint CallerSocket::address() const
+{
+    asio::error_code error;
+    const Udp::endpoint local = m_socket.local_endpoint(error);
+    return error ? Endpoint() : Endpoint(local.address().to_v4().to_uint(), local.port());
+}
+
 bool CallerSocket::send(Endpoint to, std::span<const char> datagram)
 {
     const Udp::endpoint remote(asio::ip::address_v4(to.address()), to.port());
--- a/src/load/callersocket.h
+++ b/src/load/callersocket.h
@@ -32,6 +32,9 @@
 
     std::uint64_t flow() const;
 
+    /** Returns the bound address; unset after close(). */
+    Endpoint address() const;
+
     /** Sends without waiting. @return whether the socket took the datagram */
     bool send(Endpoint to, std::span<const char> datagram);
 
--- a/tests/system/systemcaller.cpp
+++ b/tests/system/systemcaller.cpp
@@ -74,6 +74,11 @@
     return m_requests;
 }
 
+Endpoint SystemCaller::address() const
+{
+    return m_socket->address();
+}
+
 std::size_t SystemCaller::unsettled() const
 {
     return static_cast<std::size_t>(
--- a/tests/system/systemtests.cpp
+++ b/tests/system/systemtests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace Samphirepitch;
 using namespace Samphirepitch::Testing;
 
@@ -56,6 +58,46 @@
     });
 }
 
+/** Sends a notification on each of the callers' flows and waits until a server has confirmed each. */
+bool feedAll(SystemDeployment &deployment, std::size_t from, std::size_t to)
+{
+    const auto &callers = deployment.callers();
+    std::vector<std::size_t> expected;
+    for (std::size_t index = from; index < to; ++index) {
+        expected.push_back(callers[index]->seen().size() + 1);
+        callers[index]->feed(deployment.desk());
+    }
+    return deployment.until([&] {
+        for (std::size_t index = from; index < to; ++index) {
+            if (callers[index]->seen().size() < expected[index - from]) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+/** Returns whether no server has a request that waits or runs. */
+bool isIdle(StandIn::BackendGroup &servers)
+{
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const StandIn::BackendStandIn::Counters &counters = servers.server(index).counters();
+        if (counters.requests != counters.answered + counters.shed + counters.expired + counters.cancelled) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Checks that one server has seen all notifications of a flow, so that the flow was never broken. */
+void checkUnbroken(const SystemCaller &caller)
+{
+    for (std::size_t index = 0; index < caller.seen().size(); ++index) {
+        CHECK(caller.seen()[index].server == caller.seen().front().server);
+        CHECK(caller.seen()[index].count == index + 1);
+    }
+}
+
 } // namespace
 
 // Guards against a packet of one service at a server of another, and an answer that is lost, cut or given to another caller.
@@ -69,9 +111,25 @@
     }
     REQUIRE(untilAllSettled(deployment));
     checkAllServedOnce(deployment);
+
     for (const std::size_t index : deployment.running()) {
+        deployment.spread({ index });
+        for (const auto &caller : deployment.callers()) {
+            caller->request(deployment.tiles(), "tile");
+            caller->request(deployment.desk(), "check_in");
+        }
         CAPTURE(index);
-        CHECK(deployment.metric(index, "samphirepitch_packets_total{kind=\"from_fabric\"}") > 0);
+        REQUIRE(untilAllSettled(deployment));
+    }
+    checkAllServedOnce(deployment);
+    for (const auto &caller : deployment.callers()) {
+        std::set<std::string> servers;
+        for (const auto &[id, request] : caller->requests()) {
+            if (request.service == deployment.desk()) {
+                servers.insert(request.answers.front().server);
+            }
+        }
+        CHECK(servers.size() == 1);
     }
 }
 
@@ -102,3 +160,92 @@
         CHECK(request.answers.front().server != "desk-0");
     }
 }
+
+// Guards against a planned change that breaks open flows, and against new work for a server that is about to leave.
+TEST_CASE("Open flows stay on a server that drains, and new flows do not reach it", "[system]")
+{
+    CAPTURE(SystemDeployment::seed);
+    constexpr std::size_t flows = 120; // a server without any of them has a chance of 3e-10
+    constexpr std::size_t maxRounds = 5000; // ends a test that failed
+    const std::string leaving = "desk-0";
+    SystemDeployment deployment;
+    deployment.startAll(deployment.publish());
+    for (std::size_t number = 0; number < flows; ++number) {
+        deployment.addCaller();
+    }
+    REQUIRE(feedAll(deployment, 0, flows));
+    const auto onLeaving = std::count_if(deployment.callers().begin(), deployment.callers().end(),
+        [&leaving](const auto &caller) { return caller->seen().front().server == leaving; });
+    REQUIRE(onLeaving > 0);
+
+    const auto generation = static_cast<double>(deployment.publish({ leaving }));
+    const auto isActive
+        = [&](std::size_t index) { return deployment.metric(index, "samphirepitch_generation_prepared_everywhere") == generation; };
+    const std::vector<std::size_t> running = deployment.running();
+    for (std::size_t round = 0; !std::all_of(running.begin(), running.end(), isActive); ++round) {
+        REQUIRE(round < maxRounds);
+        REQUIRE(feedAll(deployment, 0, flows));
+    }
+    for (std::size_t number = 0; number < flows; ++number) {
+        deployment.addCaller();
+    }
+    for (std::size_t round = 0; round < SystemDeployment::instanceCount; ++round) {
+        REQUIRE(feedAll(deployment, 0, 2 * flows));
+    }
+    for (std::size_t index = 0; index < 2 * flows; ++index) {
+        const SystemCaller &caller = *deployment.callers()[index];
+        CAPTURE(index);
+        checkUnbroken(caller);
+        CHECK((index < flows || caller.seen().front().server != leaving));
+    }
+    CHECK(deployment.metricSum("samphirepitch_broken_flows_total") == 0);
+}
+
+// Guards against requests that are lost, run twice or falsely called "not run" when an instance is killed.
+TEST_CASE("The end of an instance in the middle of requests runs nothing twice and loses no idempotent request", "[system]")
+{
+    CAPTURE(SystemDeployment::seed);
+    constexpr std::uint64_t workUs = 20000;
+    constexpr std::size_t killed = 3;
+    SystemDeployment deployment;
+    deployment.startAll(deployment.publish());
+    for (std::size_t number = 0; number < callerCount; ++number) {
+        requestBoth(deployment, deployment.addCaller(), workUs);
+    }
+    REQUIRE(deployment.until([&deployment] {
+        return std::any_of(deployment.callers().begin(), deployment.callers().end(),
+            [](const auto &caller) { return caller->unsettled() < caller->requests().size(); });
+    }));
+    REQUIRE(deployment.metric(killed, "samphirepitch_pending_requests") > 0);
+    deployment.kill(killed);
+    for (const auto &caller : deployment.callers()) {
+        // 96 non-idempotent requests: the chance that the instance owned none of them is 3e-8.
+        requestBoth(deployment, *caller, workUs);
+        requestBoth(deployment, *caller, workUs);
+    }
+    REQUIRE(deployment.untilSettled());
+    // Repetitions that are still on their way, or wait at a server, have to be in the ledger as well.
+    REQUIRE(deployment.untilMetric(deployment.running(), "samphirepitch_pending_requests", 0));
+    REQUIRE(deployment.until([&deployment] { return isIdle(deployment.servers()); }));
+
+    std::map<AnswerKind, std::size_t> outcomes;
+    for (const auto &caller : deployment.callers()) {
+        CHECK(caller->unexpected() == 0);
+        for (const auto &[id, request] : caller->requests()) {
+            CAPTURE(id, request.method);
+            checkOwnResults(deployment, request);
+            CHECK_FALSE(request.has(AnswerKind::Failed));
+            if (request.isIdempotent()) {
+                continue;
+            }
+            const std::uint32_t runs = deployment.servers().ledger().runs({ request.service, caller->address(), id });
+            const bool isRefused = request.has(AnswerKind::NotRun) || request.has(AnswerKind::Refused);
+            CHECK(runs <= 1);
+            CHECK((!isRefused || runs == 0));
+            CHECK((!request.has(AnswerKind::Result) || runs == 1));
+            ++outcomes[request.answers.front().kind];
+        }
+    }
+    CHECK(outcomes[AnswerKind::Result] > 0);
+    CHECK(outcomes[AnswerKind::Unknown] > 0);
+}
