Mend what reads badly in the data path and the settings check

Cause: reading as a newcomer: the number of a backend server was called machine, two classes looked up members by data address, a missing key was reported as "is nothing", and git was not among the declared packages although the tools call it. Change: RoutedServer::backendServer, MemberView::memberAt(), "is missing", git in tools/install-deps.sh. Behaviour stays.

--- a/src/daemon/keychecker.cpp
+++ b/src/daemon/keychecker.cpp
@@ -169,7 +169,7 @@
     const auto found = section.keys.find(std::string(spec.key));
     if (found == section.keys.end()) {
         if (!spec.fallback) {
-            report(section, spec, section.prefix.empty() ? 0 : section.line, "nothing");
+            report(section, spec, section.prefix.empty() ? 0 : section.line, "missing");
         }
         return otherwise;
     }
--- a/src/data/packetengine.cpp
+++ b/src/data/packetengine.cpp
@@ -63,17 +63,11 @@
     }
 }
 
-bool PacketEngine::isInstance(Endpoint address) const
-{
-    const std::vector<Member> &members = m_router.view().members();
-    return std::any_of(members.begin(), members.end(), [address](const Member &member) { return member.dataAddress() == address; });
-}
-
 /** Takes the answer to a request that this instance, as its owner, sent to the owner of its flow. */
 void PacketEngine::instanceAnswer(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender)
 {
     const auto envelope = RpcEnvelope::decode(payload);
-    if (!envelope || envelope->kind != RpcKind::Response || !isInstance(sender)) {
+    if (!envelope || envelope->kind != RpcKind::Response || !m_router.view().memberAt(sender)) {
         ++m_counters.malformed;
         return;
     }
@@ -138,7 +132,7 @@
         ++m_counters.foreignSender;
         return;
     }
-    m_router.health().answered(m_router.servers().server(server).machine, now);
+    m_router.health().answered(m_router.servers().server(server).backendServer, now);
     if (header->load()) {
         m_requests.loadReported(server, *header->load(), now);
     }
--- a/src/data/packetengine.h
+++ b/src/data/packetengine.h
@@ -50,7 +50,6 @@
         std::span<const std::uint8_t> payload, Endpoint sender, TimePoint now);
     void answerPacket(
         const RoutedService &service, ServerIndex server, const ProxyHeader &header, std::span<const std::uint8_t> payload, TimePoint now);
-    bool isInstance(Endpoint address) const;
     void instanceAnswer(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender);
     void toCaller(const ProxyHeader &header, std::span<const std::uint8_t> payload);
 
--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -296,7 +296,7 @@
 
 void RequestHandler::expire(PendingRequest &pending, TimePoint now)
 {
-    m_router.health().notAnswered(m_router.servers().server(pending.server).machine, pending.sentAt, now);
+    m_router.health().notAnswered(m_router.servers().server(pending.server).backendServer, pending.sentAt, now);
     if (now < pending.deadline) {
         if (!retry(pending, false, now)) {
             m_pending.schedule(pending, pending.deadline);
@@ -353,7 +353,8 @@
         const RoutedServer &server = m_router.servers().server(index);
         const ServerLoad &known = load(index);
         const bool isFree = known.inFlight < slotShare(server);
-        if (index == except || !isFree || !server.takesNewWork || server.weight == 0 || !m_router.health().isUp(server.machine, now)) {
+        if (index == except || !isFree || !server.takesNewWork || server.weight == 0
+            || !m_router.health().isUp(server.backendServer, now)) {
             continue;
         }
         const bool isRecent = now - known.reportedAt < loadReportAge;
@@ -384,9 +385,8 @@
 
 bool RequestHandler::isLiveInstance(Endpoint dataAddress) const
 {
-    const auto &members = m_router.view().members();
-    return std::any_of(members.begin(), members.end(),
-        [dataAddress](const Member &member) { return member.dataAddress() == dataAddress && member.state() != MemberState::Dead; });
+    const Member *member = m_router.view().memberAt(dataAddress);
+    return member && member->state() != MemberState::Dead;
 }
 
 void RequestHandler::cancel(const PendingRequest &pending)
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -67,7 +67,7 @@
         checker.check(section, fields.groups.back());
     }
     if (fields.groups.empty()) {
-        findings.push_back({ document.file(), 0, "group", "nothing", "at least one [[group]]" });
+        findings.push_back({ document.file(), 0, "group", "missing", "at least one [[group]]" });
     }
     if (!findings.empty()) {
         return tl::unexpected(std::move(findings));
--- a/src/membership/memberview.cpp
+++ b/src/membership/memberview.cpp
@@ -30,6 +30,13 @@
     return found != m_members.end() && found->id() == id ? &*found : nullptr;
 }
 
+const Member *MemberView::memberAt(Endpoint dataAddress) const
+{
+    const auto found = std::find_if(
+        m_members.begin(), m_members.end(), [dataAddress](const Member &member) { return member.dataAddress() == dataAddress; });
+    return found != m_members.end() ? &*found : nullptr;
+}
+
 std::vector<const Member *> MemberView::ranked(std::uint64_t key, std::size_t count, std::string_view failureDomain) const
 {
     std::vector<std::pair<std::uint64_t, const Member *>> ranks;
--- a/src/membership/memberview.h
+++ b/src/membership/memberview.h
@@ -23,6 +23,9 @@
     /** Returns the member @p id, or null. */
     const Member *member(std::string_view id) const;
 
+    /** Returns the member with the data address, or null. Looks at each member: for rare decisions, not for each packet. */
+    const Member *memberAt(Endpoint dataAddress) const;
+
     /**
      * Lists up to @p count members that may own state, by falling rendezvous rank for @p key: alive ones and suspects.
      * @param key what is to be owned; the same key gives the same order on each instance with the same view
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -113,7 +113,7 @@
 {
     for (ServerIndex index = 0; index < m_servers.size(); ++index) {
         if (m_servers.server(index).address == server) {
-            m_health.stateSpread(m_servers.server(index).machine, up, at);
+            m_health.stateSpread(m_servers.server(index).backendServer, up, at);
         }
     }
 }
@@ -230,7 +230,7 @@
     for (const ServerIndex index : service.placement->servers()) {
         const RoutedServer &server = m_servers.server(index);
         const std::uint64_t rank = mix64(server.nameHash, key);
-        if (server.takesNewWork && server.weight > 0 && m_health.isUp(server.machine, now) && (best == noServer || rank > bestRank)) {
+        if (server.takesNewWork && server.weight > 0 && m_health.isUp(server.backendServer, now) && (best == noServer || rank > bestRank)) {
             best = index;
             bestRank = rank;
         }
@@ -242,7 +242,7 @@
 bool Router::isUsable(const RoutedService &service, ServerIndex server, TimePoint now) const
 {
     const RoutedServer &record = m_servers.server(server);
-    return record.service == service.id && now < record.drainDeadline && m_health.isUp(record.machine, now);
+    return record.service == service.id && now < record.drainDeadline && m_health.isUp(record.backendServer, now);
 }
 
 Router::Owners Router::owners(const MemberView &view, std::uint64_t service, const FlowMove &move) const
--- a/src/routing/serverhealth.cpp
+++ b/src/routing/serverhealth.cpp
@@ -3,33 +3,33 @@
 namespace Samphirepitch
 {
 
-ServerHealth::State &ServerHealth::state(std::uint32_t machine)
+ServerHealth::State &ServerHealth::state(std::uint32_t backendServer)
 {
-    if (machine >= m_states.size()) {
-        m_states.resize(machine + 1);
+    if (backendServer >= m_states.size()) {
+        m_states.resize(backendServer + 1);
     }
-    return m_states[machine];
+    return m_states[backendServer];
 }
 
-void ServerHealth::answered(std::uint32_t machine, TimePoint now)
+void ServerHealth::answered(std::uint32_t backendServer, TimePoint now)
 {
-    State &known = state(machine);
+    State &known = state(backendServer);
     known.answeredAt = now;
     known.failures = 0;
 }
 
-void ServerHealth::notAnswered(std::uint32_t machine, TimePoint sentAt, TimePoint now)
+void ServerHealth::notAnswered(std::uint32_t backendServer, TimePoint sentAt, TimePoint now)
 {
-    State &known = state(machine);
+    State &known = state(backendServer);
     if (known.answeredAt <= sentAt) {
         known.failedAt = now;
         ++known.failures;
     }
 }
 
-void ServerHealth::stateSpread(std::uint32_t machine, bool up, WallTime at)
+void ServerHealth::stateSpread(std::uint32_t backendServer, bool up, WallTime at)
 {
-    State &known = state(machine);
+    State &known = state(backendServer);
     // States arrive in the order of their hybrid times, of which several can share a millisecond.
     if (at >= known.spreadAt) {
         known.spreadAt = at;
@@ -37,12 +37,12 @@
     }
 }
 
-bool ServerHealth::isUp(std::uint32_t machine, TimePoint now) const
+bool ServerHealth::isUp(std::uint32_t backendServer, TimePoint now) const
 {
-    if (machine >= m_states.size()) {
+    if (backendServer >= m_states.size()) {
         return true;
     }
-    const State &known = m_states[machine];
+    const State &known = m_states[backendServer];
     if (known.failures >= failuresUntilDown && now - known.failedAt < ownObservationAge) {
         return false;
     }
--- a/src/routing/serverhealth.h
+++ b/src/routing/serverhealth.h
@@ -22,21 +22,21 @@
     static constexpr std::uint32_t failuresUntilDown = 3;
 
     /** Notes that the server answered. */
-    void answered(std::uint32_t machine, TimePoint now);
+    void answered(std::uint32_t backendServer, TimePoint now);
 
     /**
      * Notes that a request of this instance got no answer in time.
      * @param sentAt when it was sent; a server that has answered anything since is slow with this request and not down
      */
-    void notAnswered(std::uint32_t machine, TimePoint sentAt, TimePoint now);
+    void notAnswered(std::uint32_t backendServer, TimePoint sentAt, TimePoint now);
 
     /**
      * Takes a state that was spread by a prober.
      * @param at when the prober saw it; an older state than the held one is ignored
      */
-    void stateSpread(std::uint32_t machine, bool up, WallTime at);
+    void stateSpread(std::uint32_t backendServer, bool up, WallTime at);
 
-    bool isUp(std::uint32_t machine, TimePoint now) const;
+    bool isUp(std::uint32_t backendServer, TimePoint now) const;
 
 private:
     struct State {
@@ -47,7 +47,7 @@
         bool spreadUp = true;
     };
 
-    State &state(std::uint32_t machine);
+    State &state(std::uint32_t backendServer);
 
     std::vector<State> m_states;
 };
--- a/src/routing/serverregistry.cpp
+++ b/src/routing/serverregistry.cpp
@@ -34,9 +34,10 @@
     const auto index = static_cast<ServerIndex>(m_servers.size());
     const std::uint64_t id = serviceId(service.name());
     const std::uint64_t pool = mix64(hash64(service.pool()), hash64(server.name()));
-    const auto machine = m_machines.try_emplace(addressKey(pool, server.address()), static_cast<std::uint32_t>(m_machines.size())).first;
+    const auto backendServer
+        = m_backendServers.try_emplace(addressKey(pool, server.address()), static_cast<std::uint32_t>(m_backendServers.size())).first;
     m_servers.push_back({ .service = id,
-        .machine = machine->second,
+        .backendServer = backendServer->second,
         .address = server.address(),
         .name = server.name(),
         .nameHash = hash64(server.name()),
--- a/src/routing/serverregistry.h
+++ b/src/routing/serverregistry.h
@@ -25,7 +25,7 @@
 /** A backend server as the data path uses it. */
 struct RoutedServer {
     std::uint64_t service = 0; /**< id of the service */
-    std::uint32_t machine = 0; /**< number shared by the services that use this server; for health and load */
+    std::uint32_t backendServer = 0; /**< number shared by the services that use this server; for health and load */
     Endpoint address;
     std::string name;
     std::uint64_t nameHash = 0;
@@ -69,7 +69,7 @@
     std::vector<std::uint32_t> m_idleTicks;
     std::unordered_map<std::uint64_t, ServerIndex> m_byName; /**< by hash of service, name and address */
     std::unordered_map<std::uint64_t, ServerIndex> m_byAddress;
-    std::unordered_map<std::uint64_t, std::uint32_t> m_machines; /**< by hash of pool, name and address */
+    std::unordered_map<std::uint64_t, std::uint32_t> m_backendServers; /**< by hash of pool, name and address */
 };
 
 } // namespace Samphirepitch
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the declared Debian packages that are missing. Runs as root or through sudo.
 set -euo pipefail
 packages=(
-    g++ make cmake ninja-build ccache clang-format clang-tidy
+    git g++ make cmake ninja-build ccache clang-format clang-tidy
     libasio-dev libboost-dev libmsgpack-cxx-dev libgflags-dev liblog4cxx-dev
     libexpected-dev libtrompeloeil-cpp-dev catch2 libtomlplusplus-dev
     curl nlohmann-json3-dev libhttp-parser-dev libxxhash-dev libmpack-dev
