--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -61,6 +61,7 @@
           { .capacity = settings.values().eventsCapacity, .rate = settings.values().eventsRate })
     , m_random(seedOf(settings, clock))
     , m_monitor(clock, m_events, m_metrics.addHistogram("samphirepitch_loop_lateness_seconds", "How late the thread runs its tasks."))
+    , m_answerLatency(m_metrics.addHistogram("samphirepitch_server_answer_seconds", "From sending a request to its answer."))
     , m_metricsServer(m_metrics, *this)
     , m_supervisor("instance", m_executor, clock, m_events, {})
 {
@@ -177,6 +178,7 @@
     m_dataPath = *std::move(dataPath);
     m_bridge = std::make_unique<DataPathBridge>(*m_dataPath);
     m_dataPath->setExceptionTransport(m_bridge.get());
+    m_dataPath->setAnswerObserver(&m_answerLatency);
     return {};
 }
 
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/hybridclock.h"
 #include "core/random.h"
+#include "daemon/answerlatency.h"
 #include "daemon/daemonexit.h"
 #include "daemon/eventlog.h"
 #include "daemon/healthsource.h"
@@ -88,6 +89,7 @@
     SeededRandom m_random;
     Metrics m_metrics;
     LoopMonitor m_monitor;
+    AnswerLatency m_answerLatency;
     MetricsServer m_metricsServer;
     Supervisor m_supervisor;
     std::unique_ptr<Platform> m_platform;
--- a/src/data/datapath.cpp
+++ b/src/data/datapath.cpp
@@ -195,6 +195,11 @@
     m_implementation->m_transport = transport;
 }
 
+void DataPath::setAnswerObserver(AnswerObserver *observer)
+{
+    m_implementation->m_engine.requests().setAnswerObserver(observer);
+}
+
 void DataPath::configurationChanged(const ConfigGeneration &generation)
 {
     m_implementation->m_engine.configurationChanged(generation);
--- a/src/data/datapath.h
+++ b/src/data/datapath.h
@@ -18,6 +18,7 @@
 namespace Samphirepitch
 {
 
+class AnswerObserver;
 class PacketEngine;
 
 /** Settings of a DataPath. */
@@ -49,6 +50,9 @@
     /** Sets what carries flow exceptions to other instances; it must outlive the data path. */
     void setExceptionTransport(ExceptionTransport *transport);
 
+    /** Sets what hears of answers of backend servers; it must outlive the data path. */
+    void setAnswerObserver(AnswerObserver *observer);
+
     void configurationChanged(const ConfigGeneration &generation) override;
     void memberViewChanged(std::shared_ptr<const MemberView> view) override;
     void writeMetrics(MetricWriter &writer) const override;
--- a/src/data/requesthandler.cpp
+++ b/src/data/requesthandler.cpp
@@ -1,6 +1,7 @@
 #include "data/requesthandler.h"
 
 #include "core/random.h"
+#include "data/answerobserver.h"
 #include "data/rpcrefusal.h"
 #include "membership/memberview.h"
 #include "routing/flowkey.h"
@@ -63,6 +64,11 @@
     configurationChanged();
 }
 
+void RequestHandler::setAnswerObserver(AnswerObserver *observer)
+{
+    m_observer = observer;
+}
+
 void RequestHandler::setViewDeadline(TimePoint deadline)
 {
     m_viewDeadline = deadline;
@@ -210,6 +216,9 @@
         return;
     }
     PendingRequest &pending = **matched;
+    if (m_observer && !envelope.notRun) {
+        m_observer->answered(now - pending.sentAt);
+    }
     if (envelope.notRun && retry(pending, true, now)) {
         return;
     }
--- a/src/data/requesthandler.h
+++ b/src/data/requesthandler.h
@@ -17,6 +17,7 @@
 namespace Samphirepitch
 {
 
+class AnswerObserver;
 class RandomSource;
 
 /** Limits of a RequestHandler. */
@@ -51,6 +52,9 @@
     RequestHandler(RequestSettings settings, Router &router, RandomSource &random, PacketOutput &output, PacketCounters &counters,
         TimePoint startedAt);
 
+    /** Sets what hears of answers; it must outlive the handler. Null for nobody. */
+    void setAnswerObserver(AnswerObserver *observer);
+
     /** Says that the services have changed. */
     void configurationChanged();
 
@@ -113,6 +117,7 @@
     ServerLoad &load(ServerIndex server);
 
     RequestSettings m_settings;
+    AnswerObserver *m_observer = nullptr;
     Router &m_router;
     RandomSource &m_random;
     PacketOutput &m_output;
--- a/tests/data/requesthandlertests.cpp
+++ b/tests/data/requesthandlertests.cpp
@@ -1,3 +1,4 @@
+#include "data/answerobserver.h"
 #include "data/enginebench.h"
 
 #include <catch2/catch.hpp>
@@ -137,3 +138,30 @@
         CHECK(bench.lastSays("not_run"));
     }
 }
+
+TEST_CASE("the answer time is observed once for each matched answer", "[data][requesthandler]")
+{
+    // Guards the latency metric against stray answers and refusals, which say nothing about a server's speed.
+    class Recorder : public AnswerObserver
+    {
+    public:
+        void answered(std::chrono::nanoseconds elapsed) override
+        {
+            times.push_back(elapsed);
+        }
+
+        std::vector<std::chrono::nanoseconds> times;
+    };
+    Recorder recorder;
+    EngineBench bench;
+    bench.engine.requests().setAnswerObserver(&recorder);
+    bench.engine.configurationChanged(SamplePools::generation(1, SamplePools::servers(6)));
+    bench.request(1, "checkin");
+    bench.clock.advance(7ms);
+    bench.answer(bench.sent[0].receiver, EngineBench::answerBytes(2, "stray"));
+    CHECK(recorder.times.empty());
+    bench.answer(bench.sent[0].receiver, EngineBench::answerBytes(1, "right"));
+    bench.request(2, "checkin");
+    bench.answer(bench.sent.back().receiver, EngineBench::refusalBytes(2, "not_run"));
+    CHECK(recorder.times == std::vector<std::chrono::nanoseconds> { 7ms });
+}
