Let the demo fail if an idempotent request is not served

Cause: the load tool counts an idempotent request without an answer as unknown, so that the demo could not fail on it; and the faulty configuration of the demo named no unknown failure domain.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -72,10 +72,10 @@
 TOML
 }
 
-# deployment NAME NETWORK INSTANCES_PER_DOMAIN SERVICES POOLS DOMAIN...
+# deployment NAME NETWORK INSTANCES_PER_DOMAIN SERVICES POOLS IDEMPOTENT_GROUP DOMAIN...
 deployment() {
-    local name="$1" network="$2" count="$3" services="$4" pools="$5"
-    shift 5
+    local name="$1" network="$2" count="$3" services="$4" pools="$5" idempotent="$6"
+    shift 6
     local domains=("$@")
     local platform="127.$network.0.101:7400" admin="127.$network.0.100:7301" data="" listed="" ids=() seeds=()
     for index in "${!domains[@]}"; do seeds+=("127.$network.1$((index + 1)).1"); done
@@ -99,7 +99,8 @@
         --return_address "127.$network.0.100:7300" --admin_address "$admin"
 
     say "$name: a configuration with faults is refused, every fault named"
-    sed 's/^pool = ".*"/pool = "no-such-pool"/; s/^slots = .*/slots = 0/' "examples/$name/config.toml" >"$run/faulty.toml"
+    sed 's/^pool = ".*"/pool = "no-such-pool"/; s/^failure_domain = .*/failure_domain = "no-such-domain"/; s/^slots = .*/slots = 0/' \
+        "examples/$name/config.toml" >"$run/faulty.toml"
     if "$bin/samphirepitchctl" apply "$run/faulty.toml" --platform "$platform" >"$run/faulty.out" 2>&1; then
         echo "demo: the faulty configuration was accepted" >&2
         exit 1
@@ -125,7 +126,7 @@
     unset "pids[$name-load]"
     wait "$load_pid" || true
     tail -n 25 "$run/$name-load.log"
-    add_up "$run/$name-load.log"
+    add_up "$run/$name-load.log" "$idempotent"
 
     say "$name: status"
     "$bin/samphirepitchctl" status --platform "$platform" || true
@@ -155,17 +156,22 @@
 
 in_force_everywhere() { "$bin/samphirepitchctl" status --platform "$1" | grep -q 'in force everywhere'; }
 
-# add_up LOG: adds the figures of the load tool's last line to the totals.
+# add_up LOG IDEMPOTENT_GROUP: adds the figures of the load tool's last line to the totals. A request of the idempotent group that
+# was not served counts as failed, because its caller may repeat it until another instance answers.
 add_up() {
-    local line
+    local line unserved
+    unserved=$(awk -v group="$2" '$1 == group { print $2 - $3 }' "$1")
+    [ -n "$unserved" ] || { echo "demo: the report has no group $2" >&2; exit 1; }
+    echo "idempotent requests that were not served: $unserved"
+    failed=$((failed + unserved))
     line=$(grep '^load: ' "$1" | tail -n 1)
     served=$((served + $(sed -n 's/.*served=\([0-9]*\).*/\1/p' <<<"$line")))
     failed=$((failed + $(sed -n 's/.*failed=\([0-9]*\).*/\1/p' <<<"$line")))
     unknown=$((unknown + $(sed -n 's/.*unknown=\([0-9]*\).*/\1/p' <<<"$line")))
 }
 
-deployment dewnet 10 3 127.10.0.1:7000,127.10.0.2:7000 "pondwatch mapvault" lokoja ajaokuta okene
-deployment tugan-kun 20 2 127.20.0.1:7000,127.20.0.2:7000 "order-desk artwork" $(sed -n '/failure_domain\]\]/{n;s/name = "\(.*\)"/\1/p}' examples/tugan-kun/config.toml)
+deployment dewnet 10 3 127.10.0.1:7000,127.10.0.2:7000 "pondwatch mapvault" tiles lokoja ajaokuta okene
+deployment tugan-kun 20 2 127.20.0.1:7000,127.20.0.2:7000 "order-desk artwork" sheets $(sed -n '/failure_domain\]\]/{n;s/name = "\(.*\)"/\1/p}' examples/tugan-kun/config.toml)
 
 echo
 echo "demo: served=$served failed=$failed unknown=$unknown"
