Read the files of apply and diff in one place; drop a call that nobody makes

Cause: reading the whole change again: ApplyCommand and DiffCommand read, checked and reported their files by the same lines, and PeerChannel::broadcast() had no caller left in the interface since the distributor tells three peers by send(). Change: readFiles() in control/internal serves both commands; broadcast() is an ordinary function of LinkTable. Behaviour stays.

--- a/src/control/applycommand.cpp
+++ b/src/control/applycommand.cpp
@@ -1,6 +1,5 @@
 #include "control/applycommand.h"
 
-#include "control/configfiles.h"
 #include "control/internal/changes.h"
 #include "control/renderer.h"
 #include "platform/publisher.h"
@@ -27,16 +26,12 @@
 
 asio::awaitable<CommandExit> ApplyCommand::run(CommandContext &context, std::vector<std::string> words)
 {
-    if (words.empty()) {
-        co_return reportUsage(context, name(), "name at least one file");
-    }
-    const ConfigFiles files = ConfigFiles::read(words);
-    if (hasErrors(files.findings)) {
-        context.renderer.findings(files.findings);
-        co_return CommandExit::Refused;
+    const auto files = readFiles(context, name(), words);
+    if (!files) {
+        co_return files.error();
     }
     ApplyRequest request;
-    request.set = files.set;
+    request.set = files->set;
     request.expectedGeneration = context.options.expectedGeneration;
     request.changeId = changeIdOf(context);
     // An id from the command line may come from an earlier call whose outcome was unknown.
@@ -45,7 +40,7 @@
     request.deadline = context.deadline;
     Publisher publisher(*context.platform, context.clock, context.timer, context.random);
     auto outcome = co_await publisher.apply(std::move(request));
-    outcome.findings = files.findings;
+    outcome.findings = files->findings;
     co_return co_await finishChange(context, std::move(outcome));
 }
 
--- a/src/control/diffcommand.cpp
+++ b/src/control/diffcommand.cpp
@@ -1,6 +1,5 @@
 #include "control/diffcommand.h"
 
-#include "control/configfiles.h"
 #include "control/internal/changes.h"
 #include "control/renderer.h"
 #include "platform/configloader.h"
@@ -25,20 +24,16 @@
 
 asio::awaitable<CommandExit> DiffCommand::run(CommandContext &context, std::vector<std::string> words)
 {
-    if (words.empty()) {
-        co_return reportUsage(context, name(), "name at least one file");
-    }
-    const ConfigFiles files = ConfigFiles::read(words);
-    if (hasErrors(files.findings)) {
-        context.renderer.findings(files.findings);
-        co_return CommandExit::Refused;
+    const auto files = readFiles(context, name(), words);
+    if (!files) {
+        co_return files.error();
     }
     ConfigLoader loader(*context.platform, context.clock, context.timer, context.random);
     const auto current = co_await loader.current(context.deadline);
     if (!current) {
         co_return reportError(context, current.error());
     }
-    context.renderer.diff(ConfigDiff::between(*current->set, files.set));
+    context.renderer.diff(ConfigDiff::between(*current->set, files->set));
     co_return CommandExit::Ok;
 }
 
--- a/src/control/internal/changes.cpp
+++ b/src/control/internal/changes.cpp
@@ -73,6 +73,19 @@
     return CommandExit::Usage;
 }
 
+tl::expected<ConfigFiles, CommandExit> readFiles(CommandContext &context, std::string_view command, const std::vector<std::string> &paths)
+{
+    if (paths.empty()) {
+        return tl::unexpected(reportUsage(context, command, "name at least one file"));
+    }
+    ConfigFiles files = ConfigFiles::read(paths);
+    if (hasErrors(files.findings)) {
+        context.renderer.findings(files.findings);
+        return tl::unexpected(CommandExit::Refused);
+    }
+    return files;
+}
+
 asio::awaitable<CommandExit> finishChange(CommandContext &context, ApplyOutcome outcome)
 {
     const CommandExit code = exitCodeOf(outcome);
--- a/src/control/internal/changes.h
+++ b/src/control/internal/changes.h
@@ -2,12 +2,15 @@
 
 #include "control/commandcontext.h"
 #include "control/commandexit.h"
+#include "control/configfiles.h"
 #include "core/error.h"
 #include "platform/applyoutcome.h"
 
 #include <asio/awaitable.hpp>
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Samphirepitch
 {
@@ -24,6 +27,9 @@
 /** Reports a wrong command line. */
 CommandExit reportUsage(CommandContext &context, std::string_view command, std::string detail);
 
+/** Reads and checks the files of a command line. @return the set without errors, or the exit code after writing what is wrong */
+tl::expected<ConfigFiles, CommandExit> readFiles(CommandContext &context, std::string_view command, const std::vector<std::string> &paths);
+
 /** Waits for an accepted change if --wait asks for it, writes the outcome and returns its exit code. */
 asio::awaitable<CommandExit> finishChange(CommandContext &context, ApplyOutcome outcome);
 
--- a/src/peer/linktable.h
+++ b/src/peer/linktable.h
@@ -44,7 +44,9 @@
     std::vector<std::string> peers() const;
 
     bool send(const std::string &peer, const Message &message) override;
-    void broadcast(const Message &message) override;
+
+    /** Sends to all linked peers. */
+    void broadcast(const Message &message);
 
 private:
     struct Entry {
--- a/src/peer/peerchannel.h
+++ b/src/peer/peerchannel.h
@@ -15,9 +15,6 @@
 
     /** Sends to one peer. @return false if there is no link to it or its queue is too full for more parts */
     virtual bool send(const std::string &peer, const Message &message) = 0;
-
-    /** Sends to all linked peers. */
-    virtual void broadcast(const Message &message) = 0;
 };
 
 } // namespace Samphirepitch
--- a/tests/fakes/recordingchannel.h
+++ b/tests/fakes/recordingchannel.h
@@ -20,11 +20,6 @@
         return true;
     }
 
-    void broadcast(const Samphirepitch::Message &message) override
-    {
-        sent.emplace_back("*", message);
-    }
-
     std::vector<std::pair<std::string, Samphirepitch::Message>> sent;
     std::set<std::string> full;
 };
