--- a/apps/samphirepitchctl/main.cpp
+++ b/apps/samphirepitchctl/main.cpp
@@ -4,8 +4,8 @@
 #include "control/peerinstanceapi.h"
 #include "control/tablerenderer.h"
 #include "core/random.h"
-#include "platform/httpplatform.h"
-#include "platform/timer.h"
+#include "objectstore/httpplatform.h"
+#include "objectstore/timer.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/io_context.hpp>
--- a/apps/samphirepitchd/main.cpp
+++ b/apps/samphirepitchd/main.cpp
@@ -2,6 +2,9 @@
 #include "daemon/settings.h"
 #include "daemon/settingstable.h"
 #include "daemon/signalhandler.h"
+#include "daemon/streaminstance.h"
+#include "platform/packetlayout.h"
+#include "platform/storediscovery.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/io_context.hpp>
@@ -28,7 +31,7 @@
     return static_cast<int>(DaemonExit::WrongUsage);
 }
 
-void reload(Instance &instance)
+void reload(DaemonFrame &instance)
 {
     if (const auto next = Settings::load(FLAGS_settings)) {
         instance.reload(*next);
@@ -37,17 +40,27 @@
     }
 }
 
+Result<std::unique_ptr<DaemonFrame>> createInstance(const asio::any_io_executor &executor, const Clock &clock, const Settings &settings)
+{
+    if (settings.values().dataPackets == "stream") {
+        StreamEnvironment environment { std::make_unique<PlatformPacketCodec>(),
+            std::make_unique<StoreDiscovery>(executor, clock, settings.values().platformAddress) };
+        return StreamInstance::create(executor, clock, settings, std::move(environment));
+    }
+    return Instance::create(executor, clock, settings);
+}
+
 /** Returns only if the instance could not be created. */
 int run(const Settings &settings)
 {
     asio::io_context context(1);
     const SteadyClock clock;
-    const auto created = Instance::create(context.get_executor(), clock, settings);
+    const auto created = createInstance(context.get_executor(), clock, settings);
     if (!created) {
         std::cerr << created.error().describe() << '\n';
         return static_cast<int>(DaemonExit::Failed);
     }
-    Instance &instance = **created;
+    DaemonFrame &instance = **created;
     DaemonExit code = DaemonExit::Interrupted;
     asio::co_spawn(context, instance.run(), [&](const std::exception_ptr &thrown, DaemonExit ended) {
         code = thrown ? DaemonExit::Failed : ended;
--- a/src/control/applycommand.cpp
+++ b/src/control/applycommand.cpp
@@ -2,7 +2,7 @@
 
 #include "control/internal/changes.h"
 #include "control/renderer.h"
-#include "platform/publisher.h"
+#include "objectstore/publisher.h"
 
 #include <utility>
 
--- a/src/control/historycommand.cpp
+++ b/src/control/historycommand.cpp
@@ -2,7 +2,7 @@
 
 #include "control/internal/changes.h"
 #include "control/renderer.h"
-#include "platform/configloader.h"
+#include "objectstore/configloader.h"
 
 namespace Samphirepitch
 {
--- a/src/control/internal/changes.h
+++ b/src/control/internal/changes.h
@@ -4,7 +4,7 @@
 #include "control/commandexit.h"
 #include "control/configfiles.h"
 #include "core/error.h"
-#include "platform/applyoutcome.h"
+#include "objectstore/applyoutcome.h"
 
 #include <asio/awaitable.hpp>
 
--- a/src/control/internal/instancelookup.cpp
+++ b/src/control/internal/instancelookup.cpp
@@ -1,7 +1,7 @@
 #include "control/internal/instancelookup.h"
 
-#include "platform/platform.h"
-#include "platform/retry.h"
+#include "objectstore/platform.h"
+#include "objectstore/retry.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/control/renderer.h
+++ b/src/control/renderer.h
@@ -4,8 +4,8 @@
 #include "model/configdiff.h"
 #include "model/finding.h"
 #include "model/headrecord.h"
+#include "objectstore/applyoutcome.h"
 #include "peer/event.h"
-#include "platform/applyoutcome.h"
 
 #include <optional>
 #include <string>
--- a/src/control/serverstatecommand.cpp
+++ b/src/control/serverstatecommand.cpp
@@ -1,7 +1,7 @@
 #include "control/serverstatecommand.h"
 
 #include "control/internal/changes.h"
-#include "platform/publisher.h"
+#include "objectstore/publisher.h"
 
 #include <utility>
 
--- a/src/control/statuscommand.cpp
+++ b/src/control/statuscommand.cpp
@@ -3,7 +3,7 @@
 #include "control/internal/changes.h"
 #include "control/renderer.h"
 #include "control/statusreader.h"
-#include "platform/configloader.h"
+#include "objectstore/configloader.h"
 
 #include <optional>
 #include <utility>
--- a/src/control/statusreader.cpp
+++ b/src/control/statusreader.cpp
@@ -1,8 +1,8 @@
 #include "control/statusreader.h"
 
 #include "control/instanceapi.h"
-#include "platform/retry.h"
-#include "platform/timer.h"
+#include "objectstore/retry.h"
+#include "objectstore/timer.h"
 
 #include <algorithm>
 #include <string_view>
--- a/src/control/statussummary.h
+++ b/src/control/statussummary.h
@@ -2,8 +2,8 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "objectstore/platform.h"
 #include "peer/domainstatus.h"
-#include "platform/platform.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -36,6 +36,10 @@
         return "stopped";
     case ErrorKind::InputOutput:
         return "input_output";
+    case ErrorKind::Refused:
+        return "refused";
+    case ErrorKind::HistoryGone:
+        return "history_gone";
     }
     return "unknown_kind";
 }
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -24,6 +24,8 @@
     Rejected, /**< A check refused the input; the detail names the findings. */
     Stopped, /**< The component is shutting down. */
     InputOutput, /**< A system call failed. */
+    Refused, /**< The other host answered that nothing listens at the address. */
+    HistoryGone, /**< The changes after the given revision are no longer kept; read everything again. */
 };
 
 /** Returns the stable lower-case name of @p kind, as used in logs and JSON. */
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -1,15 +1,12 @@
 #include "daemon/instance.h"
 
-#include "core/hash.h"
 #include "daemon/datapathbridge.h"
 #include "data/datapath.h"
 #include "health/healthprober.h"
 #include "health/httpserverprobe.h"
+#include "objectstore/httpplatform.h"
 #include "peer/controlplane.h"
-#include "platform/httpplatform.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
@@ -21,20 +18,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds housekeepingInterval { 1000 };
 // Well below the link deadline, so that a lapsed view is seen in time.
 constexpr milliseconds bridgeInterval { 50 };
-constexpr milliseconds stopCheckInterval { 20 };
-
-// After the work has ended, the tasks only close sockets.
-constexpr milliseconds taskStopTime { 500 };
-
-std::uint64_t seedOf(const Settings &settings, const Clock &clock)
-{
-    const std::uint64_t given = settings.values().randomSeed;
-    return given != 0 ? given
-                      : mix64(hash64(settings.values().instanceId), static_cast<std::uint64_t>(clock.now().time_since_epoch().count()));
-}
 
 } // namespace
 
@@ -53,86 +38,27 @@
 }
 
 Instance::Instance(asio::any_io_executor executor, const Clock &clock, const Settings &settings, std::unique_ptr<Logger> logger)
-    : m_executor(std::move(executor))
-    , m_clock(clock)
-    , m_settings(settings)
-    , m_logger(std::move(logger))
-    , m_events(settings.values().instanceId, clock, m_hybrid, *m_logger,
-          { .capacity = settings.values().eventsCapacity, .rate = settings.values().eventsRate })
-    , m_random(seedOf(settings, clock))
-    , m_monitor(clock, m_events, m_metrics.addHistogram("samphirepitch_loop_lateness_seconds", "How late the thread runs its tasks."))
+    : DaemonFrame(std::move(executor), clock, settings, std::move(logger))
     , m_answerLatency(m_metrics.addHistogram("samphirepitch_server_answer_seconds", "From sending a request to its answer."))
-    , m_metricsServer(m_metrics, *this)
-    , m_supervisor("instance", m_executor, clock, m_events, {})
 {
 }
 
 Instance::~Instance() = default;
 
-asio::awaitable<DaemonExit> Instance::run()
-{
-    const Settings::Fields &values = m_settings.values();
-    m_events.record(EventSeverity::Info, "instance_started",
-        { { "deployment", values.deployment }, { "failure_domain", values.failureDomain },
-            { "peer", m_controlPlane->peerAddress().toString() }, { "data", values.dataAddress.toString() },
-            { "version", SAMPHIREPITCH_VERSION } });
-    const Result<void> result = co_await m_supervisor.run();
-    m_metricsServer.stop();
-    co_return exitOf(result);
-}
-
-bool Instance::requestStop(std::string_view reason)
-{
-    if (m_leaving) {
-        return false;
-    }
-    m_leaving = true;
-    const StopPlan plan(m_clock.now(), m_settings.values().stopTimeout, m_settings.values().stopLinger);
-    m_events.record(EventSeverity::Info, "stop_begun",
-        { { "reason", std::string(reason) }, { "timeout_ms", std::to_string(m_settings.values().stopTimeout.count()) } });
-    m_controlPlane->beginLeaving();
-    m_dataPath->beginDrain();
-    asio::co_spawn(m_executor, finishWork(plan), asio::detached);
-    return true;
-}
-
-void Instance::reload(const Settings &next)
+std::vector<EventField> Instance::startFields() const
 {
-    for (const Settings::Change &change : m_settings.changes(next)) {
-        m_events.record(change.reloadable ? EventSeverity::Info : EventSeverity::Warning,
-            change.reloadable ? "settings_changed" : "settings_change_ignored",
-            { { "key", std::string(change.key) }, { "before", change.before }, { "after", change.after } });
-    }
-    m_settings = m_settings.reloaded(next);
-    m_events.setRate(m_settings.values().eventsRate);
-    if (const auto set = m_logger->setLevel(m_settings.values().logLevel); !set) {
-        m_events.record(EventSeverity::Error, "log_level_refused", { { "error", set.error().describe() } });
-    }
+    return { { "peer", m_controlPlane->peerAddress().toString() }, { "data", m_settings.values().dataAddress.toString() } };
 }
 
-void Instance::reloadFailed(const KeyFindings &findings)
+bool Instance::hasConfiguration() const
 {
-    for (const KeyFinding &finding : findings) {
-        m_events.record(EventSeverity::Error, "settings_refused", { { "finding", finding.describe() } });
-    }
+    return m_dataPath->activeGeneration() > 0;
 }
 
-bool Instance::isServing() const
+void Instance::beginLeaving()
 {
-    return !m_leaving && m_dataPath->activeGeneration() > 0;
-}
-
-std::string_view Instance::stateName() const
-{
-    if (m_leaving) {
-        return "leaving";
-    }
-    return m_dataPath->activeGeneration() > 0 ? "serving" : "no_generation";
-}
-
-Endpoint Instance::metricsAddress() const
-{
-    return m_metricsServer.address();
+    m_controlPlane->beginLeaving();
+    m_dataPath->beginDrain();
 }
 
 bool Instance::drainRequested()
@@ -153,11 +79,10 @@
             return created;
         }
     }
-    m_metrics.add(m_events);
     m_metrics.add(*m_controlPlane);
     m_metrics.add(*m_dataPath);
     m_metrics.add(*m_healthProber);
-    return values.metricsAddress.isUnset() ? Result<void>() : m_metricsServer.listen(m_executor, values.metricsAddress);
+    return listenForMetrics();
 }
 
 Result<void> Instance::createDataPath()
@@ -220,8 +145,7 @@
 
 void Instance::addChildren()
 {
-    m_supervisor.add({ .name = "housekeeping", .start = [this] { return runHousekeeping(); } });
-    m_supervisor.add({ .name = "loop_monitor", .start = [this] { return m_monitor.run(); } });
+    addFrameTasks();
     // The planes hold sockets and state that a restart of their task could not rebuild, so their failure ends the process.
     m_supervisor.add({ .name = "control_plane",
         .start = [this] { return runControlPlane(); },
@@ -245,7 +169,7 @@
 asio::awaitable<Result<void>> Instance::runControlPlane()
 {
     co_await m_controlPlane->run();
-    if (!m_leaving) {
+    if (!isLeaving()) {
         co_return failure(ErrorKind::Stopped, "control_plane", "the control plane ended although it has to run");
     }
     co_return Result<void>();
@@ -254,7 +178,7 @@
 asio::awaitable<Result<void>> Instance::runDataPath()
 {
     co_await m_dataPath->run();
-    if (!m_leaving) {
+    if (!isLeaving()) {
         co_return failure(ErrorKind::Stopped, "data_path", "the data path ended although it has to run");
     }
     co_return Result<void>();
@@ -270,39 +194,4 @@
     }
 }
 
-asio::awaitable<Result<void>> Instance::runHousekeeping()
-{
-    asio::steady_timer timer(m_executor);
-    while (true) {
-        timer.expires_after(housekeepingInterval);
-        co_await timer.async_wait(asio::use_awaitable);
-        m_events.reportSuppressed();
-    }
-}
-
-asio::awaitable<void> Instance::finishWork(StopPlan plan)
-{
-    asio::steady_timer timer(m_executor);
-    StopPlan::Step step = plan.update(m_clock.now(), pendingWork());
-    while (step == StopPlan::Step::Wait) {
-        timer.expires_after(stopCheckInterval);
-        co_await timer.async_wait(asio::use_awaitable);
-        step = plan.update(m_clock.now(), pendingWork());
-    }
-    m_late = step == StopPlan::Step::EndLate;
-    m_supervisor.requestStop(m_clock.now() + taskStopTime);
-}
-
-DaemonExit Instance::exitOf(const Result<void> &result)
-{
-    DaemonExit code = m_late ? DaemonExit::StopDeadline : DaemonExit::Done;
-    if (!result) {
-        code = result.error().kind() == ErrorKind::DeadlineExceeded ? DaemonExit::StopDeadline : DaemonExit::Failed;
-    }
-    m_events.record(code == DaemonExit::Done ? EventSeverity::Info : EventSeverity::Error, "instance_stopped",
-        { { "exit_code", std::to_string(static_cast<int>(code)) }, { "pending", std::to_string(pendingWork()) },
-            { "error", result ? "" : result.error().describe() } });
-    return code;
-}
-
 } // namespace Samphirepitch
--- a/src/daemon/logger.cpp
+++ b/src/daemon/logger.cpp
@@ -1,12 +1,15 @@
 #include "daemon/logger.h"
 
-#include <log4cxx/consoleappender.h>
+#include "daemon/linewriter.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/hierarchy.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
 #include <fstream>
+#include <unistd.h>
 
 namespace Samphirepitch
 {
@@ -38,19 +41,47 @@
     return name == "error" ? log4cxx::Level::getError() : nullptr;
 }
 
-log4cxx::AppenderPtr makeAppender(const std::string &file)
+/** Passes lines to a LineWriter. */
+class LineAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit LineAppender(LineWriter &writer)
+        : m_writer(writer)
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &) override
+    {
+        m_writer.write(event->getRenderedMessage());
+    }
+
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return false;
+    }
+
+private:
+    LineWriter &m_writer;
+};
+
+log4cxx::AppenderPtr makeAppender(const std::string &file, LineWriter &standardOutput)
 {
-    // Lines are formatted before they reach log4cxx, because the time comes from Clock.
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     if (file.empty()) {
-        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        return std::make_shared<LineAppender>(standardOutput);
     }
+    // Lines are formatted before they reach log4cxx, because the time comes from Clock.
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
 } // namespace
 
 struct Logger::Private {
+    LineWriter standardOutput { STDOUT_FILENO };
     // A hierarchy of its own, so that loggers do not share log4cxx's global state.
     log4cxx::spi::LoggerRepositoryPtr hierarchy;
     log4cxx::LoggerPtr logger;
@@ -65,7 +96,7 @@
     data->hierarchy = log4cxx::Hierarchy::create();
     data->hierarchy->setConfigured(true);
     data->logger = data->hierarchy->getLogger(LOG4CXX_STR("samphirepitch"));
-    data->logger->addAppender(makeAppender(file));
+    data->logger->addAppender(makeAppender(file, data->standardOutput));
     std::unique_ptr<Logger> logger(new Logger(std::move(data)));
     if (auto set = logger->setLevel(level); !set) {
         return tl::unexpected(set.error());
@@ -91,6 +122,12 @@
     }
 }
 
+void Logger::writeMetrics(MetricWriter &writer) const
+{
+    writer.counter("samphirepitch_log_lines_lost_total", "Log lines that the standard output did not take at once.", {},
+        m_data->standardOutput.lost());
+}
+
 Result<void> Logger::setLevel(std::string_view level)
 {
     const log4cxx::LevelPtr found = levelNamed(level);
--- a/src/daemon/logger.h
+++ b/src/daemon/logger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/metricsource.h"
 #include "daemon/logwriter.h"
 
 #include <memory>
@@ -10,14 +11,14 @@
 namespace Samphirepitch
 {
 
-/** Writes log lines through log4cxx to a file or to the standard error output. */
-class Logger : public LogWriter
+/** Writes log lines through log4cxx to a file or to the standard output; never waits for the reader of the latter. */
+class Logger : public LogWriter, public MetricSource
 {
 public:
     /**
      * Opens the log.
      * @param level "info", "warning" or "error"
-     * @param file path; empty for the standard error output
+     * @param file path; empty for the standard output
      * @return the logger, InvalidArgument, or InputOutput if the file cannot be written
      */
     static Result<std::unique_ptr<Logger>> open(std::string_view level, const std::string &file);
@@ -26,6 +27,8 @@
 
     void write(EventSeverity severity, const std::string &line) override;
 
+    void writeMetrics(MetricWriter &writer) const override;
+
     /** Sets the least severity that is written. @return InvalidArgument for an unknown level */
     Result<void> setLevel(std::string_view level);
 
--- a/src/daemon/metricsserver.h
+++ b/src/daemon/metricsserver.h
@@ -2,8 +2,8 @@
 
 #include "daemon/healthsource.h"
 #include "daemon/metrics.h"
-#include "platform/httphandler.h"
-#include "platform/httpserver.h"
+#include "objectstore/httphandler.h"
+#include "objectstore/httpserver.h"
 
 #include <memory>
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -16,6 +16,14 @@
     return found == section.keys.end() ? 0 : found->second.line;
 }
 
+/** Adds a finding if an address is missing; one that is not readable has a finding already. */
+void requireAddress(const KeyDocument &document, const std::string &key, Endpoint address, KeyFindings &findings)
+{
+    if (address.isUnset() && lineOf(document.root(), key) == 0) {
+        findings.push_back({ document.file(), document.root().line, key, "nothing", "an address, because data.packets is \"proxy\"" });
+    }
+}
+
 /** Checks that concern several keys. */
 void checkTogether(const KeyDocument &document, const Fields &fields, KeyFindings &findings)
 {
@@ -23,6 +31,10 @@
         findings.push_back({ document.file(), lineOf(document.root(), "stop.linger_ms"), "stop.linger_ms",
             std::to_string(fields.stopLinger.count()), "at most stop.timeout_ms" });
     }
+    if (fields.dataPackets == "proxy") {
+        requireAddress(document, "data.back_address", fields.dataBackAddress, findings);
+        requireAddress(document, "data.fabric_return_address", fields.fabricReturnAddress, findings);
+    }
     if (!fields.dataAddress.isUnset() && fields.dataAddress == fields.dataBackAddress) {
         findings.push_back({ document.file(), lineOf(document.root(), "data.back_address"), "data.back_address",
             fields.dataBackAddress.toString(), "an address other than data.address" });
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,11 +27,14 @@
         std::uint64_t randomSeed = 0;
         Endpoint peerAddress;
         std::vector<Endpoint> peerSeeds;
+        std::string dataPackets;
         Endpoint dataAddress;
         Endpoint dataBackAddress;
         Endpoint fabricReturnAddress;
         std::uint64_t maxFlows = 0;
         Endpoint platformAddress;
+        std::chrono::milliseconds serversWait { 0 };
+        std::chrono::milliseconds configurationWait { 0 };
         Endpoint metricsAddress;
         std::string logLevel;
         std::string logFile;
--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -23,6 +23,11 @@
     return { .key = key, .documentation = documentation };
 }
 
+KeySpec optionalAddress(std::string_view key, std::string_view documentation)
+{
+    return { .key = key, .fallback = Endpoint(), .documentation = documentation };
+}
+
 KeySpec timing(std::string_view key, int fallback, double min, double max, std::string_view documentation)
 {
     return { .key = key, .fallback = milliseconds(fallback), .min = min, .max = max, .documentation = documentation };
@@ -65,16 +70,25 @@
         keyRow<&Fields::randomSeed>(count("instance.random_seed", 0, 0, 9e15, "Seed of random delays; 0 takes a new one at each start.")),
         keyRow<&Fields::peerAddress>(address("peer.address", "TCP address for other instances and for samphirepitchctl.")),
         keyRow<&Fields::peerSeeds>(seeds()),
+        keyRow<&Fields::dataPackets>(text("data.packets", "proxy", "proxy stream",
+            "Packets of flows: datagrams with a PROXY header, or segments of byte streams that carry a placement token.")),
         keyRow<&Fields::dataAddress>(address("data.address", "UDP address for packets from the fabric and from other instances.")),
-        keyRow<&Fields::dataBackAddress>(address("data.back_address", "UDP address from which backend servers are reached.")),
-        keyRow<&Fields::fabricReturnAddress>(address("data.fabric_return_address", "UDP address of the fabric for packets to callers.")),
+        keyRow<&Fields::dataBackAddress>(
+            optionalAddress("data.back_address", "UDP address from which backend servers are reached; required with PROXY packets.")),
+        keyRow<&Fields::fabricReturnAddress>(optionalAddress(
+            "data.fabric_return_address", "UDP address of the fabric for packets to callers; required with PROXY packets.")),
         keyRow<&Fields::maxFlows>(count("data.max_flows", 400000, 1000, 4000000, "Flows that the flow table holds at most.")),
         keyRow<&Fields::platformAddress>(address("platform.address", "TCP address of the platform's object API.")),
+        keyRow<&Fields::serversWait>(timing("platform.servers_wait_ms", 4000, 100, 30000,
+            "Longest wait of a call for changes of backend servers; bounds how long a silent connection goes unnoticed.")),
+        keyRow<&Fields::configurationWait>(
+            timing("platform.configuration_wait_ms", 2000, 100, 30000, "Longest wait of a call for a new configuration of stream flows.")),
         keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
             .fallback = Endpoint(),
             .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
         keyRow<&Fields::logLevel>(reloadable(text("log.level", "info", "info warning error", "Least severity that is logged."))),
-        keyRow<&Fields::logFile>(text("log.file", "", "", "Log file; empty for the standard error output.")),
+        keyRow<&Fields::logFile>(text(
+            "log.file", "", "", "Log file; empty for the standard output, to which lines are lost and counted rather than waited for.")),
         keyRow<&Fields::stopTimeout>(reloadable(timing("stop.timeout_ms", 30000, 100, 60 * minutes,
             "Time after which a graceful stop ends the process; longer than the longest repeat window of a policy."))),
         keyRow<&Fields::stopLinger>(reloadable(timing("stop.linger_ms", 1500, 0, 60000,
--- /dev/null
+++ b/src/daemon/streaminstance.cpp
@@ -0,0 +1,126 @@
+#include "daemon/streaminstance.h"
+
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+// The fabric asks twice a second.
+constexpr std::chrono::milliseconds readinessInterval { 100 };
+
+} // namespace
+
+StreamLatency::StreamLatency(Metrics &metrics)
+    : m_opening(metrics.addHistogram("samphirepitch_flow_opening_seconds", "From the first packet of a flow to the client's next one."))
+    , m_answer(metrics.addHistogram("samphirepitch_server_answer_seconds", "From a request to the acknowledgement of its first answer."))
+{
+}
+
+void StreamLatency::flowOpened(std::chrono::nanoseconds time)
+{
+    m_opening.record(time);
+}
+
+void StreamLatency::answered(std::chrono::nanoseconds time)
+{
+    m_answer.record(time);
+}
+
+Result<std::unique_ptr<StreamInstance>> StreamInstance::create(
+    asio::any_io_executor executor, const Clock &clock, const Settings &settings, StreamEnvironment environment)
+{
+    auto logger = Logger::open(settings.values().logLevel, settings.values().logFile);
+    if (!logger) {
+        return tl::unexpected(logger.error());
+    }
+    std::unique_ptr<StreamInstance> instance(
+        new StreamInstance(std::move(executor), clock, settings, *std::move(logger), std::move(environment)));
+    if (auto created = instance->createParts(); !created) {
+        return tl::unexpected(created.error());
+    }
+    instance->addChildren();
+    return instance;
+}
+
+StreamInstance::StreamInstance(asio::any_io_executor executor, const Clock &clock, const Settings &settings, std::unique_ptr<Logger> logger,
+    StreamEnvironment environment)
+    : DaemonFrame(std::move(executor), clock, settings, std::move(logger))
+    , m_environment(std::move(environment))
+    , m_latency(m_metrics)
+    , m_router({ m_clock, m_random, m_events, m_selector, m_latency }, settings.values().failureDomain, settings.values().maxFlows)
+    , m_follower({ m_clock, m_timer, m_random, m_events, *m_environment.discovery, m_router },
+          { settings.values().serversWait, settings.values().configurationWait })
+    , m_probe(m_executor, m_clock)
+{
+}
+
+StreamInstance::~StreamInstance() = default;
+
+Endpoint StreamInstance::dataAddress() const
+{
+    return m_plane->address();
+}
+
+Result<void> StreamInstance::createParts()
+{
+    auto plane = StreamPlane::create(m_executor, { m_clock, m_router, *m_environment.codec, m_probe }, m_settings.values().dataAddress);
+    if (!plane) {
+        return tl::unexpected(plane.error());
+    }
+    m_plane = *std::move(plane);
+    m_metrics.add(m_router);
+    m_metrics.add(m_follower);
+    m_metrics.add(*m_plane);
+    return listenForMetrics();
+}
+
+void StreamInstance::addChildren()
+{
+    addFrameTasks();
+    m_supervisor.add({ .name = "servers", .start = [this] { return m_follower.followServers(); } });
+    m_supervisor.add({ .name = "configuration", .start = [this] { return m_follower.followConfiguration(); } });
+    m_supervisor.add({ .name = "packets", .start = [this] { return m_plane->forwardPackets(); } });
+    m_supervisor.add({ .name = "checks", .start = [this] { return m_plane->runChecks(); } });
+    m_supervisor.add({ .name = "readiness", .start = [this] { return reportReadiness(); }, .restart = Restart::OnFailure });
+}
+
+std::vector<EventField> StreamInstance::startFields() const
+{
+    return { { "data", dataAddress().toString() }, { "store", m_settings.values().platformAddress.toString() } };
+}
+
+bool StreamInstance::hasConfiguration() const
+{
+    return m_router.isReady();
+}
+
+void StreamInstance::beginLeaving()
+{
+    // Packets are forwarded until the end: the fabric needs a second to notice, and clients keep sending until then.
+}
+
+std::size_t StreamInstance::pendingWork() const
+{
+    return 0; // flows go on through other instances
+}
+
+asio::awaitable<Result<void>> StreamInstance::reportReadiness()
+{
+    asio::steady_timer timer(m_executor);
+    while (!m_router.isReady()) {
+        timer.expires_after(readinessInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    m_events.record(EventSeverity::Info, "instance_ready",
+        { { "configuration", std::to_string(m_router.configuration().version) },
+            { "servers", std::to_string(m_router.directory().all().size()) } });
+    co_return Result<void>();
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/daemon/streaminstance.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "daemon/daemonframe.h"
+#include "stream/connectprobe.h"
+#include "stream/discovery.h"
+#include "stream/discoveryfollower.h"
+#include "stream/leastflowsselector.h"
+#include "stream/packetcodec.h"
+#include "stream/streamobserver.h"
+#include "stream/streamplane.h"
+#include "stream/streamrouter.h"
+
+#include <memory>
+
+namespace Samphirepitch
+{
+
+/** Counts the times of stream flows in histograms. */
+class StreamLatency : public StreamObserver
+{
+public:
+    /** Adds its histograms to @p metrics, which has to outlive it. */
+    explicit StreamLatency(Metrics &metrics);
+
+    void flowOpened(std::chrono::nanoseconds time) override;
+    void answered(std::chrono::nanoseconds time) override;
+
+private:
+    LatencyHistogram &m_opening;
+    LatencyHistogram &m_answer;
+};
+
+/** What an instance for stream flows speaks to the world around it. */
+struct StreamEnvironment {
+    std::unique_ptr<PacketCodec> codec;
+    std::unique_ptr<Discovery> discovery;
+};
+
+/** An instance for flows of byte streams whose packets carry a placement token. */
+class StreamInstance : public DaemonFrame
+{
+public:
+    /**
+     * Opens the log and the sockets.
+     * @param executor runs everything; of one thread
+     * @param clock has to outlive the instance
+     * @param environment packet format and discovery
+     * @return the instance, or the error of the part that could not be created
+     */
+    static Result<std::unique_ptr<StreamInstance>> create(
+        asio::any_io_executor executor, const Clock &clock, const Settings &settings, StreamEnvironment environment);
+
+    ~StreamInstance() override;
+
+    /** Returns the address at which packets are received. */
+    Endpoint dataAddress() const;
+
+private:
+    StreamInstance(asio::any_io_executor executor, const Clock &clock, const Settings &settings, std::unique_ptr<Logger> logger,
+        StreamEnvironment environment);
+
+    std::vector<EventField> startFields() const override;
+    bool hasConfiguration() const override;
+    void beginLeaving() override;
+    std::size_t pendingWork() const override;
+    Result<void> createParts();
+    void addChildren();
+    asio::awaitable<Result<void>> reportReadiness();
+
+    StreamEnvironment m_environment;
+    StreamLatency m_latency;
+    LeastFlowsSelector m_selector;
+    StreamRouter m_router;
+    SteadyTimer m_timer;
+    DiscoveryFollower m_follower;
+    TcpConnectProbe m_probe;
+    std::unique_ptr<StreamPlane> m_plane;
+};
+
+} // namespace Samphirepitch
--- a/src/data/datagrambatch.cpp
+++ b/src/data/datagrambatch.cpp
@@ -1,5 +1,6 @@
 #include "data/datagrambatch.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -89,6 +90,11 @@
     return { m_buffers->received.get() + index * maxDatagramSize, m_buffers->receiveMessages[index].msg_len };
 }
 
+std::span<std::uint8_t> DatagramBatch::mutableDatagram(std::size_t index)
+{
+    return { m_buffers->received.get() + index * maxDatagramSize, m_buffers->receiveMessages[index].msg_len };
+}
+
 Endpoint DatagramBatch::sender(std::size_t index) const
 {
     const sockaddr_in &address = m_buffers->senders[index];
@@ -124,6 +130,22 @@
     buffers.sendMessages[index].msg_hdr.msg_iovlen = 1;
 }
 
+void DatagramBatch::addPrefixed(
+    int socket, Endpoint receiver, std::span<const std::uint8_t, prefixSize> prefix, std::span<const std::uint8_t> bytes)
+{
+    if (m_queued == maxDatagrams) {
+        flush(socket);
+    }
+    static_assert(prefixSize <= ProxyHeader::maxSize);
+    Buffers &buffers = *m_buffers;
+    const std::size_t index = m_queued++;
+    std::copy(prefix.begin(), prefix.end(), buffers.headers[index].begin());
+    buffers.receivers[index] = toNative(receiver);
+    buffers.sendParts[index][0] = { buffers.headers[index].data(), prefixSize };
+    buffers.sendParts[index][1] = { const_cast<std::uint8_t *>(bytes.data()), bytes.size() };
+    buffers.sendMessages[index].msg_hdr.msg_iovlen = 2;
+}
+
 void DatagramBatch::flush(int socket)
 {
     std::size_t sent = 0;
--- a/src/data/datagrambatch.h
+++ b/src/data/datagrambatch.h
@@ -19,6 +19,7 @@
 {
 public:
     static constexpr std::size_t maxDatagrams = 64;
+    static constexpr std::size_t prefixSize = 8; /**< bytes */
     static constexpr std::size_t maxDatagramSize = 65535; /**< bytes; a longer datagram can't exist in UDP over IPv4 */
 
     DatagramBatch();
@@ -36,6 +37,9 @@
     /** Returns a received datagram; valid until the next receive(). */
     std::span<const std::uint8_t> datagram(std::size_t index) const;
 
+    /** Returns a received datagram that may be changed before it is sent on; valid until the next receive(). */
+    std::span<std::uint8_t> mutableDatagram(std::size_t index);
+
     /** Returns where a received datagram came from. */
     Endpoint sender(std::size_t index) const;
 
@@ -48,6 +52,9 @@
     /** Adds a datagram without a header; @p bytes must stay valid until flush(). */
     void addRaw(int socket, Endpoint receiver, std::span<const std::uint8_t> bytes);
 
+    /** Adds a datagram of @p prefix, which is copied, and @p bytes, which must stay valid until flush(). */
+    void addPrefixed(int socket, Endpoint receiver, std::span<const std::uint8_t, prefixSize> prefix, std::span<const std::uint8_t> bytes);
+
     /** Sends what was added. Datagrams that the socket doesn't take are dropped, as UDP may. */
     void flush(int socket);
 
--- a/src/health/httpserverprobe.cpp
+++ b/src/health/httpserverprobe.cpp
@@ -1,6 +1,6 @@
 #include "health/httpserverprobe.h"
 
-#include "platform/httpconnection.h"
+#include "objectstore/httpconnection.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/load/memoryplatform.h
+++ b/src/load/memoryplatform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform.h"
+#include "objectstore/platform.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/steady_timer.hpp>
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "membership/memberview.h"
-#include "platform/platform.h"
+#include "objectstore/platform.h"
 
 #include <cstdint>
 #include <map>
--- a/src/platform/applyoutcome.cpp
+++ b/src/objectstore/applyoutcome.cpp
@@ -1,4 +1,4 @@
-#include "platform/applyoutcome.h"
+#include "objectstore/applyoutcome.h"
 
 namespace Samphirepitch
 {
--- a/src/platform/base64.cpp
+++ b/src/objectstore/base64.cpp
@@ -1,4 +1,4 @@
-#include "platform/base64.h"
+#include "objectstore/base64.h"
 
 #include <array>
 #include <cstdint>
--- a/src/platform/configloader.cpp
+++ b/src/objectstore/configloader.cpp
@@ -1,7 +1,7 @@
-#include "platform/configloader.h"
+#include "objectstore/configloader.h"
 
 #include "model/configtree.h"
-#include "platform/retry.h"
+#include "objectstore/retry.h"
 
 #include <asio/experimental/awaitable_operators.hpp>
 
--- a/src/platform/configloader.h
+++ b/src/objectstore/configloader.h
@@ -6,8 +6,8 @@
 #include "model/configset.h"
 #include "model/headrecord.h"
 #include "model/partmap.h"
-#include "platform/platform.h"
-#include "platform/timer.h"
+#include "objectstore/platform.h"
+#include "objectstore/timer.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/decimal.cpp
+++ b/src/objectstore/decimal.cpp
@@ -1,4 +1,4 @@
-#include "platform/decimal.h"
+#include "objectstore/decimal.h"
 
 #include <charconv>
 
--- a/src/platform/httpconnection.cpp
+++ b/src/objectstore/httpconnection.cpp
@@ -1,7 +1,7 @@
-#include "platform/httpconnection.h"
+#include "objectstore/httpconnection.h"
 
-#include "platform/internal/httpstream.h"
-#include "platform/internal/socketdeadline.h"
+#include "objectstore/internal/httpstream.h"
+#include "objectstore/internal/socketdeadline.h"
 
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
--- a/src/platform/httpconnection.h
+++ b/src/objectstore/httpconnection.h
@@ -3,9 +3,9 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "core/error.h"
-#include "platform/httplimits.h"
-#include "platform/httprequest.h"
-#include "platform/httpresponse.h"
+#include "objectstore/httplimits.h"
+#include "objectstore/httprequest.h"
+#include "objectstore/httpresponse.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
--- a/src/platform/httphandler.h
+++ b/src/objectstore/httphandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/httprequest.h"
-#include "platform/httpresponse.h"
+#include "objectstore/httprequest.h"
+#include "objectstore/httpresponse.h"
 
 #include <asio/awaitable.hpp>
 
--- a/src/platform/httpheaders.cpp
+++ b/src/objectstore/httpheaders.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpheaders.h"
+#include "objectstore/httpheaders.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/platform/httpplatform.cpp
+++ b/src/objectstore/httpplatform.cpp
@@ -1,8 +1,8 @@
-#include "platform/httpplatform.h"
+#include "objectstore/httpplatform.h"
 
-#include "platform/decimal.h"
-#include "platform/httpconnection.h"
-#include "platform/platformcodec.h"
+#include "objectstore/decimal.h"
+#include "objectstore/httpconnection.h"
+#include "objectstore/platformcodec.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/platform/httpplatform.h
+++ b/src/objectstore/httpplatform.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/httprequest.h"
-#include "platform/httpresponse.h"
-#include "platform/platform.h"
+#include "objectstore/httprequest.h"
+#include "objectstore/httpresponse.h"
+#include "objectstore/platform.h"
 
 #include <asio/any_io_executor.hpp>
 
--- a/src/platform/httprequest.cpp
+++ b/src/objectstore/httprequest.cpp
@@ -1,6 +1,6 @@
-#include "platform/httprequest.h"
+#include "objectstore/httprequest.h"
 
-#include "platform/decimal.h"
+#include "objectstore/decimal.h"
 
 namespace Samphirepitch
 {
--- a/src/platform/httprequest.h
+++ b/src/objectstore/httprequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/httpheaders.h"
+#include "objectstore/httpheaders.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/httpresponse.cpp
+++ b/src/objectstore/httpresponse.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpresponse.h"
+#include "objectstore/httpresponse.h"
 
 #include <utility>
 
--- a/src/platform/httpserver.cpp
+++ b/src/objectstore/httpserver.cpp
@@ -1,7 +1,7 @@
-#include "platform/httpserver.h"
+#include "objectstore/httpserver.h"
 
-#include "platform/internal/httpstream.h"
-#include "platform/internal/socketdeadline.h"
+#include "objectstore/internal/httpstream.h"
+#include "objectstore/internal/socketdeadline.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
--- a/src/platform/httpserver.h
+++ b/src/objectstore/httpserver.h
@@ -2,8 +2,8 @@
 
 #include "core/endpoint.h"
 #include "core/error.h"
-#include "platform/httphandler.h"
-#include "platform/httplimits.h"
+#include "objectstore/httphandler.h"
+#include "objectstore/httplimits.h"
 
 #include <asio/any_io_executor.hpp>
 
--- a/src/platform/internal/httpparser.cpp
+++ b/src/objectstore/internal/httpparser.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/httpparser.h"
+#include "objectstore/internal/httpparser.h"
 
 #include <limits>
 #include <utility>
--- a/src/platform/internal/httpparser.h
+++ b/src/objectstore/internal/httpparser.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/error.h"
-#include "platform/httplimits.h"
-#include "platform/httprequest.h"
-#include "platform/httpresponse.h"
+#include "objectstore/httplimits.h"
+#include "objectstore/httprequest.h"
+#include "objectstore/httpresponse.h"
 
 #include <http_parser.h>
 
--- a/src/platform/internal/httpstream.cpp
+++ b/src/objectstore/internal/httpstream.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/httpstream.h"
+#include "objectstore/internal/httpstream.h"
 
 #include <asio/buffer.hpp>
 #include <asio/redirect_error.hpp>
--- a/src/platform/internal/httpstream.h
+++ b/src/objectstore/internal/httpstream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/error.h"
-#include "platform/internal/httpparser.h"
+#include "objectstore/internal/httpparser.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
--- a/src/platform/internal/socketdeadline.cpp
+++ b/src/objectstore/internal/socketdeadline.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/socketdeadline.h"
+#include "objectstore/internal/socketdeadline.h"
 
 namespace Samphirepitch
 {
--- a/src/platform/platformcodec.cpp
+++ b/src/objectstore/platformcodec.cpp
@@ -1,6 +1,6 @@
-#include "platform/platformcodec.h"
+#include "objectstore/platformcodec.h"
 
-#include "platform/base64.h"
+#include "objectstore/base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/platformcodec.h
+++ b/src/objectstore/platformcodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform.h"
+#include "objectstore/platform.h"
 
 #include <string>
 #include <string_view>
--- a/src/platform/publisher.cpp
+++ b/src/objectstore/publisher.cpp
@@ -1,9 +1,9 @@
-#include "platform/publisher.h"
+#include "objectstore/publisher.h"
 
 #include "model/configchecker.h"
 #include "model/limits.h"
 #include "model/partmap.h"
-#include "platform/retryschedule.h"
+#include "objectstore/retryschedule.h"
 
 #include <set>
 #include <utility>
--- a/src/platform/publisher.h
+++ b/src/objectstore/publisher.h
@@ -4,10 +4,10 @@
 #include "core/random.h"
 #include "model/configset.h"
 #include "model/configtree.h"
-#include "platform/applyoutcome.h"
-#include "platform/configloader.h"
-#include "platform/platform.h"
-#include "platform/timer.h"
+#include "objectstore/applyoutcome.h"
+#include "objectstore/configloader.h"
+#include "objectstore/platform.h"
+#include "objectstore/timer.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/retry.h
+++ b/src/objectstore/retry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/error.h"
-#include "platform/retryschedule.h"
+#include "objectstore/retryschedule.h"
 
 #include <asio/awaitable.hpp>
 
--- a/src/platform/retryschedule.cpp
+++ b/src/objectstore/retryschedule.cpp
@@ -1,4 +1,4 @@
-#include "platform/retryschedule.h"
+#include "objectstore/retryschedule.h"
 
 #include <algorithm>
 
--- a/src/platform/retryschedule.h
+++ b/src/objectstore/retryschedule.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
-#include "platform/timer.h"
+#include "objectstore/timer.h"
 
 #include <chrono>
 
--- a/src/platform/timer.cpp
+++ b/src/objectstore/timer.cpp
@@ -1,4 +1,4 @@
-#include "platform/timer.h"
+#include "objectstore/timer.h"
 
 #include <asio/steady_timer.hpp>
 #include <asio/this_coro.hpp>
--- a/src/peer/headwatcher.h
+++ b/src/peer/headwatcher.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "model/headrecord.h"
+#include "objectstore/platform.h"
 #include "peer/dialbackoff.h"
 #include "peer/platformcontext.h"
-#include "platform/platform.h"
 
 #include <asio/awaitable.hpp>
 
--- a/src/peer/platformduty.h
+++ b/src/peer/platformduty.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/clock.h"
+#include "objectstore/platform.h"
 #include "peer/domainstatus.h"
-#include "platform/platform.h"
 
 #include <optional>
 #include <vector>
--- /dev/null
+++ b/src/stream/connectprobe.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/endpoint.h"
+#include "stream/serverevidence.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+
+namespace Samphirepitch
+{
+
+/** Tries whether a backend server accepts connections; drivers and tests give their own. */
+class ConnectProbe
+{
+public:
+    virtual ~ConnectProbe() = default;
+
+    /** Connects once and closes the connection. @return the result, by @p deadline */
+    virtual asio::awaitable<ConnectResult> connect(Endpoint server, TimePoint deadline) = 0;
+};
+
+/** Connects over TCP. */
+class TcpConnectProbe : public ConnectProbe
+{
+public:
+    TcpConnectProbe(asio::any_io_executor executor, const Clock &clock);
+
+    asio::awaitable<ConnectResult> connect(Endpoint server, TimePoint deadline) override;
+
+private:
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/flowtracker.cpp
@@ -0,0 +1,252 @@
+#include "stream/flowtracker.h"
+
+#include "routing/flowkey.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+/** Compares two numbers of a sequence that wraps around. */
+bool isAfter(std::uint32_t left, std::uint32_t right)
+{
+    return static_cast<std::int32_t>(left - right) > 0;
+}
+
+} // namespace
+
+FlowTracker::FlowTracker(std::size_t maxFlows)
+    : m_maxFlows(maxFlows)
+{
+}
+
+const StreamFlow *FlowTracker::find(Endpoint client, Endpoint service) const
+{
+    const auto found = m_byKey.find(flowKey(client, service));
+    return found == m_byKey.end() ? nullptr : &*found->second;
+}
+
+bool FlowTracker::opening(const StreamPacket &packet, std::uint32_t token, TimePoint now)
+{
+    const std::uint64_t key = flowKey(packet.client, packet.service);
+    const auto found = m_byKey.find(key);
+    StreamFlow *const flow = found == m_byKey.end() ? insert(packet, key, now) : &*found->second;
+    if (flow == nullptr) {
+        return false;
+    }
+    if (found != m_byKey.end()) {
+        touch(found->second, now);
+    }
+    moveTo(*flow, token);
+    flow->repeatedAt = now;
+    m_overdueChecks.push({ now + overdueTime, key, now, true });
+    return true;
+}
+
+PacketEvidence FlowTracker::packet(const StreamPacket &packet, std::uint32_t token, TimePoint now)
+{
+    PacketEvidence evidence;
+    const std::uint64_t key = flowKey(packet.client, packet.service);
+    auto found = m_byKey.find(key);
+    if (found == m_byKey.end()) {
+        // A flow that another instance opened: its acknowledgement says nothing about how long an answer took.
+        if (StreamFlow *const flow = insert(packet, key, now)) {
+            flow->open = true;
+            moveTo(*flow, token);
+            flow->acknowledged = packet.acknowledgement;
+            flow->sentUpTo = packet.sequence;
+        }
+        found = m_byKey.find(key);
+        if (found == m_byKey.end()) {
+            return evidence;
+        }
+    }
+    StreamFlow &flow = *found->second;
+    flow.finished = flow.finished || packet.finishes;
+    touch(found->second, now);
+    moveTo(flow, token);
+    evidence.openedNow = !std::exchange(flow.open, true);
+    if (evidence.openedNow) {
+        evidence.answered = true;
+        flow.acknowledged = packet.acknowledgement;
+        flow.sentUpTo = packet.sequence;
+    } else if (isAfter(packet.acknowledgement, flow.acknowledged)) {
+        evidence.answered = true;
+        if (flow.awaiting) {
+            evidence.answerTime = now - flow.sentAt;
+        }
+        flow.acknowledged = packet.acknowledgement;
+        setAwaiting(flow, false);
+    }
+    if (packet.length == 0) {
+        return evidence;
+    }
+    const std::uint32_t end = packet.sequence + packet.length;
+    if (isAfter(end, flow.sentUpTo)) {
+        flow.sentUpTo = end;
+        if (!flow.awaiting) {
+            setAwaiting(flow, true);
+            flow.sentAt = now;
+            m_overdueChecks.push({ now + overdueTime, key, now, false });
+        }
+        flow.repeatedAt = now;
+    } else if (flow.awaiting && now - flow.repeatedAt >= leastRepeatTime) {
+        evidence.repeated = true;
+        flow.repeatedAt = now;
+    }
+    return evidence;
+}
+
+void FlowTracker::remove(Endpoint client, Endpoint service)
+{
+    const auto found = m_byKey.find(flowKey(client, service));
+    if (found != m_byKey.end()) {
+        erase(found);
+    }
+}
+
+std::vector<StreamFlow> FlowTracker::takeFlowsOf(std::uint32_t token)
+{
+    return takeIf([token](const StreamFlow &flow) { return flow.token == token; });
+}
+
+std::vector<StreamFlow> FlowTracker::takeFlowsWithoutRoute(const std::function<bool(Endpoint)> &hasRoute)
+{
+    return takeIf([&hasRoute](const StreamFlow &flow) { return !hasRoute(flow.service); });
+}
+
+void FlowTracker::checkOverdue(TimePoint now, const std::function<void(std::uint32_t token)> &report)
+{
+    while (!m_overdueChecks.empty() && m_overdueChecks.front().due <= now) {
+        const OverdueCheck check = m_overdueChecks.front();
+        m_overdueChecks.pop();
+        const auto found = m_byKey.find(check.key);
+        if (found == m_byKey.end()) {
+            continue;
+        }
+        const StreamFlow &flow = *found->second;
+        const bool waits = check.opening ? !flow.open && flow.repeatedAt == check.sentAt : flow.awaiting && flow.sentAt == check.sentAt;
+        if (waits) {
+            report(flow.token);
+        }
+    }
+}
+
+void FlowTracker::expire(TimePoint now, std::chrono::nanoseconds idleTimeout)
+{
+    while (!m_recent.empty() && m_recent.front().lastSeen + loadWindow <= now) {
+        setRecent(m_recent.front(), false);
+        m_idle.splice(m_idle.end(), m_recent, m_recent.begin());
+    }
+    while (!m_idle.empty() && m_idle.front().lastSeen + idleTimeout <= now) {
+        remove(m_idle.front().client, m_idle.front().service);
+    }
+}
+
+ServerFlows FlowTracker::flowsOf(std::uint32_t token) const
+{
+    const auto found = m_load.find(token);
+    return found == m_load.end() ? ServerFlows() : found->second;
+}
+
+const std::unordered_map<std::uint32_t, ServerFlows> &FlowTracker::load() const
+{
+    return m_load;
+}
+
+std::size_t FlowTracker::size() const
+{
+    return m_byKey.size();
+}
+
+StreamFlow *FlowTracker::insert(const StreamPacket &packet, std::uint64_t key, TimePoint now)
+{
+    if (m_byKey.size() >= m_maxFlows) {
+        return nullptr;
+    }
+    m_recent.push_back({ .client = packet.client, .service = packet.service, .lastSeen = now, .sentAt = now, .repeatedAt = now });
+    m_byKey.emplace(key, std::prev(m_recent.end()));
+    return &m_recent.back();
+}
+
+void FlowTracker::touch(Flows::iterator flow, TimePoint now)
+{
+    flow->lastSeen = now;
+    Flows &to = flow->finished ? m_idle : m_recent;
+    to.splice(to.end(), flow->recent ? m_recent : m_idle, flow);
+    setRecent(*flow, !flow->finished);
+}
+
+void FlowTracker::moveTo(StreamFlow &flow, std::uint32_t token)
+{
+    if (flow.token == token) {
+        return;
+    }
+    const bool awaiting = flow.awaiting;
+    if (flow.token != 0) {
+        setAwaiting(flow, false);
+        setRecent(flow, false);
+    }
+    flow.token = token;
+    flow.recent = !flow.finished;
+    m_load[token].recent += flow.recent ? 1 : 0;
+    setAwaiting(flow, awaiting);
+}
+
+void FlowTracker::setAwaiting(StreamFlow &flow, bool awaiting)
+{
+    if (flow.awaiting == awaiting) {
+        return;
+    }
+    flow.awaiting = awaiting;
+    m_load[flow.token].awaiting += awaiting ? 1 : -1;
+    dropIfUnused(flow.token);
+}
+
+void FlowTracker::setRecent(StreamFlow &flow, bool recent)
+{
+    if (flow.recent == recent) {
+        return;
+    }
+    flow.recent = recent;
+    m_load[flow.token].recent += recent ? 1 : -1;
+    dropIfUnused(flow.token);
+}
+
+void FlowTracker::erase(std::unordered_map<std::uint64_t, Flows::iterator>::iterator entry)
+{
+    const Flows::iterator flow = entry->second;
+    Flows &list = flow->recent ? m_recent : m_idle;
+    setAwaiting(*flow, false);
+    setRecent(*flow, false);
+    list.erase(flow);
+    m_byKey.erase(entry);
+}
+
+void FlowTracker::dropIfUnused(std::uint32_t token)
+{
+    const auto found = m_load.find(token);
+    if (found != m_load.end() && found->second.recent == 0 && found->second.awaiting == 0) {
+        m_load.erase(found);
+    }
+}
+
+std::vector<StreamFlow> FlowTracker::takeIf(const std::function<bool(const StreamFlow &)> &matches)
+{
+    std::vector<StreamFlow> taken;
+    for (auto entry = m_byKey.begin(); entry != m_byKey.end();) {
+        const auto current = entry++;
+        if (matches(*current->second)) {
+            if (current->second->open) {
+                taken.push_back(*current->second);
+            }
+            erase(current);
+        }
+    }
+    return taken;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/flowtracker.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "core/clock.h"
+#include "stream/streampacket.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <optional>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** What an instance knows of one flow from the client's packets; answers do not pass through it. */
+struct StreamFlow {
+    Endpoint client;
+    Endpoint service;
+    std::uint32_t token = 0; /**< of the server that the last packet went to */
+    std::uint32_t acknowledged = 0; /**< the client's last acknowledgement */
+    std::uint32_t sentUpTo = 0; /**< number after the last byte of data that the client sent */
+    bool open = false; /**< the client has sent something after its opening packet */
+    bool awaiting = false; /**< the client has sent data that no answer followed yet */
+    bool finished = false; /**< the client sends nothing more */
+    bool recent = true; /**< seen within the time in which flows count as load */
+    TimePoint lastSeen {};
+    TimePoint sentAt {}; /**< of the opening packet, or of the first data that is not answered yet */
+    TimePoint repeatedAt {}; /**< when the oldest unanswered packet was sent last */
+};
+
+/** What one packet showed. */
+struct PacketEvidence {
+    bool answered = false; /**< the server has answered something since the packet before */
+    bool repeated = false; /**< the client had to send the same bytes again */
+    bool openedNow = false; /**< the first packet after the opening ones */
+    std::optional<std::chrono::nanoseconds> answerTime; /**< from the first unanswered packet to this one */
+};
+
+/** Flows of a backend server that this instance sees. */
+struct ServerFlows {
+    std::uint32_t recent = 0; /**< flows with packets lately */
+    std::uint32_t awaiting = 0; /**< flows with an unanswered request */
+};
+
+/**
+ * The flows whose packets pass through an instance. It is a cache for load and evidence: where a flow goes is told by the
+ * token in its packets, so that a lost entry breaks nothing.
+ */
+class FlowTracker
+{
+public:
+    /** Flows seen within this time count as load: several requests of a long flow. After a change of the fabric's rotation most
+     * flows go to other instances, where they are counted within the same time. */
+    static constexpr std::chrono::seconds loadWindow { 5 };
+    /** Packets that come again sooner are copies made on the way; clients repeat after 200 ms at the earliest. */
+    static constexpr std::chrono::milliseconds leastRepeatTime { 150 };
+    /** An answer that takes longer than this is looked into; most requests take less than a third of it. */
+    static constexpr std::chrono::milliseconds overdueTime { 90 };
+
+    /** @param maxFlows bound; flows above it are forwarded without an entry */
+    explicit FlowTracker(std::size_t maxFlows);
+
+    /** Returns the flow, or nothing. */
+    const StreamFlow *find(Endpoint client, Endpoint service) const;
+
+    /** Takes an opening packet that goes to the server @p token. @return false if the table is full */
+    bool opening(const StreamPacket &packet, std::uint32_t token, TimePoint now);
+
+    /** Takes any later packet of the client, which goes to the server @p token. */
+    PacketEvidence packet(const StreamPacket &packet, std::uint32_t token, TimePoint now);
+
+    /** Forgets a flow. */
+    void remove(Endpoint client, Endpoint service);
+
+    /** Forgets the flows of a server that has ended. @return the flows that are open, whose clients have to be told */
+    std::vector<StreamFlow> takeFlowsOf(std::uint32_t token);
+
+    /** Forgets the flows of addresses that @p hasRoute refuses. @return those that are open */
+    std::vector<StreamFlow> takeFlowsWithoutRoute(const std::function<bool(Endpoint)> &hasRoute);
+
+    /** Calls @p report with the server of each answer that has become overdue. */
+    void checkOverdue(TimePoint now, const std::function<void(std::uint32_t token)> &report);
+
+    /** Forgets flows without packets for @p idleTimeout. */
+    void expire(TimePoint now, std::chrono::nanoseconds idleTimeout);
+
+    ServerFlows flowsOf(std::uint32_t token) const;
+
+    /** Returns the load of all servers with flows, by token. */
+    const std::unordered_map<std::uint32_t, ServerFlows> &load() const;
+
+    std::size_t size() const;
+
+private:
+    using Flows = std::list<StreamFlow>;
+
+    /** A moment at which an answer becomes overdue. */
+    struct OverdueCheck {
+        TimePoint due {};
+        std::uint64_t key = 0;
+        TimePoint sentAt {};
+        bool opening = false; /**< waits for the flow to open, and not for an answer */
+    };
+
+    StreamFlow *insert(const StreamPacket &packet, std::uint64_t key, TimePoint now);
+    void touch(Flows::iterator flow, TimePoint now);
+    void moveTo(StreamFlow &flow, std::uint32_t token);
+    void setAwaiting(StreamFlow &flow, bool awaiting);
+    void setRecent(StreamFlow &flow, bool recent);
+    void erase(std::unordered_map<std::uint64_t, Flows::iterator>::iterator entry);
+    void dropIfUnused(std::uint32_t token);
+    std::vector<StreamFlow> takeIf(const std::function<bool(const StreamFlow &)> &matches);
+
+    std::size_t m_maxFlows;
+    Flows m_recent; // sorted by the time of the last packet
+    Flows m_idle; // the same; these no longer count as load
+    std::unordered_map<std::uint64_t, Flows::iterator> m_byKey;
+    std::unordered_map<std::uint32_t, ServerFlows> m_load;
+    std::queue<OverdueCheck> m_overdueChecks; // all have the same delay, so they are sorted
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/leastflowsselector.cpp
@@ -0,0 +1,43 @@
+#include "stream/leastflowsselector.h"
+
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+double costOf(const StreamCandidate &candidate)
+{
+    // The flow to be placed counts, so that empty servers differ by their slots.
+    double cost = (candidate.flows + candidate.awaiting + 1.0) / candidate.slots;
+    if (candidate.cold) {
+        cost *= LeastFlowsSelector::coldFactor;
+    }
+    return candidate.local ? cost : cost * LeastFlowsSelector::remoteFactor;
+}
+
+} // namespace
+
+std::optional<std::size_t> LeastFlowsSelector::choose(const std::vector<StreamCandidate> &candidates, RandomSource &random) const
+{
+    std::optional<std::size_t> best;
+    std::pair<bool, double> bestCost;
+    std::uint64_t ties = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const std::pair<bool, double> cost(candidates[index].doubtful, costOf(candidates[index]));
+        if (best && cost > bestCost) {
+            continue;
+        }
+        ties = best && cost == bestCost ? ties + 1 : 1;
+        // Takes each of equally good servers with the same probability.
+        if (ties == 1 || random.below(ties) == 0) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/serverdirectory.cpp
@@ -0,0 +1,185 @@
+#include "stream/serverdirectory.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Samphirepitch
+{
+
+std::string_view directoryChangeName(DirectoryChange::Kind kind)
+{
+    switch (kind) {
+    case DirectoryChange::Kind::Added:
+        return "added";
+    case DirectoryChange::Kind::Changed:
+        return "changed";
+    case DirectoryChange::Kind::Restarted:
+        return "restarted";
+    case DirectoryChange::Kind::Removed:
+        return "removed";
+    case DirectoryChange::Kind::AddressReused:
+        return "address_reused";
+    }
+    return "unknown";
+}
+
+std::uint32_t ServerDirectory::tokenOf(std::uint64_t number)
+{
+    constexpr std::uint64_t tokenDomain = 0x746f6b656e; // keeps tokens apart from other hashes of the same number
+    const auto token = static_cast<std::uint32_t>(mix64(number, tokenDomain));
+    return token == 0 ? 1 : token; // 0 means that a packet has no token yet
+}
+
+DirectoryChanges ServerDirectory::replaceAll(
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint now)
+{
+    DirectoryChanges changes;
+    if (revision < m_revision) {
+        return changes;
+    }
+    m_revision = revision;
+    std::set<std::string_view> present(unreadable.begin(), unreadable.end());
+    for (const StreamServer &server : servers) {
+        present.insert(server.id);
+        put(server, now, changes);
+    }
+    for (auto &[id, record] : m_records) {
+        if (record->listed && !present.contains(id) && record->server.revision <= revision) {
+            unlist(*record, DirectoryChange::Kind::Removed, now, changes);
+        }
+    }
+    rebuildIndexes();
+    return changes;
+}
+
+DirectoryChanges ServerDirectory::update(const StreamServer &server, TimePoint now)
+{
+    DirectoryChanges changes;
+    m_revision = std::max(m_revision, server.revision);
+    put(server, now, changes);
+    if (!changes.empty()) {
+        rebuildIndexes();
+    }
+    return changes;
+}
+
+DirectoryChanges ServerDirectory::remove(const std::string &id, std::uint64_t revision, TimePoint now)
+{
+    DirectoryChanges changes;
+    m_revision = std::max(m_revision, revision);
+    const auto found = m_records.find(id);
+    if (found == m_records.end() || !found->second->listed || found->second->server.revision > revision) {
+        return changes;
+    }
+    found->second->server.revision = revision;
+    unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
+    rebuildIndexes();
+    return changes;
+}
+
+std::vector<std::uint32_t> ServerDirectory::expire(TimePoint now)
+{
+    std::vector<std::uint32_t> forgotten;
+    for (const auto &[id, record] : m_records) {
+        if (!record->listed && record->unlistedAt + retention <= now) {
+            forgotten.push_back(record->token);
+        }
+    }
+    if (!forgotten.empty()) {
+        std::erase_if(m_records, [now](const auto &entry) { return !entry.second->listed && entry.second->unlistedAt + retention <= now; });
+        rebuildIndexes();
+    }
+    return forgotten;
+}
+
+const DirectoryRecord *ServerDirectory::findToken(std::uint32_t token) const
+{
+    const auto found = m_byToken.find(token);
+    return found == m_byToken.end() ? nullptr : found->second;
+}
+
+const DirectoryRecord *ServerDirectory::findId(const std::string &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : found->second.get();
+}
+
+const std::vector<const DirectoryRecord *> &ServerDirectory::listed(const std::string &service) const
+{
+    static const std::vector<const DirectoryRecord *> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+std::vector<const DirectoryRecord *> ServerDirectory::all() const
+{
+    std::vector<const DirectoryRecord *> records;
+    for (const auto &[service, servers] : m_byService) {
+        records.insert(records.end(), servers.begin(), servers.end());
+    }
+    return records;
+}
+
+std::uint64_t ServerDirectory::revision() const
+{
+    return m_revision;
+}
+
+void ServerDirectory::put(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
+{
+    std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
+    if (!record) {
+        record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server.number) });
+        changes.push_back({ DirectoryChange::Kind::Added, record.get() });
+        endFormerOwner(server, now, changes);
+        return;
+    }
+    if (server.revision < record->server.revision || (record->listed && server == record->server)) {
+        return;
+    }
+    const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
+    const bool wasListed = record->listed;
+    record->server = server;
+    record->listed = true;
+    const auto kind = restarted ? DirectoryChange::Kind::Restarted
+        : wasListed             ? DirectoryChange::Kind::Changed
+                                : DirectoryChange::Kind::Added;
+    changes.push_back({ kind, record.get() });
+    endFormerOwner(server, now, changes);
+}
+
+void ServerDirectory::unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes)
+{
+    record.listed = false;
+    record.unlistedAt = now;
+    changes.push_back({ kind, &record });
+}
+
+void ServerDirectory::endFormerOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
+{
+    for (auto &[id, record] : m_records) {
+        const StreamServer &other = record->server;
+        const bool isEarlier = other.revision < server.revision && other.startedAt < server.startedAt;
+        if (id != server.id && other.address == server.address && record->listed && isEarlier) {
+            unlist(*record, DirectoryChange::Kind::AddressReused, now, changes);
+        }
+    }
+}
+
+void ServerDirectory::rebuildIndexes()
+{
+    m_byToken.clear();
+    m_byService.clear();
+    // Of two servers with one token, every instance takes the one with the smaller id, because the map is sorted by id.
+    for (auto &[id, record] : m_records) {
+        const auto [holder, isFirst] = m_byToken.try_emplace(record->token, record.get());
+        record->shadowed = !isFirst;
+        if (record->listed) {
+            m_byService[record->server.service].push_back(record.get());
+        }
+    }
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/serverdirectory.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "stream/streamserver.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** A backend server and what the directory adds to its entry. */
+struct DirectoryRecord {
+    StreamServer server;
+    std::uint32_t token = 0; /**< names the server in packets; never 0 */
+    bool listed = true; /**< whether discovery still lists it */
+    bool shadowed = false; /**< another server has the same token; this one takes no flows */
+    TimePoint unlistedAt {}; /**< when it was last seen to be missing; only if it is not listed */
+};
+
+/** One difference that an update made. */
+struct DirectoryChange {
+    /** What happened. */
+    enum class Kind {
+        Added,
+        Changed,
+        Restarted, /**< A new incarnation under the same id; the earlier one holds no flows any more. */
+        Removed,
+        AddressReused, /**< A server of another id got its address, so this one has ended. */
+    };
+
+    Kind kind;
+    const DirectoryRecord *record; /**< valid until the next expire() */
+};
+
+using DirectoryChanges = std::vector<DirectoryChange>;
+
+/** Returns the lower-case name of a kind of change, for logs. */
+std::string_view directoryChangeName(DirectoryChange::Kind kind);
+
+/**
+ * The backend servers that discovery lists, and those that it no longer lists but that may still hold flows. Older revisions
+ * never replace newer ones, so that updates may come from several sources.
+ */
+class ServerDirectory
+{
+public:
+    /** How long an unlisted server is remembered; no flow is older. Platform bound max_flow_s. */
+    static constexpr std::chrono::seconds retention { 60 };
+
+    /** Returns the placement token of a server number; the same on every instance. */
+    static std::uint32_t tokenOf(std::uint64_t number);
+
+    /**
+     * Takes a complete list.
+     * @param servers all listed servers
+     * @param unreadable ids of entries that could not be read; their servers stay as they are
+     * @param revision of the store at which the list was read; a list older than the directory changes nothing
+     */
+    DirectoryChanges replaceAll(
+        const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint now);
+
+    /** Takes the entry of one server; one older than the directory's changes nothing. */
+    DirectoryChanges update(const StreamServer &server, TimePoint now);
+
+    /** Takes the removal of an entry at @p revision of the store. */
+    DirectoryChanges remove(const std::string &id, std::uint64_t revision, TimePoint now);
+
+    /** Forgets servers that were unlisted longer ago than the retention. @return their tokens */
+    std::vector<std::uint32_t> expire(TimePoint now);
+
+    /** Returns the server that a token names, listed or not, or nothing. */
+    const DirectoryRecord *findToken(std::uint32_t token) const;
+
+    /** Returns the server of an id, listed or not, or nothing. */
+    const DirectoryRecord *findId(const std::string &id) const;
+
+    /** Returns the listed servers of a service. */
+    const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
+
+    /** Returns all listed servers. */
+    std::vector<const DirectoryRecord *> all() const;
+
+    /** Returns the highest revision that was taken over. */
+    std::uint64_t revision() const;
+
+private:
+    using Records = std::map<std::string, std::unique_ptr<DirectoryRecord>>;
+
+    void put(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
+    void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
+    void endFormerOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
+    void rebuildIndexes();
+
+    Records m_records;
+    std::unordered_map<std::uint32_t, const DirectoryRecord *> m_byToken;
+    std::map<std::string, std::vector<const DirectoryRecord *>> m_byService;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/serverevidence.cpp
@@ -0,0 +1,121 @@
+#include "stream/serverevidence.h"
+
+namespace Samphirepitch
+{
+
+std::string_view standingName(Standing standing)
+{
+    switch (standing) {
+    case Standing::Trusted:
+        return "trusted";
+    case Standing::Suspected:
+        return "suspected";
+    case Standing::Unreachable:
+        return "unreachable";
+    case Standing::Gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+std::string_view connectResultName(ConnectResult result)
+{
+    switch (result) {
+    case ConnectResult::Accepted:
+        return "accepted";
+    case ConnectResult::Refused:
+        return "refused";
+    case ConnectResult::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+void ServerEvidence::progress(std::uint32_t token, TimePoint now)
+{
+    const auto found = m_states.find(token);
+    // Acknowledgements of what a server sent before it ended may still arrive, so progress does not revive it.
+    if (found == m_states.end() || found->second.isGone) {
+        return;
+    }
+    State &state = found->second;
+    state.isUnreachable = false;
+    state.wantsProbe = false;
+    state.suspectedUntil = now;
+}
+
+bool ServerEvidence::unanswered(std::uint32_t token, TimePoint now)
+{
+    const Standing before = standing(token, now);
+    State &state = m_states[token];
+    state.suspectedUntil = now + suspicionTime;
+    state.wantsProbe = true;
+    return standing(token, now) != before;
+}
+
+void ServerEvidence::overdue(std::uint32_t token, TimePoint)
+{
+    m_states[token].wantsProbe = true;
+}
+
+bool ServerEvidence::connected(std::uint32_t token, ConnectResult result, TimePoint now)
+{
+    const Standing before = standing(token, now);
+    State &state = m_states[token];
+    state.isGone = result == ConnectResult::Refused;
+    state.isUnreachable = result == ConnectResult::Unanswered;
+    state.wantsProbe = result != ConnectResult::Accepted;
+    state.nextProbe = now + (result == ConnectResult::Accepted ? probeInterval : recheckInterval);
+    return standing(token, now) != before;
+}
+
+bool ServerEvidence::ended(std::uint32_t token, TimePoint now)
+{
+    State &state = m_states[token];
+    const bool isNew = !state.isGone;
+    state.isGone = true;
+    state.wantsProbe = false;
+    state.nextProbe = now;
+    return isNew;
+}
+
+void ServerEvidence::restarted(std::uint32_t token)
+{
+    m_states.erase(token);
+}
+
+std::vector<std::uint32_t> ServerEvidence::takeDueProbes(TimePoint now)
+{
+    std::vector<std::uint32_t> due;
+    for (auto &[token, state] : m_states) {
+        if (state.wantsProbe && now >= state.nextProbe) {
+            state.wantsProbe = false;
+            state.nextProbe = now + probeInterval;
+            due.push_back(token);
+        }
+    }
+    return due;
+}
+
+Standing ServerEvidence::standing(std::uint32_t token, TimePoint now) const
+{
+    const auto found = m_states.find(token);
+    if (found == m_states.end()) {
+        return Standing::Trusted;
+    }
+    const State &state = found->second;
+    if (state.isGone) {
+        return Standing::Gone;
+    }
+    if (state.isUnreachable) {
+        return Standing::Unreachable;
+    }
+    return now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
+}
+
+void ServerEvidence::forget(std::uint32_t token)
+{
+    m_states.erase(token);
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/serverevidence.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** What an instance holds a backend server for. */
+enum class Standing {
+    Trusted,
+    Suspected, /**< Packets to it were not answered; it gets no new flows for a while. */
+    Unreachable, /**< A connection to it could not be made in time; it may live behind a cut. */
+    Gone, /**< It has ended: its host refused a connection, its address went to another server, or it left. */
+};
+
+/** Returns the lower-case name of a standing, for logs and metrics. */
+std::string_view standingName(Standing standing);
+
+/** What an attempt to connect to a backend server showed. */
+enum class ConnectResult {
+    Accepted,
+    Refused, /**< Its host lives and nothing listens there. */
+    Unanswered,
+};
+
+/** Returns the lower-case name of a result, for logs and metrics. */
+std::string_view connectResultName(ConnectResult result);
+
+/**
+ * Judges backend servers by what passes through the instance: clients' packets show within a round trip or two that a server
+ * does not answer, long before discovery drops its entry. Suspicion only keeps new flows away; that a server is gone takes proof.
+ */
+class ServerEvidence
+{
+public:
+    /** New flows avoid a server this long after unanswered packets. A client repeats a packet after 200, 600 and 1,400 ms. */
+    static constexpr std::chrono::milliseconds suspicionTime { 1200 };
+    /** Least time between two connections to one server: a tenth of what a client waits for an opening packet. */
+    static constexpr std::chrono::milliseconds probeInterval { 150 };
+    /** Time between connections to a server that is unreachable or gone. */
+    static constexpr std::chrono::milliseconds recheckInterval { 700 };
+
+    /** The server @p token answered something. */
+    void progress(std::uint32_t token, TimePoint now);
+
+    /** A packet to the server had to be repeated. @return the standing before, if it changed */
+    bool unanswered(std::uint32_t token, TimePoint now);
+
+    /** An answer of the server takes long; asks for a connection without suspecting it. */
+    void overdue(std::uint32_t token, TimePoint now);
+
+    /** Takes the result of a connection. @return whether the standing changed */
+    bool connected(std::uint32_t token, ConnectResult result, TimePoint now);
+
+    /** The server has ended for certain. @return whether that is new */
+    bool ended(std::uint32_t token, TimePoint now);
+
+    /** A new incarnation runs under the token; what was known of the earlier one is void. */
+    void restarted(std::uint32_t token);
+
+    /** Returns the servers that a connection should be made to now, and counts them as asked. */
+    std::vector<std::uint32_t> takeDueProbes(TimePoint now);
+
+    Standing standing(std::uint32_t token, TimePoint now) const;
+
+    /** Forgets the server. */
+    void forget(std::uint32_t token);
+
+private:
+    struct State {
+        bool isGone = false;
+        bool isUnreachable = false;
+        bool wantsProbe = false;
+        TimePoint suspectedUntil {};
+        TimePoint nextProbe {};
+    };
+
+    // Only servers that something is known of; a trusted server usually has no entry.
+    std::unordered_map<std::uint32_t, State> m_states;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/streamobserver.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+
+namespace Samphirepitch
+{
+
+/** Takes the times that clients' packets show. */
+class StreamObserver
+{
+public:
+    virtual ~StreamObserver() = default;
+
+    /** A flow opened this long after its first opening packet. */
+    virtual void flowOpened(std::chrono::nanoseconds time) = 0;
+
+    /** The first bytes of an answer were acknowledged this long after the request. */
+    virtual void answered(std::chrono::nanoseconds time) = 0;
+};
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/streamrouter.cpp
@@ -0,0 +1,445 @@
+#include "stream/streamrouter.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+// Flows and servers expire after seconds, so that looking once a second is exact enough.
+constexpr std::chrono::seconds expiryInterval { 1 };
+
+// Until a configuration says otherwise.
+constexpr std::chrono::seconds defaultIdleTimeout { 15 };
+
+std::string number(std::uint64_t value)
+{
+    return std::to_string(value);
+}
+
+} // namespace
+
+StreamRouter::StreamRouter(Parts parts, std::string failureDomain, std::size_t maxFlows)
+    : m_clock(parts.clock)
+    , m_random(parts.random)
+    , m_events(parts.events)
+    , m_selector(parts.selector)
+    , m_observer(parts.observer)
+    , m_failureDomain(std::move(failureDomain))
+    , m_flows(maxFlows)
+{
+}
+
+StreamDecision StreamRouter::route(const StreamPacket &packet)
+{
+    // Without a complete view nothing is known to be missing; a client repeats its packets until the view is there.
+    if (!isReady()) {
+        return drop(packet, StreamOutcome::NotReady);
+    }
+    const StreamRoute *const route = m_configuration.find(packet.service);
+    if (route == nullptr) {
+        return refuse(packet, StreamOutcome::NoRoute);
+    }
+    return packet.opens ? routeOpening(packet, *route) : routeLater(packet);
+}
+
+StreamDecision StreamRouter::routeOpening(const StreamPacket &packet, const StreamRoute &route)
+{
+    const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+    if (flow == nullptr) {
+        return place(packet, route, false);
+    }
+    if (!flow->open) {
+        return place(packet, route, true);
+    }
+    // A late copy of an opening packet; the flow stays where it is.
+    const DirectoryRecord *const record = m_directory.findToken(flow->token);
+    return record == nullptr ? drop(packet, StreamOutcome::UnknownToken) : forward(*record, StreamOutcome::Known);
+}
+
+StreamDecision StreamRouter::place(const StreamPacket &packet, const StreamRoute &route, bool isCopy)
+{
+    std::uint32_t earlier = 0;
+    if (isCopy) {
+        earlier = m_flows.find(packet.client, packet.service)->token;
+        if (const DirectoryRecord *const record = m_directory.findToken(earlier); record != nullptr) {
+            if (m_evidence.unanswered(earlier, m_clock.now())) {
+                recordStanding(*record, "opening_packet_repeated");
+            }
+        }
+    }
+    const std::string &service = targetService(route);
+    const DirectoryRecord *const record = choose(service, earlier);
+    if (record == nullptr) {
+        m_flows.remove(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::NoServer);
+    }
+    const ServerFlows load = m_flows.flowsOf(record->token);
+    m_flows.opening(packet, record->token, m_clock.now());
+    recordFlow(EventSeverity::Info, isCopy ? "flow_placed_again" : "flow_placed", packet,
+        { { "route", route.name }, { "service_name", service }, { "server", record->server.id },
+            { "address", record->server.address.toString() }, { "domain", record->server.failureDomain },
+            { "standing", std::string(standingName(m_evidence.standing(record->token, m_clock.now()))) }, { "flows", number(load.recent) },
+            { "awaiting", number(load.awaiting) }, { "candidates", number(m_directory.listed(service).size()) } });
+    return forward(*record, isCopy ? StreamOutcome::PlacedAgain : StreamOutcome::Placed);
+}
+
+StreamDecision StreamRouter::routeLater(const StreamPacket &packet)
+{
+    std::uint32_t token = packet.token;
+    if (token == 0) {
+        const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+        if (flow == nullptr) {
+            return drop(packet, StreamOutcome::NoToken);
+        }
+        token = flow->token;
+    }
+    const DirectoryRecord *const record = m_directory.findToken(token);
+    if (record == nullptr) {
+        return drop(packet, StreamOutcome::UnknownToken);
+    }
+    if (m_evidence.standing(token, m_clock.now()) == Standing::Gone) {
+        m_flows.remove(packet.client, packet.service);
+        return packet.resets ? drop(packet, StreamOutcome::ServerGone) : refuse(packet, StreamOutcome::ServerGone);
+    }
+    if (packet.resets) {
+        m_flows.remove(packet.client, packet.service);
+    } else {
+        takeEvidence(packet, token);
+    }
+    return forward(*record, StreamOutcome::Known);
+}
+
+StreamDecision StreamRouter::refuse(const StreamPacket &packet, StreamOutcome outcome)
+{
+    m_counters.count(outcome);
+    recordFlow(EventSeverity::Warning, "flow_reset", packet, { { "reason", std::string(streamOutcomeName(outcome)) } });
+    return { .action = packet.resets ? StreamDecision::Action::Drop : StreamDecision::Action::Reset, .outcome = outcome };
+}
+
+StreamDecision StreamRouter::drop(const StreamPacket &packet, StreamOutcome outcome)
+{
+    m_counters.count(outcome);
+    recordFlow(EventSeverity::Warning, "packet_dropped", packet,
+        { { "reason", std::string(streamOutcomeName(outcome)) }, { "token", number(packet.token) } });
+    return { .action = StreamDecision::Action::Drop, .outcome = outcome };
+}
+
+StreamDecision StreamRouter::forward(const DirectoryRecord &record, StreamOutcome outcome)
+{
+    m_counters.count(outcome);
+    return { .action = StreamDecision::Action::Forward, .outcome = outcome, .server = &record.server, .token = record.token };
+}
+
+const std::string &StreamRouter::targetService(const StreamRoute &route)
+{
+    const auto total = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const RouteTarget &target) { return sum + target.weight; });
+    std::uint64_t drawn = route.targets.size() > 1 ? m_random.below(std::max<std::uint64_t>(total, 1)) : 0;
+    for (const RouteTarget &target : route.targets) {
+        if (drawn < target.weight) {
+            return target.service;
+        }
+        drawn -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+const DirectoryRecord *StreamRouter::choose(const std::string &service, std::uint32_t excludedToken)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<StreamCandidate> candidates;
+    std::vector<const DirectoryRecord *> records;
+    for (const DirectoryRecord *const record : m_directory.listed(service)) {
+        const Standing standing = m_evidence.standing(record->token, now);
+        if (record->server.phase != ServerPhase::Ready || record->shadowed || standing == Standing::Gone) {
+            continue;
+        }
+        const ServerFlows load = m_flows.flowsOf(record->token);
+        candidates.push_back({ .flows = load.recent,
+            .awaiting = load.awaiting,
+            .slots = record->server.slots,
+            .cold = now < record->server.coldUntil,
+            .local = record->server.failureDomain == m_failureDomain,
+            .doubtful = standing != Standing::Trusted || record->token == excludedToken });
+        records.push_back(record);
+    }
+    const auto chosen = m_selector.choose(candidates, m_random);
+    return chosen ? records[*chosen] : nullptr;
+}
+
+void StreamRouter::takeEvidence(const StreamPacket &packet, std::uint32_t token)
+{
+    const TimePoint now = m_clock.now();
+    const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+    const TimePoint placedAt = flow == nullptr ? now : flow->sentAt;
+    const PacketEvidence evidence = m_flows.packet(packet, token, now);
+    if (evidence.openedNow) {
+        m_observer.flowOpened(now - placedAt);
+    }
+    if (evidence.answerTime) {
+        m_observer.answered(*evidence.answerTime);
+    }
+    if (evidence.answered) {
+        m_evidence.progress(token, now);
+    } else if (evidence.repeated && m_evidence.unanswered(token, now)) {
+        recordStanding(*m_directory.findToken(token), "data_repeated");
+    }
+}
+
+void StreamRouter::unreadable(std::size_t size)
+{
+    m_counters.count(StreamOutcome::Unreadable);
+    m_events.record(EventSeverity::Warning, "datagram_unreadable", { { "bytes", number(size) } });
+}
+
+bool StreamRouter::adopt(StreamConfiguration configuration)
+{
+    if (configuration.revision <= m_configuration.revision) {
+        return false;
+    }
+    const std::uint64_t before = std::exchange(m_configuration, std::move(configuration)).version;
+    m_configurationAge.confirm(m_clock.now());
+    m_events.record(EventSeverity::Info, "configuration_in_force",
+        { { "version", number(m_configuration.version) }, { "before", number(before) }, { "revision", number(m_configuration.revision) },
+            { "routes", number(m_configuration.routes.size()) } });
+    resetAll(m_flows.takeFlowsWithoutRoute([this](Endpoint address) { return m_configuration.find(address) != nullptr; }),
+        StreamOutcome::RouteRemoved);
+    return true;
+}
+
+void StreamRouter::serversListed(
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision)
+{
+    take(m_directory.replaceAll(servers, unreadable, revision, m_clock.now()));
+    m_hasServers = true;
+    serversConfirmed();
+}
+
+void StreamRouter::serverListed(const StreamServer &server)
+{
+    take(m_directory.update(server, m_clock.now()));
+}
+
+void StreamRouter::serverUnlisted(const std::string &id, std::uint64_t revision)
+{
+    take(m_directory.remove(id, revision, m_clock.now()));
+}
+
+void StreamRouter::serversConfirmed()
+{
+    m_serversAge.confirm(m_clock.now());
+}
+
+void StreamRouter::configurationConfirmed()
+{
+    m_configurationAge.confirm(m_clock.now());
+}
+
+void StreamRouter::storeReachable(bool reachable)
+{
+    if (reachable && !m_storeReachable) {
+        m_storeRegained = m_clock.now();
+    }
+    m_storeReachable = reachable;
+}
+
+void StreamRouter::take(const DirectoryChanges &changes)
+{
+    for (const DirectoryChange &change : changes) {
+        const DirectoryRecord &record = *change.record;
+        m_events.record(EventSeverity::Info, "server_listed_change",
+            { { "server", record.server.id }, { "change", std::string(directoryChangeName(change.kind)) },
+                { "service_name", record.server.service }, { "address", record.server.address.toString() },
+                { "domain", record.server.failureDomain }, { "phase", record.server.phase == ServerPhase::Ready ? "ready" : "draining" },
+                { "revision", number(record.server.revision) } });
+        if (record.shadowed) {
+            m_events.record(
+                EventSeverity::Warning, "server_token_taken", { { "server", record.server.id }, { "token", number(record.token) } });
+        }
+        switch (change.kind) {
+        case DirectoryChange::Kind::AddressReused:
+            end(record, "address_reused");
+            break;
+        case DirectoryChange::Kind::Removed:
+            m_removed.push_back(record.token);
+            m_evidence.overdue(record.token, m_clock.now());
+            break;
+        case DirectoryChange::Kind::Restarted:
+            m_evidence.restarted(record.token);
+            resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
+            break;
+        case DirectoryChange::Kind::Added:
+            m_evidence.restarted(record.token);
+            break;
+        case DirectoryChange::Kind::Changed:
+            break;
+        }
+    }
+}
+
+std::vector<ProbeTarget> StreamRouter::takeDueProbes()
+{
+    std::vector<ProbeTarget> targets;
+    for (const std::uint32_t token : m_evidence.takeDueProbes(m_clock.now())) {
+        const DirectoryRecord *const record = m_directory.findToken(token);
+        if (record == nullptr) {
+            continue;
+        }
+        // A draining server may have closed its listener and still hold flows, so that a connection proves nothing.
+        const bool mayEnd = record->server.phase == ServerPhase::Ready;
+        const bool isOver = !record->listed && m_evidence.standing(token, m_clock.now()) == Standing::Gone;
+        if (mayEnd && !isOver) {
+            targets.push_back({ token, record->server.id, record->server.address });
+        }
+    }
+    return targets;
+}
+
+void StreamRouter::probed(std::uint32_t token, ConnectResult result)
+{
+    const DirectoryRecord *const record = m_directory.findToken(token);
+    if (record == nullptr) {
+        m_evidence.forget(token); // it expired while the connection was made
+        return;
+    }
+    if (result == ConnectResult::Refused) {
+        end(*record, "connection_refused");
+    }
+    if (m_evidence.connected(token, result, m_clock.now())) {
+        recordStanding(*record, connectResultName(result));
+    }
+}
+
+void StreamRouter::serverEnded(std::uint32_t token, std::string_view source)
+{
+    if (const DirectoryRecord *const record = m_directory.findToken(token)) {
+        end(*record, source);
+    }
+}
+
+void StreamRouter::end(const DirectoryRecord &record, std::string_view proof)
+{
+    if (!m_evidence.ended(record.token, m_clock.now())) {
+        return;
+    }
+    recordStanding(record, proof);
+    resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
+}
+
+void StreamRouter::resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome)
+{
+    for (const StreamFlow &flow : flows) {
+        m_counters.count(outcome);
+        m_resets.push_back({ flow.client, flow.service, flow.acknowledged });
+        recordFlow(EventSeverity::Warning, "flow_reset", { .client = flow.client, .service = flow.service },
+            { { "reason", std::string(streamOutcomeName(outcome)) }, { "token", number(flow.token) },
+                { "awaiting", flow.awaiting ? "yes" : "no" } });
+    }
+}
+
+void StreamRouter::tick()
+{
+    const TimePoint now = m_clock.now();
+    m_flows.checkOverdue(now, [this, now](std::uint32_t token) { m_evidence.overdue(token, now); });
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + expiryInterval;
+    const auto idleTimeout = m_configuration.idleTimeout.count() > 0 ? m_configuration.idleTimeout : defaultIdleTimeout;
+    m_flows.expire(now, idleTimeout);
+    checkRemoved();
+    for (const std::uint32_t token : m_directory.expire(now)) {
+        m_evidence.forget(token);
+    }
+}
+
+void StreamRouter::checkRemoved()
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(m_removed, [this, now](std::uint32_t token) {
+        const DirectoryRecord *const record = m_directory.findToken(token);
+        if (record == nullptr || record->listed) {
+            return true;
+        }
+        if (!m_storeReachable || now < std::max(record->unlistedAt, m_storeRegained) + removalProofTime) {
+            return false;
+        }
+        end(*record, "entry_removed");
+        return true;
+    });
+}
+
+std::vector<StreamReset> StreamRouter::takeResets()
+{
+    return std::exchange(m_resets, {});
+}
+
+bool StreamRouter::isReady() const
+{
+    return m_configuration.revision > 0 && m_hasServers;
+}
+
+const StreamConfiguration &StreamRouter::configuration() const
+{
+    return m_configuration;
+}
+
+const ServerDirectory &StreamRouter::directory() const
+{
+    return m_directory;
+}
+
+const FlowTracker &StreamRouter::flows() const
+{
+    return m_flows;
+}
+
+const ServerEvidence &StreamRouter::evidence() const
+{
+    return m_evidence;
+}
+
+void StreamRouter::recordFlow(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<EventField> all { { "flow", packet.client.toString() + '>' + packet.service.toString() } };
+    std::move(fields.begin(), fields.end(), std::back_inserter(all));
+    all.push_back({ "configuration", number(m_configuration.version) });
+    all.push_back({ "configuration_age_ms", m_configurationAge.text(now) });
+    all.push_back({ "servers_revision", number(m_directory.revision()) });
+    all.push_back({ "servers_age_ms", m_serversAge.text(now) });
+    m_events.record(severity, name, std::move(all));
+}
+
+void StreamRouter::recordStanding(const DirectoryRecord &record, std::string_view evidence)
+{
+    const ServerFlows load = m_flows.flowsOf(record.token);
+    m_events.record(EventSeverity::Warning, "server_standing",
+        { { "server", record.server.id }, { "standing", std::string(standingName(m_evidence.standing(record.token, m_clock.now()))) },
+            { "evidence", std::string(evidence) }, { "address", record.server.address.toString() },
+            { "domain", record.server.failureDomain }, { "flows", number(load.recent) }, { "awaiting", number(load.awaiting) },
+            { "servers_age_ms", m_serversAge.text(m_clock.now()) } });
+}
+
+void StreamRouter::writeMetrics(MetricWriter &writer) const
+{
+    const TimePoint now = m_clock.now();
+    for (std::size_t index = 0; index < streamOutcomeCount; ++index) {
+        const auto outcome = static_cast<StreamOutcome>(index);
+        writer.counter("samphirepitch_stream_packets_total", "Packets of stream flows by what was decided.",
+            { { "outcome", streamOutcomeName(outcome) } }, m_counters.of(outcome));
+    }
+    writer.gauge("samphirepitch_stream_flows", "Flows that this instance tracks.", {}, static_cast<double>(m_flows.size()));
+    writer.gauge("samphirepitch_configuration_version", "Version in force.", {}, static_cast<double>(m_configuration.version));
+    writer.gauge("samphirepitch_configuration_age_seconds", "Since the configuration was confirmed.", {}, m_configurationAge.seconds(now));
+    writer.gauge("samphirepitch_servers_age_seconds", "Since the list of servers was confirmed.", {}, m_serversAge.seconds(now));
+    writer.gauge(
+        "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/streamrouter.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/eventsink.h"
+#include "core/metricsource.h"
+#include "core/random.h"
+#include "stream/flowtracker.h"
+#include "stream/serverdirectory.h"
+#include "stream/serverevidence.h"
+#include "stream/serverselector.h"
+#include "stream/streamconfiguration.h"
+#include "stream/streamcounters.h"
+#include "stream/streamobserver.h"
+#include "stream/viewage.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** What to do with a packet. */
+struct StreamDecision {
+    /** The ways out of an instance. */
+    enum class Action {
+        Forward, /**< to the server, with the token */
+        Reset, /**< to the client, who may try again at once */
+        Drop,
+    };
+
+    Action action = Action::Drop;
+    StreamOutcome outcome = StreamOutcome::UnknownToken;
+    const StreamServer *server = nullptr; /**< only of Forward; valid until the router is called again */
+    std::uint32_t token = 0; /**< only of Forward */
+};
+
+/** A server that a connection should be made to. */
+struct ProbeTarget {
+    std::uint32_t token = 0;
+    std::string id;
+    Endpoint address;
+};
+
+/**
+ * Decides where each packet of a stream flow goes. A new flow gets a server by load and evidence; the token that its packets carry
+ * afterwards names the server, so that an instance that never saw the flow forwards it as well.
+ */
+class StreamRouter : public MetricSource
+{
+public:
+    /** What the router needs; everything outlives it. */
+    struct Parts {
+        const Clock &clock;
+        RandomSource &random;
+        EventSink &events;
+        const ServerSelector &selector;
+        StreamObserver &observer;
+    };
+
+    /**
+     * An entry that discovery no longer lists is proof of the server's end only after this time without trouble of the store:
+     * entries that lapsed during an outage are back about 2 s after it.
+     */
+    static constexpr std::chrono::milliseconds removalProofTime { 2500 };
+
+    /**
+     * @param failureDomain of this instance; its servers are preferred
+     * @param maxFlows flows that are tracked for load and evidence
+     */
+    StreamRouter(Parts parts, std::string failureDomain, std::size_t maxFlows);
+
+    /** Decides about one packet of a client. */
+    StreamDecision route(const StreamPacket &packet);
+
+    /** Counts and reports a datagram of @p size bytes that is no packet. */
+    void unreadable(std::size_t size);
+
+    /** Puts a configuration in force, unless one with the same or a higher revision is. @return whether it is new */
+    bool adopt(StreamConfiguration configuration);
+
+    /**
+     * Takes the complete list of servers at @p revision of the store.
+     * @param unreadable ids of entries that could not be read; what is known of such a server stays
+     */
+    void serversListed(const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision);
+
+    /** Takes the entry of one server. */
+    void serverListed(const StreamServer &server);
+
+    /** Takes the removal of an entry at @p revision of the store. */
+    void serverUnlisted(const std::string &id, std::uint64_t revision);
+
+    /** The store answered: the list of servers was complete at this time. */
+    void serversConfirmed();
+
+    /** The store answered: no newer configuration existed at this time. */
+    void configurationConfirmed();
+
+    /** The store does not answer, or answers again. */
+    void storeReachable(bool reachable);
+
+    /** Returns the servers that a connection should be made to now, and counts them as asked. */
+    std::vector<ProbeTarget> takeDueProbes();
+
+    /** Takes the result of a connection. */
+    void probed(std::uint32_t token, ConnectResult result);
+
+    /** Another instance found proof that a server ended. */
+    void serverEnded(std::uint32_t token, std::string_view source);
+
+    /** Looks into late answers and forgets what has expired; to be called every few tens of milliseconds. */
+    void tick();
+
+    /** Returns the resets that became due since the last call. */
+    std::vector<StreamReset> takeResets();
+
+    /** Returns whether routes and servers are known. */
+    bool isReady() const;
+
+    const StreamConfiguration &configuration() const;
+    const ServerDirectory &directory() const;
+    const FlowTracker &flows() const;
+    const ServerEvidence &evidence() const;
+
+    void writeMetrics(MetricWriter &writer) const override;
+
+private:
+    StreamDecision routeOpening(const StreamPacket &packet, const StreamRoute &route);
+    StreamDecision routeLater(const StreamPacket &packet);
+    StreamDecision place(const StreamPacket &packet, const StreamRoute &route, bool isCopy);
+    StreamDecision refuse(const StreamPacket &packet, StreamOutcome outcome);
+    StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
+    StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
+    const std::string &targetService(const StreamRoute &route);
+    const DirectoryRecord *choose(const std::string &service, std::uint32_t excludedToken);
+    void takeEvidence(const StreamPacket &packet, std::uint32_t token);
+    void take(const DirectoryChanges &changes);
+    void end(const DirectoryRecord &record, std::string_view proof);
+    void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
+    void checkRemoved();
+    void recordFlow(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
+    void recordStanding(const DirectoryRecord &record, std::string_view evidence);
+
+    const Clock &m_clock;
+    RandomSource &m_random;
+    EventSink &m_events;
+    const ServerSelector &m_selector;
+    StreamObserver &m_observer;
+    std::string m_failureDomain;
+    ServerDirectory m_directory;
+    ServerEvidence m_evidence;
+    FlowTracker m_flows;
+    StreamConfiguration m_configuration;
+    ViewAge m_configurationAge;
+    ViewAge m_serversAge;
+    StreamCounters m_counters;
+    std::vector<StreamReset> m_resets;
+    std::vector<std::uint32_t> m_removed; // tokens of unlisted servers that are not known to have ended
+    bool m_hasServers = false;
+    bool m_storeReachable = true;
+    TimePoint m_storeRegained {};
+    TimePoint m_nextExpiry {};
+};
+
+} // namespace Samphirepitch
--- a/standins/lib/backendgroup.h
+++ b/standins/lib/backendgroup.h
@@ -3,7 +3,7 @@
 #include "lib/backendstandin.h"
 #include "lib/receivebatch.h"
 #include "lib/runledger.h"
-#include "platform/httpserver.h"
+#include "objectstore/httpserver.h"
 
 #include <memory>
 #include <string>
--- a/standins/lib/backendstandin.h
+++ b/standins/lib/backendstandin.h
@@ -7,7 +7,7 @@
 #include "lib/datagramsocket.h"
 #include "lib/rpcmessage.h"
 #include "lib/runledger.h"
-#include "platform/httphandler.h"
+#include "objectstore/httphandler.h"
 
 #include <asio/steady_timer.hpp>
 
--- a/standins/lib/fabricstandin.h
+++ b/standins/lib/fabricstandin.h
@@ -4,7 +4,7 @@
 #include "lib/datagramsocket.h"
 #include "lib/fabricfaults.h"
 #include "lib/receivebatch.h"
-#include "platform/httphandler.h"
+#include "objectstore/httphandler.h"
 
 #include <memory>
 #include <unordered_map>
--- a/standins/lib/objectstore.h
+++ b/standins/lib/objectstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform.h"
+#include "objectstore/platform.h"
 
 #include <map>
 #include <string>
--- a/standins/lib/platformstandin.cpp
+++ b/standins/lib/platformstandin.cpp
@@ -1,8 +1,8 @@
 #include "lib/platformstandin.h"
 
-#include "platform/decimal.h"
-#include "platform/httplimits.h"
-#include "platform/platformcodec.h"
+#include "objectstore/decimal.h"
+#include "objectstore/httplimits.h"
+#include "objectstore/platformcodec.h"
 
 #include <algorithm>
 #include <utility>
--- a/standins/lib/platformstandin.h
+++ b/standins/lib/platformstandin.h
@@ -7,7 +7,7 @@
 #include "lib/objectstore.h"
 #include "lib/platformfaults.h"
 #include "lib/ratelimit.h"
-#include "platform/httphandler.h"
+#include "objectstore/httphandler.h"
 
 namespace Samphirepitch::StandIn
 {
--- a/standins/standin-fabric/main.cpp
+++ b/standins/standin-fabric/main.cpp
@@ -1,6 +1,6 @@
 #include "lib/fabricstandin.h"
 #include "lib/program.h"
-#include "platform/httpserver.h"
+#include "objectstore/httpserver.h"
 
 #include <asio/io_context.hpp>
 #include <gflags/gflags.h>
--- a/tests/fakes/fakeplatform.h
+++ b/tests/fakes/fakeplatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/platform.h"
+#include "objectstore/platform.h"
 
 #include <functional>
 #include <map>
--- a/tests/fakes/faketimer.h
+++ b/tests/fakes/faketimer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "platform/timer.h"
+#include "objectstore/timer.h"
 
 namespace Samphirepitch::Tests
 {
--- a/tests/platform/httpplatformtests.cpp
+++ b/tests/objectstore/httpplatformtests.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformfixture.h"
+#include "objectstore/platformfixture.h"
 
 using namespace Samphirepitch;
 using namespace Samphirepitch::Testing;
@@ -46,7 +46,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(PlatformFixture, "a write is conditional on the version", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "a write is conditional on the version", "[objectstore][httpplatform]")
 {
     CHECK(write("head", "one", Platform::mustNotExist) == 1);
     CHECK(write("head", "two", 1) == 2);
@@ -73,7 +73,7 @@
     }
 }
 
-TEST_CASE_METHOD(PlatformFixture, "a write whose answer is lost has an unknown outcome", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "a write whose answer is lost has an unknown outcome", "[objectstore][httpplatform]")
 {
     // Guards against reporting "no effect" for a write that took effect.
     SECTION("it may have taken effect")
@@ -100,7 +100,7 @@
     }
 }
 
-TEST_CASE_METHOD(PlatformFixture, "calls during an outage are unavailable and have no effect", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "calls during an outage are unavailable and have no effect", "[objectstore][httpplatform]")
 {
     standIn.changeFaults({ .outage = true });
     CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::Unavailable);
@@ -111,14 +111,14 @@
     CHECK(standIn.store().version("head") == 0);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "a refused connection is unavailable, for reads and for writes", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "a refused connection is unavailable, for reads and for writes", "[objectstore][httpplatform]")
 {
     server.reset();
     CHECK(write("head", "one", Platform::mustNotExist).error().kind() == ErrorKind::Unavailable);
     CHECK(read("head").error().kind() == ErrorKind::Unavailable);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "calls above the rate limit are refused until the next second", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "calls above the rate limit are refused until the next second", "[objectstore][httpplatform]")
 {
     standIn.changeFaults({ .writesPerSecond = 1, .readsPerSecond = 2 });
     CHECK(write("head", "one", Platform::mustNotExist) == 1);
@@ -134,7 +134,7 @@
     CHECK(standIn.counters().peakReads == 3);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "a watch ends when the object changes", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "a watch ends when the object changes", "[objectstore][httpplatform]")
 {
     CHECK(write("head", "one", Platform::mustNotExist) == 1);
 
@@ -209,7 +209,7 @@
     }
 }
 
-TEST_CASE_METHOD(PlatformFixture, "an object has at most 1 MB", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "an object has at most 1 MB", "[objectstore][httpplatform]")
 {
     CHECK(write("large", mebibyte, Platform::mustNotExist) == 1);
     CHECK(read("large")->body == mebibyte);
@@ -221,7 +221,7 @@
     CHECK(standIn.store().version("large") == 1);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "keys outside the allowed characters are refused before anything is sent", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "keys outside the allowed characters are refused before anything is sent", "[objectstore][httpplatform]")
 {
     for (const std::string &key :
         { std::string(), std::string("a b"), std::string("A"), std::string("a?b"), std::string("a\r\nb"), std::string(201, 'a') }) {
@@ -231,7 +231,7 @@
     CHECK(standIn.counters() == StandIn::CallCounters());
 }
 
-TEST_CASE_METHOD(PlatformFixture, "objects are listed by prefix with any bytes in their bodies", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "objects are listed by prefix with any bytes in their bodies", "[objectstore][httpplatform]")
 {
     std::string bytes;
     for (int value = 0; value < 256; ++value) {
@@ -245,7 +245,7 @@
     CHECK(await(context, platform->list("none", soon())) == std::vector<PlatformObject>());
 }
 
-TEST_CASE_METHOD(PlatformFixture, "the instance list lags", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "the instance list lags", "[objectstore][httpplatform]")
 {
     const ListedInstance instance { "i-1", "okene", Endpoint(0x7f000001, 1), Endpoint(0x7f000001, 2), true };
     standIn.changeFaults({ .instanceLag = std::chrono::seconds(2) });
@@ -259,7 +259,7 @@
     CHECK(await(context, platform->instances(soon()))->empty());
 }
 
-TEST_CASE_METHOD(PlatformFixture, "lists above the size of one answer are read in pages", "[platform][httpplatform]")
+TEST_CASE_METHOD(PlatformFixture, "lists above the size of one answer are read in pages", "[objectstore][httpplatform]")
 {
     // 7,600 instances, the size to design for, take more than 1 MB of JSON.
     for (int index = 0; index < 7600; ++index) {
@@ -285,7 +285,7 @@
     }
 }
 
-TEST_CASE("pages that do not advance are refused", "[platform][httpplatform]")
+TEST_CASE("pages that do not advance are refused", "[objectstore][httpplatform]")
 {
     // Guards against an endless loop on a faulty platform.
     const std::string next = GENERATE(as<std::string>(), "", "A", "a b");
@@ -293,7 +293,8 @@
     CHECK(await(fixture.context, fixture.platform->instances(fixture.in(testTimeout))).error().kind() == ErrorKind::Malformed);
 }
 
-TEST_CASE_METHOD(PlatformFixture, "connections are kept between calls and replaced when the server closed them", "[platform][httpplatform]")
+TEST_CASE_METHOD(
+    PlatformFixture, "connections are kept between calls and replaced when the server closed them", "[objectstore][httpplatform]")
 {
     CHECK(write("head", "one", Platform::mustNotExist) == 1);
     CHECK(read("head")->version == 1);
@@ -308,7 +309,7 @@
     CHECK(write("head", "two", 1) == 2);
 }
 
-TEST_CASE("each status has its error kind", "[platform][httpplatform]")
+TEST_CASE("each status has its error kind", "[objectstore][httpplatform]")
 {
     CHECK(readError(status("400 Bad Request")) == ErrorKind::InvalidArgument);
     CHECK(readError(status("404 Not Found")) == ErrorKind::NotFound);
@@ -325,7 +326,7 @@
     CHECK(writeError(status("404 Not Found")) == ErrorKind::OutcomeUnknown);
 }
 
-TEST_CASE("an unreadable answer is malformed for a read and unknown for a write", "[platform][httpplatform]")
+TEST_CASE("an unreadable answer is malformed for a read and unknown for a write", "[objectstore][httpplatform]")
 {
     const std::string answer = GENERATE(as<std::string>(), "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\netag: \"x\"\r\ncontent-length: 0\r\n\r\n",
@@ -334,7 +335,7 @@
     CHECK(writeError(answer) == ErrorKind::OutcomeUnknown);
 }
 
-TEST_CASE("an answer above the limits is refused", "[platform][httpplatform]")
+TEST_CASE("an answer above the limits is refused", "[objectstore][httpplatform]")
 {
     SECTION("by its announced length, before the body is there")
     {
@@ -356,7 +357,7 @@
     }
 }
 
-TEST_CASE("a server that does not answer lets the deadline pass", "[platform][httpplatform]")
+TEST_CASE("a server that does not answer lets the deadline pass", "[objectstore][httpplatform]")
 {
     ScriptedFixture fixture("");
     const TimePoint deadline = fixture.in(std::chrono::milliseconds(50));
--- a/tests/platform/httpservertests.cpp
+++ b/tests/objectstore/httpservertests.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformfixture.h"
+#include "objectstore/platformfixture.h"
 
 using namespace Samphirepitch;
 using namespace Samphirepitch::Testing;
@@ -29,7 +29,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(ServerFixture, "pipelined requests of one connection are answered in order", "[platform][httpserver]")
+TEST_CASE_METHOD(ServerFixture, "pipelined requests of one connection are answered in order", "[objectstore][httpserver]")
 {
     const std::string answer = exchange("GET /a HTTP/1.1\r\n\r\nPUT /b HTTP/1.1\r\ncontent-length: 3\r\nconnection: close\r\n\r\nxyz");
     CHECK(answer
@@ -37,7 +37,7 @@
            "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 8\r\nconnection: close\r\n\r\nPUT /b 3");
 }
 
-TEST_CASE_METHOD(ServerFixture, "malformed requests are answered with 400 and end the connection", "[platform][httpserver]")
+TEST_CASE_METHOD(ServerFixture, "malformed requests are answered with 400 and end the connection", "[objectstore][httpserver]")
 {
     const std::string request
         = GENERATE(as<std::string>(), "nonsense\r\n\r\n", "GET / HTTP/9.z\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n",
@@ -46,7 +46,7 @@
     CHECK(exchange(request).starts_with("HTTP/1.1 400 "));
 }
 
-TEST_CASE_METHOD(ServerFixture, "requests above the limits are answered with 413", "[platform][httpserver]")
+TEST_CASE_METHOD(ServerFixture, "requests above the limits are answered with 413", "[objectstore][httpserver]")
 {
     // Guards against taking memory for what a client only announces.
     std::string manyFields = "GET / HTTP/1.1\r\n";
@@ -59,7 +59,7 @@
     CHECK(exchange("GET /" + std::string(16 * 1024, 'x') + " HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 413 "));
 }
 
-TEST_CASE_METHOD(ServerFixture, "connections above the limit are closed", "[platform][httpserver]")
+TEST_CASE_METHOD(ServerFixture, "connections above the limit are closed", "[objectstore][httpserver]")
 {
     HttpLimits limits;
     limits.maxConnections = 0;
@@ -68,12 +68,12 @@
     CHECK(server->connectionCount() == 0);
 }
 
-TEST_CASE_METHOD(ServerFixture, "an address that is in use is reported", "[platform][httpserver]")
+TEST_CASE_METHOD(ServerFixture, "an address that is in use is reported", "[objectstore][httpserver]")
 {
     CHECK(HttpServer::listen(context.get_executor(), server->address(), handler).error().kind() == ErrorKind::InputOutput);
 }
 
-TEST_CASE("query parameters are found by name", "[platform][httprequest]")
+TEST_CASE("query parameters are found by name", "[objectstore][httprequest]")
 {
     HttpRequest request;
     request.target = "/v1/objects/head?watch=12&timeout_ms=x&empty=&flag";
--- a/tests/platform/platformfixture.h
+++ b/tests/objectstore/platformfixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lib/platformstandin.h"
-#include "platform/httpplatform.h"
-#include "platform/httpserver.h"
+#include "objectstore/httpplatform.h"
+#include "objectstore/httpserver.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/connect.hpp>
--- a/tests/platform/publishertests.cpp
+++ b/tests/objectstore/publishertests.cpp
@@ -2,7 +2,7 @@
 #include "fakes/fakeplatform.h"
 #include "fakes/faketimer.h"
 #include "model/sampleset.h"
-#include "platform/publisher.h"
+#include "objectstore/publisher.h"
 
 #include <catch2/catch.hpp>
 
@@ -74,7 +74,7 @@
 
 } // namespace
 
-TEST_CASE("a change becomes the next generation", "[platform][publisher]")
+TEST_CASE("a change becomes the next generation", "[objectstore][publisher]")
 {
     Operator op;
     const auto first = op.apply("kogi", "c-1");
@@ -109,7 +109,7 @@
     }
 }
 
-TEST_CASE("a set with errors is not published", "[platform][publisher]")
+TEST_CASE("a set with errors is not published", "[objectstore][publisher]")
 {
     Operator op;
     const auto outcome = op.apply("Not A Region", "c-1");
@@ -119,7 +119,7 @@
     CHECK(op.platform.calls.empty());
 }
 
-TEST_CASE("a lost answer of the head write is resolved", "[platform][publisher]")
+TEST_CASE("a lost answer of the head write is resolved", "[objectstore][publisher]")
 {
     Operator op;
     op.apply("kogi", "c-1");
@@ -189,7 +189,7 @@
     }
 }
 
-TEST_CASE("of two racing operators one wins and the other is told who", "[platform][publisher]")
+TEST_CASE("of two racing operators one wins and the other is told who", "[objectstore][publisher]")
 {
     Operator op;
     op.apply("kogi", "c-1");
@@ -216,7 +216,7 @@
     }
 }
 
-TEST_CASE("an outage in any step before the head is written is reported as not accepted", "[platform][publisher]")
+TEST_CASE("an outage in any step before the head is written is reported as not accepted", "[objectstore][publisher]")
 {
     // Guards against "unknown" or "accepted" where nothing can have taken effect.
     Operator counting;
@@ -238,7 +238,7 @@
     }
 }
 
-TEST_CASE("a fault that ends before the deadline is retried", "[platform][publisher]")
+TEST_CASE("a fault that ends before the deadline is retried", "[objectstore][publisher]")
 {
     const auto fault = GENERATE(Fault::Outage, Fault::RateLimit, Fault::LoseRequest, Fault::LoseAnswer);
     Operator op;
@@ -251,7 +251,7 @@
     CHECK(op.headChange() == "c-2");
 }
 
-TEST_CASE("a part whose content does not match its name is refused", "[platform][publisher]")
+TEST_CASE("a part whose content does not match its name is refused", "[objectstore][publisher]")
 {
     Operator op;
     op.apply("kogi", "c-1");
--- a/tests/standins/platformstandintests.cpp
+++ b/tests/standins/platformstandintests.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformfixture.h"
+#include "objectstore/platformfixture.h"
 
 using namespace Samphirepitch;
 using namespace Samphirepitch::StandIn;
--- a/tests/standins/udppeer.h
+++ b/tests/standins/udppeer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "data/proxyheader.h"
-#include "platform/platformfixture.h"
+#include "objectstore/platformfixture.h"
 
 #include <asio/ip/udp.hpp>
 
--- /dev/null
+++ b/tests/stream/discoveryfollowertests.cpp
@@ -0,0 +1,168 @@
+#include "fakes/await.h"
+#include "fakes/faketimer.h"
+#include "stream/discoveryfollower.h"
+#include "stream/routerfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <functional>
+#include <stdexcept>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/** Ends a follower's endless loop once its script is used up. */
+struct ScriptEnded : std::runtime_error {
+    ScriptEnded()
+        : std::runtime_error("the script ended")
+    {
+    }
+};
+
+/** Answers calls from scripts and keeps how each call looked. */
+class ScriptedDiscovery : public Discovery
+{
+public:
+    asio::awaitable<Result<ServerList>> servers(TimePoint) override
+    {
+        calls.push_back("list");
+        co_return next(lists);
+    }
+
+    asio::awaitable<Result<ServerUpdates>> serverUpdates(std::uint64_t revision, milliseconds, TimePoint) override
+    {
+        calls.push_back("watch " + std::to_string(revision));
+        co_return next(updates);
+    }
+
+    asio::awaitable<Result<ConfigurationRead>> configuration(TimePoint) override
+    {
+        calls.push_back("read");
+        co_return next(reads);
+    }
+
+    asio::awaitable<Result<ConfigurationRead>> configurationUpdate(std::uint64_t revision, milliseconds, TimePoint) override
+    {
+        calls.push_back("watch " + std::to_string(revision));
+        co_return next(reads);
+    }
+
+    std::deque<Result<ServerList>> lists;
+    std::deque<Result<ServerUpdates>> updates;
+    std::deque<Result<ConfigurationRead>> reads;
+    std::vector<std::string> calls;
+
+private:
+    template<typename Value>
+    static Value next(std::deque<Value> &script)
+    {
+        if (script.empty()) {
+            throw ScriptEnded();
+        }
+        Value value = std::move(script.front());
+        script.pop_front();
+        return value;
+    }
+};
+
+class FollowerFixture : public RouterFixture
+{
+public:
+    void followServers()
+    {
+        CHECK_THROWS_AS(await(follower.followServers()), ScriptEnded);
+    }
+
+    void followConfiguration()
+    {
+        CHECK_THROWS_AS(await(follower.followConfiguration()), ScriptEnded);
+    }
+
+    static tl::unexpected<Error> unavailable()
+    {
+        return failure(ErrorKind::Unavailable, "store", "the store reports an outage");
+    }
+
+    ScriptedDiscovery discovery;
+    FakeTimer timer { clock };
+    DiscoveryFollower follower { { clock, timer, random, events, discovery, router }, {} };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FollowerFixture, "servers are listed once and followed from there", "[stream][follower]")
+{
+    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.updates.push_back(ServerUpdates { {}, 12 });
+    ServerUpdate removal;
+    removal.unlisted = "i-1";
+    removal.revision = 13;
+    discovery.updates.push_back(ServerUpdates { { removal }, 13 });
+    followServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 12", "watch 13" });
+    CHECK(router.directory().listed("pond").empty());
+}
+
+TEST_CASE_METHOD(FollowerFixture, "after lost history everything is listed again without a pause", "[stream][follower]")
+{
+    discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, 10 });
+    discovery.updates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    discovery.lists.push_back(ServerList { { server(2) }, {}, 40 });
+    const TimePoint before = clock.now();
+    followServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "list", "watch 40" });
+    CHECK(clock.now() == before);
+    CHECK(router.directory().listed("pond").size() == 1);
+    CHECK(events.count("store_history_gone") == 1);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "an outage is retried with growing pauses and reported once at each end", "[stream][follower]")
+{
+    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    for (int count = 0; count < 8; ++count) {
+        if (count == 0) {
+            discovery.updates.push_back(unavailable());
+        } else {
+            discovery.lists.push_back(unavailable());
+        }
+    }
+    discovery.lists.push_back(ServerList { { server(1) }, {}, 50 });
+    const TimePoint before = clock.now();
+    followServers();
+    const auto waited = clock.now() - before;
+    CHECK(waited > milliseconds(2000));
+    CHECK(waited < milliseconds(5000));
+    CHECK(events.count("store_call_failed") == 8);
+    CHECK(events.count("store_regained") == 1);
+    CHECK(router.directory().listed("pond").size() == 1);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "an unusable configuration leaves the one in force", "[stream][follower]")
+{
+    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, 10 });
+    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, 11 });
+    discovery.reads.push_back(ConfigurationRead { configuration(12), {}, 12 });
+    discovery.reads.push_back(ConfigurationRead { {}, {}, 14 });
+    followConfiguration();
+    CHECK(discovery.calls == std::vector<std::string> { "read", "watch 10", "watch 11", "watch 12", "watch 14" });
+    CHECK(events.count("configuration_refused") == 1);
+    CHECK(router.configuration().revision == 12);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "an unreadable entry is reported and the others hold", "[stream][follower]")
+{
+    discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text" } }, 10 });
+    ServerUpdate fault;
+    fault.fault = DiscoveryFault { "i-1", "slots is 0" };
+    fault.revision = 11;
+    discovery.updates.push_back(ServerUpdates { { fault }, 11 });
+    followServers();
+    CHECK(events.count("server_entry_refused") == 2);
+    CHECK(router.directory().listed("pond").size() == 1);
+}
--- /dev/null
+++ b/tests/stream/flowtrackertests.cpp
@@ -0,0 +1,151 @@
+#include "stream/flowtracker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Samphirepitch;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr Endpoint service { 0xc6120001, 443 };
+constexpr std::uint32_t server = 7;
+
+class TrackerFixture
+{
+public:
+    static Endpoint client(std::uint16_t number)
+    {
+        return { 0x64400007, number };
+    }
+
+    StreamPacket data(std::uint16_t from, std::uint32_t sequence, std::uint16_t length, std::uint32_t acknowledgement) const
+    {
+        return { .client = client(from), .service = service, .length = length, .sequence = sequence, .acknowledgement = acknowledgement };
+    }
+
+    void openFlow(std::uint16_t number, std::uint32_t token = server)
+    {
+        tracker.opening({ .client = client(number), .service = service, .opens = true }, token, now);
+        tracker.packet(data(number, 1, 0, 50), token, now);
+    }
+
+    FlowTracker tracker { 100 };
+    TimePoint now = TimePoint() + seconds(100);
+};
+
+} // namespace
+
+TEST_CASE_METHOD(TrackerFixture, "flows and unanswered requests count as load of their server", "[stream][flowtracker]")
+{
+    openFlow(1);
+    openFlow(2);
+    CHECK(tracker.flowsOf(server).recent == 2);
+    tracker.packet(data(1, 1, 900, 50), server, now);
+    CHECK(tracker.flowsOf(server).awaiting == 1);
+    const PacketEvidence answer = tracker.packet(data(1, 901, 0, 4050), server, now + milliseconds(40));
+    CHECK(answer.answered);
+    CHECK(answer.answerTime == std::optional<std::chrono::nanoseconds>(milliseconds(40)));
+    CHECK(tracker.flowsOf(server).awaiting == 0);
+    tracker.remove(client(1), service);
+    tracker.remove(client(2), service);
+    CHECK(tracker.load().empty());
+}
+
+TEST_CASE_METHOD(TrackerFixture, "the same data after a while is a repetition, and a copy on the way is none", "[stream][flowtracker]")
+{
+    openFlow(1);
+    tracker.packet(data(1, 1, 900, 50), server, now);
+    CHECK_FALSE(tracker.packet(data(1, 1, 900, 50), server, now + milliseconds(2)).repeated);
+    CHECK(tracker.packet(data(1, 1, 900, 50), server, now + milliseconds(200)).repeated);
+    CHECK_FALSE(tracker.packet(data(1, 1, 900, 50), server, now + milliseconds(202)).repeated);
+    CHECK(tracker.packet(data(1, 1, 900, 50), server, now + milliseconds(600)).repeated);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "numbers of a flow may wrap around", "[stream][flowtracker]")
+{
+    openFlow(1);
+    tracker.packet(data(1, 0xffffff00, 0, 0xffffffff), server, now);
+    tracker.remove(client(1), service);
+    tracker.packet(data(1, 0xffffff00, 0, 0xffffff00), server, now);
+    tracker.packet(data(1, 0xffffff00, 900, 0xffffff00), server, now);
+    CHECK(tracker.packet(data(1, 0x284, 0, 0x10), server, now + milliseconds(30)).answered);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "quiet flows stop counting as load before they are forgotten", "[stream][flowtracker]")
+{
+    openFlow(1);
+    now += seconds(6);
+    openFlow(2);
+    tracker.expire(now, seconds(15));
+    CHECK(tracker.flowsOf(server).recent == 1);
+    CHECK(tracker.size() == 2);
+    tracker.packet(data(1, 1, 0, 50), server, now);
+    CHECK(tracker.flowsOf(server).recent == 2);
+    now += seconds(16);
+    tracker.expire(now, seconds(15));
+    CHECK(tracker.size() == 0);
+    CHECK(tracker.load().empty());
+}
+
+TEST_CASE_METHOD(TrackerFixture, "a flow that the client finishes is no load, whatever follows", "[stream][flowtracker]")
+{
+    openFlow(1);
+    StreamPacket finish = data(1, 1, 0, 50);
+    finish.finishes = true;
+    tracker.packet(finish, server, now);
+    tracker.packet(data(1, 2, 0, 90), server, now);
+    CHECK(tracker.flowsOf(server).recent == 0);
+    CHECK(tracker.size() == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "a flow follows the token of its packets", "[stream][flowtracker]")
+{
+    openFlow(1, 7);
+    tracker.packet(data(1, 1, 900, 50), 8, now);
+    CHECK(tracker.flowsOf(7).recent == 0);
+    CHECK(tracker.flowsOf(8).recent == 1);
+    CHECK(tracker.flowsOf(8).awaiting == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "the open flows of an ended server are handed out once", "[stream][flowtracker]")
+{
+    openFlow(1);
+    openFlow(2, 8);
+    tracker.opening({ .client = client(3), .service = service, .opens = true }, server, now);
+    const std::vector<StreamFlow> ended = tracker.takeFlowsOf(server);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended.front().client == client(1));
+    CHECK(ended.front().acknowledged == 50);
+    CHECK(tracker.takeFlowsOf(server).empty());
+    CHECK(tracker.size() == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "an answer that comes in time is never overdue", "[stream][flowtracker]")
+{
+    std::vector<std::uint32_t> overdue;
+    const auto report = [&overdue](std::uint32_t token) { overdue.push_back(token); };
+    openFlow(1);
+    openFlow(2, 8);
+    tracker.packet(data(1, 1, 900, 50), server, now);
+    tracker.packet(data(2, 1, 900, 50), 8, now);
+    tracker.packet(data(1, 901, 0, 4050), server, now + milliseconds(30));
+    tracker.checkOverdue(now + milliseconds(80), report);
+    CHECK(overdue.empty());
+    tracker.checkOverdue(now + milliseconds(100), report);
+    CHECK(overdue == std::vector<std::uint32_t> { 8 });
+    tracker.checkOverdue(now + milliseconds(500), report);
+    CHECK(overdue.size() == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "a full table forwards without an entry", "[stream][flowtracker]")
+{
+    for (std::uint16_t number = 0; number < 100; ++number) {
+        openFlow(number);
+    }
+    CHECK_FALSE(tracker.opening({ .client = client(200), .service = service, .opens = true }, server, now));
+    CHECK_FALSE(tracker.packet(data(200, 1, 900, 50), server, now).answered);
+    CHECK(tracker.size() == 100);
+}
--- /dev/null
+++ b/tests/stream/leastflowsselectortests.cpp
@@ -0,0 +1,63 @@
+#include "stream/leastflowsselector.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace Samphirepitch;
+
+namespace
+{
+
+class SelectorFixture
+{
+public:
+    std::size_t choose(const std::vector<StreamCandidate> &candidates)
+    {
+        return LeastFlowsSelector().choose(candidates, random).value();
+    }
+
+    SeededRandom random { 20261204 };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SelectorFixture, "the server with the fewest flows a slot is taken", "[stream][selector]")
+{
+    CHECK(choose({ { .flows = 4, .slots = 2 }, { .flows = 3, .slots = 2 }, { .flows = 5, .slots = 2 } }) == 1);
+    CHECK(choose({ { .flows = 4, .slots = 2 }, { .flows = 5, .slots = 4 } }) == 1);
+}
+
+TEST_CASE_METHOD(SelectorFixture, "servers of the own domain are taken until they are much fuller", "[stream][selector]")
+{
+    // Answers the pattern of a domain that is cut off: flows on servers of the client's own domain are not touched by it.
+    CHECK(choose({ { .flows = 10, .slots = 2 }, { .flows = 7, .slots = 2, .local = false } }) == 0);
+    CHECK(choose({ { .flows = 10, .slots = 2 }, { .flows = 2, .slots = 2, .local = false } }) == 1);
+}
+
+TEST_CASE_METHOD(SelectorFixture, "a server that has just started gets less", "[stream][selector]")
+{
+    // Answers the pattern of a release: without it, all flows of a drained server would go to its cold successor.
+    CHECK(choose({ { .flows = 4, .slots = 2, .cold = true }, { .flows = 6, .slots = 2 } }) == 1);
+    CHECK(choose({ { .flows = 1, .slots = 2, .cold = true }, { .flows = 6, .slots = 2 } }) == 0);
+}
+
+TEST_CASE_METHOD(SelectorFixture, "a doubtful server is only taken if there is no other", "[stream][selector]")
+{
+    CHECK(choose({ { .flows = 0, .doubtful = true }, { .flows = 90 } }) == 1);
+    CHECK(choose({ { .flows = 3, .doubtful = true }, { .flows = 1, .doubtful = true } }) == 1);
+    CHECK_FALSE(LeastFlowsSelector().choose({}, random).has_value());
+}
+
+TEST_CASE_METHOD(SelectorFixture, "equally good servers are taken alike", "[stream][selector]")
+{
+    // Instances that know the same must not send all new flows to one server.
+    std::array<int, 4> taken {};
+    for (int round = 0; round < 4000; ++round) {
+        ++taken[choose(std::vector<StreamCandidate>(4))];
+    }
+    for (const int count : taken) {
+        CHECK(count > 850);
+        CHECK(count < 1150);
+    }
+}
--- /dev/null
+++ b/tests/stream/routerfixture.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "stream/leastflowsselector.h"
+#include "stream/streamrouter.h"
+
+#include <string>
+#include <vector>
+
+namespace Samphirepitch::Tests
+{
+
+/** Keeps the names of events with their fields as text. */
+class EventCollector : public EventSink
+{
+public:
+    void record(EventSeverity severity, std::string_view name, std::vector<EventField> fields) override;
+
+    /** Returns the number of events of a name. */
+    std::size_t count(std::string_view name) const;
+
+    /** Returns the last event of a name as "key=value key=value", or nothing. */
+    std::string last(std::string_view name) const;
+
+private:
+    struct Seen {
+        std::string name;
+        std::string text;
+    };
+
+    std::vector<Seen> m_seen;
+};
+
+/** Keeps the times that a router reports. */
+class TimeCollector : public StreamObserver
+{
+public:
+    void flowOpened(std::chrono::nanoseconds time) override
+    {
+        openings.push_back(time);
+    }
+
+    void answered(std::chrono::nanoseconds time) override
+    {
+        answers.push_back(time);
+    }
+
+    std::vector<std::chrono::nanoseconds> openings;
+    std::vector<std::chrono::nanoseconds> answers;
+};
+
+/** A router in the failure domain "a" with one route to the service "pond", and helpers to send it packets. */
+class RouterFixture
+{
+public:
+    static constexpr Endpoint client { 0x64400007, 40001 };
+    static constexpr Endpoint service { 0xc6120001, 443 };
+    static constexpr Endpoint noService { 0xc6120009, 443 };
+
+    RouterFixture();
+
+    /** Returns a server of "pond" with the id "i-<number>" in hexadecimal digits. */
+    static StreamServer server(std::uint64_t number, std::string failureDomain = "a");
+
+    /** Returns a configuration with the route from service to "pond". */
+    static StreamConfiguration configuration(std::uint64_t revision);
+
+    /** Gives the router the configuration and the servers. */
+    void makeReady(const std::vector<StreamServer> &servers);
+
+    /** Sends the opening packet of a flow, or its copy number @p copy. */
+    StreamDecision open(Endpoint from = client, std::uint32_t copy = 0);
+
+    /** Sends @p length bytes of data that begin at @p sequence. */
+    StreamDecision send(
+        std::uint32_t token, std::uint32_t sequence, std::uint16_t length, std::uint32_t acknowledgement, Endpoint from = client);
+
+    /** Moves the clock. */
+    void pass(std::chrono::milliseconds time);
+
+    ManualClock clock;
+    SeededRandom random { 20261204 };
+    EventCollector events;
+    TimeCollector times;
+    LeastFlowsSelector selector;
+    StreamRouter router;
+};
+
+} // namespace Samphirepitch::Tests
--- /dev/null
+++ b/tests/stream/serverdirectorytests.cpp
@@ -0,0 +1,124 @@
+#include "stream/routerfixture.h"
+#include "stream/serverdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+namespace
+{
+
+const TimePoint start = TimePoint() + std::chrono::seconds(100);
+
+std::string describe(const DirectoryChanges &changes)
+{
+    std::string text;
+    for (const DirectoryChange &change : changes) {
+        text += std::string(directoryChangeName(change.kind)) + ' ' + change.record->server.id + ';';
+    }
+    return text;
+}
+
+StreamServer at(StreamServer server, std::uint64_t revision)
+{
+    server.revision = revision;
+    return server;
+}
+
+} // namespace
+
+TEST_CASE("tokens are the same on every instance and differ between servers", "[stream][directory]")
+{
+    CHECK(ServerDirectory::tokenOf(1) == ServerDirectory::tokenOf(1));
+    CHECK(ServerDirectory::tokenOf(1) != ServerDirectory::tokenOf(2));
+    // Ids are wider than the token, so that their upper digits have to count.
+    CHECK(ServerDirectory::tokenOf(0x1000000001) != ServerDirectory::tokenOf(0x2000000001));
+}
+
+TEST_CASE("a complete list adds and removes servers", "[stream][directory]")
+{
+    ServerDirectory directory;
+    CHECK(describe(directory.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, 10, start)) == "added i-1;added i-2;");
+    CHECK(directory.listed("pond").size() == 2);
+    CHECK(describe(directory.replaceAll({ RouterFixture::server(2) }, {}, 12, start)) == "removed i-1;");
+    CHECK(directory.listed("pond").size() == 1);
+    CHECK(directory.revision() == 12);
+}
+
+TEST_CASE("a server stays known after its entry is gone until no flow can be that old", "[stream][directory]")
+{
+    // An entry may lapse while its server still runs, and packets of its flows name it by its token.
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    directory.remove("i-1", 11, start);
+    directory.expire(start + ServerDirectory::retention - std::chrono::seconds(1));
+    REQUIRE(directory.findToken(ServerDirectory::tokenOf(1)) != nullptr);
+    CHECK_FALSE(directory.findToken(ServerDirectory::tokenOf(1))->listed);
+    CHECK(directory.expire(start + ServerDirectory::retention) == std::vector<std::uint32_t> { ServerDirectory::tokenOf(1) });
+    CHECK(directory.findToken(ServerDirectory::tokenOf(1)) == nullptr);
+}
+
+TEST_CASE("older news never replaces newer news", "[stream][directory]")
+{
+    ServerDirectory directory;
+    directory.replaceAll({ at(RouterFixture::server(1), 20) }, {}, 30, start);
+    StreamServer stale = at(RouterFixture::server(1), 19);
+    stale.phase = ServerPhase::Draining;
+    CHECK(directory.update(stale, start).empty());
+    CHECK(directory.replaceAll({}, {}, 29, start).empty());
+    CHECK(directory.remove("i-1", 19, start).empty());
+    CHECK(directory.listed("pond").front()->server.phase == ServerPhase::Ready);
+}
+
+TEST_CASE("an unreadable entry keeps what is known of its server", "[stream][directory]")
+{
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    CHECK(directory.replaceAll({}, { "i-1" }, 12, start).empty());
+    CHECK(directory.listed("pond").size() == 1);
+}
+
+TEST_CASE("a start time tells incarnations under one id apart", "[stream][directory]")
+{
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    StreamServer next = at(RouterFixture::server(1), 11);
+    next.startedAt = 2000;
+    CHECK(describe(directory.update(next, start)) == "restarted i-1;");
+}
+
+TEST_CASE("an address that went to a later server ends the earlier one", "[stream][directory]")
+{
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    StreamServer successor = at(RouterFixture::server(2), 11);
+    successor.address = RouterFixture::server(1).address;
+    successor.startedAt = 4000;
+    CHECK(describe(directory.update(successor, start)) == "added i-2;address_reused i-1;");
+    CHECK(directory.listed("pond").size() == 1);
+}
+
+TEST_CASE("two servers that claim one address without a clear order both stay", "[stream][directory]")
+{
+    // An entry of another writer must not end a server that runs.
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    StreamServer other = at(RouterFixture::server(2), 11);
+    other.address = RouterFixture::server(1).address;
+    other.startedAt = 0;
+    CHECK(describe(directory.update(other, start)) == "added i-2;");
+}
+
+TEST_CASE("of two servers with one token the same one takes flows on every instance", "[stream][directory]")
+{
+    ServerDirectory directory;
+    StreamServer first = RouterFixture::server(1);
+    StreamServer second = RouterFixture::server(1);
+    second.id = "j-1";
+    directory.update(second, start);
+    directory.update(first, start);
+    CHECK_FALSE(directory.findId("i-1")->shadowed);
+    CHECK(directory.findId("j-1")->shadowed);
+    CHECK(directory.findToken(ServerDirectory::tokenOf(1))->server.id == "i-1");
+}
--- /dev/null
+++ b/tests/stream/serverevidencetests.cpp
@@ -0,0 +1,82 @@
+#include "stream/serverevidence.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Samphirepitch;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const TimePoint start = TimePoint() + std::chrono::seconds(100);
+constexpr std::uint32_t server = 7;
+
+} // namespace
+
+TEST_CASE("an unanswered packet casts doubt for a while and an answer removes it", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    CHECK(evidence.unanswered(server, start));
+    CHECK_FALSE(evidence.unanswered(server, start + milliseconds(1)));
+    CHECK(evidence.standing(server, start + milliseconds(1000)) == Standing::Suspected);
+    CHECK(evidence.standing(server, start + milliseconds(1300)) == Standing::Trusted);
+    evidence.unanswered(server, start);
+    evidence.progress(server, start + milliseconds(10));
+    CHECK(evidence.standing(server, start + milliseconds(10)) == Standing::Trusted);
+    CHECK(evidence.takeDueProbes(start + milliseconds(10)).empty());
+}
+
+TEST_CASE("one server is looked into at bounded intervals, however many flows ask", "[stream][evidence]")
+{
+    // Connections are priced, and a slow server has many late answers.
+    ServerEvidence evidence;
+    std::size_t probes = 0;
+    for (int step = 0; step < 1000; ++step) {
+        evidence.overdue(server, start + milliseconds(step));
+        probes += evidence.takeDueProbes(start + milliseconds(step)).size();
+    }
+    CHECK(probes == 7);
+}
+
+TEST_CASE("only a refused connection or an end for certain makes a server gone", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    CHECK(evidence.connected(server, ConnectResult::Unanswered, start));
+    CHECK(evidence.standing(server, start) == Standing::Unreachable);
+    CHECK(evidence.connected(server, ConnectResult::Refused, start));
+    CHECK(evidence.standing(server, start) == Standing::Gone);
+    CHECK_FALSE(evidence.ended(server, start));
+    CHECK(ServerEvidence().standing(server, start) == Standing::Trusted);
+}
+
+TEST_CASE("late acknowledgements do not revive a server that is gone, and an accepted connection does", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    evidence.ended(server, start);
+    evidence.progress(server, start + milliseconds(5));
+    CHECK(evidence.standing(server, start + milliseconds(5)) == Standing::Gone);
+    CHECK(evidence.connected(server, ConnectResult::Accepted, start + milliseconds(900)));
+    CHECK(evidence.standing(server, start + milliseconds(900)) == Standing::Trusted);
+}
+
+TEST_CASE("an unreachable server is tried again without clients until it answers", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    evidence.unanswered(server, start);
+    REQUIRE(evidence.takeDueProbes(start).size() == 1);
+    evidence.connected(server, ConnectResult::Unanswered, start + milliseconds(250));
+    CHECK(evidence.takeDueProbes(start + milliseconds(300)).empty());
+    CHECK(evidence.takeDueProbes(start + milliseconds(1000)).size() == 1);
+    evidence.connected(server, ConnectResult::Accepted, start + milliseconds(1400));
+    CHECK(evidence.standing(server, start + milliseconds(1400)) == Standing::Trusted);
+    CHECK(evidence.takeDueProbes(start + milliseconds(3000)).empty());
+}
+
+TEST_CASE("a new incarnation starts without the record of the earlier one", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    evidence.ended(server, start);
+    evidence.restarted(server);
+    CHECK(evidence.standing(server, start) == Standing::Trusted);
+}
--- /dev/null
+++ b/tests/stream/streamroutertests.cpp
@@ -0,0 +1,294 @@
+#include "stream/routerfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Samphirepitch;
+using namespace Samphirepitch::Tests;
+
+using std::chrono::milliseconds;
+using Action = StreamDecision::Action;
+
+TEST_CASE_METHOD(RouterFixture, "an instance without a configuration drops packets and resets nothing", "[stream][router]")
+{
+    // Guards against a restarted instance that resets open flows because it has read no routes yet.
+    router.serversListed({ server(1) }, {}, 10);
+    CHECK(send(ServerDirectory::tokenOf(1), 101, 900, 7).action == Action::Drop);
+    CHECK(open().action == Action::Drop);
+    CHECK(router.takeResets().empty());
+    router.adopt(configuration(4));
+    CHECK(send(ServerDirectory::tokenOf(1), 101, 900, 7).action == Action::Forward);
+}
+
+TEST_CASE_METHOD(RouterFixture, "an instance without a list of servers drops packets and resets nothing", "[stream][router]")
+{
+    router.adopt(configuration(4));
+    CHECK(open().action == Action::Drop);
+    CHECK(send(ServerDirectory::tokenOf(1), 101, 900, 7).action == Action::Drop);
+    CHECK_FALSE(router.isReady());
+}
+
+TEST_CASE_METHOD(RouterFixture, "an opening packet goes to a server and gets its token", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const StreamDecision decision = open();
+    CHECK(decision.action == Action::Forward);
+    CHECK(decision.outcome == StreamOutcome::Placed);
+    CHECK(decision.token == ServerDirectory::tokenOf(1));
+    REQUIRE(decision.server != nullptr);
+    CHECK(decision.server->number == 1);
+    CHECK(events.last("flow_placed").find("server=i-1") != std::string::npos);
+}
+
+TEST_CASE_METHOD(RouterFixture, "the token places a flow that this instance never saw", "[stream][router]")
+{
+    // The fabric moves nearly all flows to other instances when one joins or leaves.
+    makeReady({ server(1), server(2), server(3) });
+    for (const std::uint64_t number : { 1, 2, 3 }) {
+        const StreamDecision decision = send(ServerDirectory::tokenOf(number), 500, 900, 7);
+        CHECK(decision.action == Action::Forward);
+        REQUIRE(decision.server != nullptr);
+        CHECK(decision.server->number == number);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a token that names no known server is answered with silence", "[stream][router]")
+{
+    // A reset could break an open flow whose server is only unknown here.
+    makeReady({ server(1) });
+    const StreamDecision decision = send(ServerDirectory::tokenOf(9), 500, 900, 7);
+    CHECK(decision.action == Action::Drop);
+    CHECK(decision.outcome == StreamOutcome::UnknownToken);
+}
+
+TEST_CASE_METHOD(RouterFixture, "packets to an address without a route are reset at once", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const StreamDecision decision = router.route({ .client = client, .service = noService, .opens = true });
+    CHECK(decision.action == Action::Reset);
+    CHECK(decision.outcome == StreamOutcome::NoRoute);
+    const StreamDecision reset = router.route({ .client = client, .service = noService, .resets = true });
+    CHECK(reset.action == Action::Drop);
+}
+
+TEST_CASE_METHOD(RouterFixture, "an opening packet is reset at once if no server can take the flow", "[stream][router]")
+{
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    makeReady({ draining });
+    const StreamDecision decision = open();
+    CHECK(decision.action == Action::Reset);
+    CHECK(decision.outcome == StreamOutcome::NoServer);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a copy of an opening packet goes to another server and casts doubt on the first", "[stream][router]")
+{
+    makeReady({ server(1), server(2) });
+    const std::uint32_t first = open().token;
+    pass(milliseconds(200));
+    const StreamDecision copy = open(client, 1);
+    CHECK(copy.outcome == StreamOutcome::PlacedAgain);
+    CHECK(copy.token != first);
+    CHECK(router.evidence().standing(first, clock.now()) == Standing::Suspected);
+    const std::vector<ProbeTarget> probes = router.takeDueProbes();
+    REQUIRE(probes.size() == 1);
+    CHECK(probes.front().token == first);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a late copy of the opening packet leaves an open flow where it is", "[stream][router]")
+{
+    makeReady({ server(1), server(2) });
+    const std::uint32_t first = open().token;
+    send(first, 101, 0, 1);
+    pass(milliseconds(200));
+    CHECK(open(client, 1).token == first);
+    CHECK(router.evidence().standing(first, clock.now()) == Standing::Trusted);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a draining server keeps its flows and gets no new ones", "[stream][router]")
+{
+    makeReady({ server(1), server(2) });
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    draining.revision = 11;
+    router.serverListed(draining);
+    CHECK(send(ServerDirectory::tokenOf(1), 500, 900, 7).action == Action::Forward);
+    for (std::uint16_t port = 1; port < 20; ++port) {
+        CHECK(open(Endpoint(0x64400009, port)).token == ServerDirectory::tokenOf(2));
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "the open flows of a server that refuses connections are reset, also the idle ones", "[stream][router]")
+{
+    // Answers the pattern of crashed servers: clients of idle flows learn it before their next request.
+    makeReady({ server(1) });
+    const Endpoint idle(0x64400008, 40002);
+    const std::uint32_t token = open(idle).token;
+    send(token, 101, 0, 77, idle);
+    open();
+    send(token, 101, 900, 55);
+    pass(milliseconds(200));
+    send(token, 101, 900, 55);
+    REQUIRE(router.takeDueProbes().size() == 1);
+    router.probed(token, ConnectResult::Refused);
+    const std::vector<StreamReset> resets = router.takeResets();
+    REQUIRE(resets.size() == 2);
+    for (const StreamReset &reset : resets) {
+        CHECK(reset.service == service);
+        CHECK(reset.sequence == (reset.client == idle ? 77 : 55));
+    }
+    const StreamDecision later = send(token, 101, 900, 55);
+    CHECK(later.action == Action::Reset);
+    CHECK(later.outcome == StreamOutcome::ServerGone);
+    CHECK(open(Endpoint(0x64400009, 1)).outcome == StreamOutcome::NoServer);
+}
+
+TEST_CASE_METHOD(RouterFixture, "an answer that takes long asks for a connection and casts no doubt", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    pass(milliseconds(50));
+    router.tick();
+    CHECK(router.takeDueProbes().empty());
+    pass(milliseconds(50));
+    router.tick();
+    CHECK(router.takeDueProbes().size() == 1);
+    CHECK(router.evidence().standing(token, clock.now()) == Standing::Trusted);
+    router.probed(token, ConnectResult::Accepted);
+    CHECK(router.takeResets().empty());
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server that cannot be reached keeps its flows", "[stream][router]")
+{
+    // It may live behind a cut, and a flow whose server lives must not be reset.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    router.probed(token, ConnectResult::Unanswered);
+    CHECK(router.takeResets().empty());
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    CHECK(open(Endpoint(0x64400009, 1)).token != token);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a draining server is not judged by its listener", "[stream][router]")
+{
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    makeReady({ draining });
+    send(ServerDirectory::tokenOf(1), 101, 900, 55);
+    pass(milliseconds(500));
+    send(ServerDirectory::tokenOf(1), 101, 900, 55);
+    router.tick();
+    CHECK(router.takeDueProbes().empty());
+}
+
+TEST_CASE_METHOD(RouterFixture, "flows whose address went to another server are reset", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    StreamServer successor = server(2);
+    successor.service = "tile";
+    successor.address = server(1).address;
+    successor.startedAt = 9000;
+    successor.revision = 12;
+    router.serverListed(successor);
+    CHECK(router.takeResets().size() == 1);
+    CHECK(send(token, 101, 900, 55).action == Action::Reset);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a removed entry is proof of the end only after the store was calm for a while", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    SECTION("with a store that answers all the time")
+    {
+        router.serverUnlisted("i-1", 12);
+        pass(milliseconds(2000));
+        router.tick();
+        CHECK(router.takeResets().empty());
+        CHECK(send(token, 101, 900, 55).action == Action::Forward);
+        pass(milliseconds(1000));
+        router.tick();
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("entries that lapsed during an outage may come back")
+    {
+        router.storeReachable(false);
+        router.serverUnlisted("i-1", 12);
+        pass(milliseconds(9000));
+        router.tick();
+        router.storeReachable(true);
+        pass(milliseconds(1900));
+        router.tick();
+        CHECK(router.takeResets().empty());
+        StreamServer back = server(1);
+        back.revision = 14;
+        router.serverListed(back);
+        pass(milliseconds(9000));
+        router.tick();
+        CHECK(router.takeResets().empty());
+        CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a new incarnation under the same id ends the flows of the earlier one", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    StreamServer restarted = server(1);
+    restarted.startedAt = 5000;
+    restarted.revision = 12;
+    router.serverListed(restarted);
+    CHECK(router.takeResets().size() == 1);
+    CHECK(open(Endpoint(0x64400009, 1)).action == Action::Forward);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a configuration never goes back and resets only flows without a route", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    StreamConfiguration same = configuration(6);
+    CHECK(router.adopt(same));
+    CHECK(router.takeResets().empty());
+    StreamConfiguration without = configuration(8);
+    without.routes.clear();
+    CHECK(router.adopt(without));
+    CHECK(router.takeResets().size() == 1);
+    CHECK_FALSE(router.adopt(configuration(7)));
+    CHECK(open().outcome == StreamOutcome::NoRoute);
+}
+
+TEST_CASE_METHOD(RouterFixture, "new flows follow the weights of a split route", "[stream][router]")
+{
+    StreamServer other = server(2);
+    other.service = "tile";
+    makeReady({ server(1), other });
+    StreamConfiguration split = configuration(6);
+    split.routes.at(service).targets = { { "pond", 90 }, { "tile", 10 } };
+    router.adopt(split);
+    int tiles = 0;
+    for (std::uint16_t port = 1; port <= 1000; ++port) {
+        tiles += open(Endpoint(0x64400009, port)).server->service == "tile" ? 1 : 0;
+    }
+    CHECK(tiles > 60);
+    CHECK(tiles < 140);
+}
+
+TEST_CASE_METHOD(RouterFixture, "opening and answer times are reported", "[stream][router]")
+{
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    pass(milliseconds(7));
+    send(token, 101, 0, 1);
+    send(token, 101, 900, 1);
+    pass(milliseconds(30));
+    send(token, 1001, 0, 501);
+    REQUIRE(times.openings.size() == 1);
+    CHECK(times.openings.front() == milliseconds(7));
+    REQUIRE(times.answers.size() == 1);
+    CHECK(times.answers.front() == milliseconds(30));
+}
--- a/tests/system/systemdeployment.cpp
+++ b/tests/system/systemdeployment.cpp
@@ -1,8 +1,8 @@
 #include "system/systemdeployment.h"
 
 #include "model/configreader.h"
-#include "platform/platformfixture.h"
-#include "platform/publisher.h"
+#include "objectstore/platformfixture.h"
+#include "objectstore/publisher.h"
 
 #include <filesystem>
 #include <unistd.h>
--- a/tests/system/systemdeployment.h
+++ b/tests/system/systemdeployment.h
@@ -4,7 +4,7 @@
 #include "lib/fabricstandin.h"
 #include "lib/platformstandin.h"
 #include "model/configset.h"
-#include "platform/httpplatform.h"
+#include "objectstore/httpplatform.h"
 #include "system/instancehost.h"
 #include "system/systemcaller.h"
 
