Prefer servers of the own domain more, and hold packets during a start

Short flows went to other domains as soon as one local flow was open, because the preference was only a ratio.

Ruled out: time from exec to bind (2 to 4 ms of processor time).

--- a/src/stream/leastflowsselector.cpp
+++ b/src/stream/leastflowsselector.cpp
@@ -15,7 +15,7 @@
     if (candidate.cold) {
         cost *= LeastFlowsSelector::coldFactor;
     }
-    return candidate.local ? cost : cost * LeastFlowsSelector::remoteFactor;
+    return candidate.local ? cost : cost * LeastFlowsSelector::remoteFactor + LeastFlowsSelector::remoteFlows;
 }
 
 } // namespace
--- a/src/stream/streamplane.cpp
+++ b/src/stream/streamplane.cpp
@@ -19,6 +19,9 @@
 // A quarter of the time after which an answer is looked into.
 constexpr milliseconds checkInterval { 25 };
 
+// Held packets wait for the first answers of the store, which take a few milliseconds.
+constexpr milliseconds heldCheckInterval { 5 };
+
 // Many round trips between failure domains; a host that lives refuses within one.
 constexpr milliseconds connectTimeout { 250 };
 
@@ -94,8 +97,9 @@
 {
     asio::steady_timer timer(m_executor);
     while (true) {
-        timer.expires_after(checkInterval);
+        timer.expires_after(m_held.empty() ? checkInterval : heldCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
+        sendHeld();
         m_router.tick();
         startDueProbes();
         sendResets();
@@ -109,6 +113,10 @@
         m_router.unreadable(bytes.size());
         return;
     }
+    if (!m_router.isReady() && m_held.hold(bytes, m_clock.now())) {
+        ++m_heldCount;
+        return;
+    }
     const StreamDecision decision = m_router.route(*packet);
     if (decision.action == StreamDecision::Action::Reset) {
         reset({ packet->client, packet->service, packet->acknowledgement });
@@ -136,6 +144,18 @@
     }
 }
 
+void StreamPlane::sendHeld()
+{
+    if (m_held.empty() || !m_router.isReady()) {
+        return;
+    }
+    std::vector<std::vector<std::uint8_t>> packets = m_held.take(m_clock.now());
+    for (std::vector<std::uint8_t> &packet : packets) {
+        forward(packet);
+    }
+    m_batch.flush(m_socket.native_handle());
+}
+
 void StreamPlane::startDueProbes()
 {
     for (ProbeTarget &target : m_router.takeDueProbes()) {
@@ -163,6 +183,7 @@
 void StreamPlane::writeMetrics(MetricWriter &writer) const
 {
     writer.counter("samphirepitch_datagrams_received_total", "Datagrams read from the fabric.", {}, m_received);
+    writer.counter("samphirepitch_packets_held_total", "Packets that arrived before routes and servers were known.", {}, m_heldCount);
     writer.counter("samphirepitch_datagrams_unsent_total", "Datagrams that the socket did not take.", {}, m_batch.dropped());
     writer.counter("samphirepitch_resets_sent_total", "Resets sent to clients.", {}, m_resetsSent);
     writer.counter("samphirepitch_server_connections_total", "Connections made to look into servers.", {}, m_probes);
--- a/src/stream/streamplane.h
+++ b/src/stream/streamplane.h
@@ -6,6 +6,7 @@
 #include "core/metricsource.h"
 #include "data/datagrambatch.h"
 #include "stream/connectprobe.h"
+#include "stream/heldpackets.h"
 #include "stream/packetcodec.h"
 #include "stream/streamrouter.h"
 
@@ -47,6 +48,9 @@
     /** Sends the resets that became due outside of the packet task. */
     void sendResets();
 
+    /** Forwards the packets that were held during the start, once the router is ready. */
+    void sendHeld();
+
     /** Returns the bound address. */
     Endpoint address() const;
 
@@ -69,7 +73,9 @@
     Endpoint m_address;
     asio::ip::udp::socket m_socket;
     DatagramBatch m_batch;
+    HeldPackets m_held;
     std::uint64_t m_received = 0;
+    std::uint64_t m_heldCount = 0;
     std::uint64_t m_resetsSent = 0;
     std::uint64_t m_probes = 0;
     std::size_t m_runningProbes = 0;
