Reset flows of servers that can't be reached, unless an unrepeatable request is under way

Cause: a server that falls silent, or is behind a cut, refuses no connection, so that nothing proves its end until its entry lapses (4.4 s and later).

Ruled out: resetting after one connection that was not made in time (a lost opening packet looks the same; a full accept queue too); resetting flows with an unsafe request under way (the server may still answer the client directly).

Change: two connections in a row without any answer of the server in between make it silent. Idle flows and flows of repeatable requests are then reset, and repeatable requests on them refused at once. Connections time out after 120 ms.

Conclusion: the worst windows left are those after power loss and many kills, where clients repeat their packets late.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -113,11 +113,6 @@
     return takeIf([token](const StreamFlow &flow) { return flow.token == token; });
 }
 
-std::vector<StreamFlow> FlowTracker::takeFlowsWithoutRoute(const std::function<bool(Endpoint)> &hasRoute)
-{
-    return takeIf([&hasRoute](const StreamFlow &flow) { return !hasRoute(flow.service); });
-}
-
 void FlowTracker::checkOverdue(TimePoint now, const std::function<void(std::uint32_t token)> &report)
 {
     while (!m_overdueChecks.empty() && m_overdueChecks.front().due <= now) {
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -77,8 +77,8 @@
     /** Forgets the flows of a server that has ended. @return the flows that are open, whose clients have to be told */
     std::vector<StreamFlow> takeFlowsOf(std::uint32_t token);
 
-    /** Forgets the flows of addresses that @p hasRoute refuses. @return those that are open */
-    std::vector<StreamFlow> takeFlowsWithoutRoute(const std::function<bool(Endpoint)> &hasRoute);
+    /** Forgets the flows that @p matches accepts. @return those of them that are open */
+    std::vector<StreamFlow> takeIf(const std::function<bool(const StreamFlow &)> &matches);
 
     /** Calls @p report with the server of each answer that has become overdue. */
     void checkOverdue(TimePoint now, const std::function<void(std::uint32_t token)> &report);
@@ -111,7 +111,6 @@
     void setRecent(StreamFlow &flow, bool recent);
     void erase(std::unordered_map<std::uint64_t, Flows::iterator>::iterator entry);
     void dropIfUnused(std::uint32_t token);
-    std::vector<StreamFlow> takeIf(const std::function<bool(const StreamFlow &)> &matches);
 
     std::size_t m_maxFlows;
     Flows m_recent; // sorted by the time of the last packet
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -12,6 +12,8 @@
         return "suspected";
     case Standing::Unreachable:
         return "unreachable";
+    case Standing::Silent:
+        return "silent";
     case Standing::Gone:
         return "gone";
     }
@@ -39,7 +41,7 @@
         return;
     }
     State &state = found->second;
-    state.isUnreachable = false;
+    state.failures = 0;
     state.wantsProbe = false;
     state.suspectedUntil = now;
 }
@@ -63,9 +65,13 @@
     const Standing before = standing(token, now);
     State &state = m_states[token];
     state.isGone = result == ConnectResult::Refused;
-    state.isUnreachable = result == ConnectResult::Unanswered;
+    state.failures = result == ConnectResult::Unanswered ? state.failures + 1 : 0;
     state.wantsProbe = result != ConnectResult::Accepted;
-    state.nextProbe = now + (result == ConnectResult::Accepted ? probeInterval : recheckInterval);
+    if (result == ConnectResult::Accepted) {
+        state.nextProbe = now + probeInterval;
+    } else {
+        state.nextProbe = now + (state.failures == 1 ? secondProbeDelay : recheckInterval);
+    }
     return standing(token, now) != before;
 }
 
@@ -107,8 +113,8 @@
     if (state.isGone) {
         return Standing::Gone;
     }
-    if (state.isUnreachable) {
-        return Standing::Unreachable;
+    if (state.failures > 0) {
+        return state.failures < failuresUntilSilent ? Standing::Unreachable : Standing::Silent;
     }
     return now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
 }
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -15,7 +15,8 @@
 enum class Standing {
     Trusted,
     Suspected, /**< Packets to it were not answered; it gets no new flows for a while. */
-    Unreachable, /**< A connection to it could not be made in time; it may live behind a cut. */
+    Unreachable, /**< A connection to it could not be made in time; that may be a lost packet. */
+    Silent, /**< Two connections in a row could not be made and nothing was answered: it has ended or is behind a cut. */
     Gone, /**< It has ended: its host refused a connection, its address went to another server, or it left. */
 };
 
@@ -43,8 +44,12 @@
     static constexpr std::chrono::milliseconds suspicionTime { 1200 };
     /** Least time between two connections to one server: a tenth of what a client waits for an opening packet. */
     static constexpr std::chrono::milliseconds probeInterval { 150 };
-    /** Time between connections to a server that is unreachable or gone. */
+    /** Time between connections to a server that is silent or gone. */
     static constexpr std::chrono::milliseconds recheckInterval { 700 };
+    /** Time from a connection that was not made in time to the next one, which decides whether the server is silent. */
+    static constexpr std::chrono::milliseconds secondProbeDelay { 50 };
+    /** Connections in a row that make a server silent: one is lost too easily. */
+    static constexpr std::uint32_t failuresUntilSilent = 2;
 
     /** The server @p token answered something. */
     void progress(std::uint32_t token, TimePoint now);
@@ -75,7 +80,7 @@
 private:
     struct State {
         bool isGone = false;
-        bool isUnreachable = false;
+        std::uint32_t failures = 0; // connections in a row that were not made in time
         bool wantsProbe = false;
         TimePoint suspectedUntil {};
         TimePoint nextProbe {};
--- a/src/stream/streamconfiguration.h
+++ b/src/stream/streamconfiguration.h
@@ -24,6 +24,7 @@
     std::string name;
     Endpoint address; /**< the address that clients open flows to */
     std::vector<RouteTarget> targets; /**< at least one, with a total weight above 0 */
+    bool idempotent = false; /**< clients repeat its requests after any failure */
 
     friend bool operator==(const StreamRoute &, const StreamRoute &) = default;
 };
--- a/src/stream/streamcounters.h
+++ b/src/stream/streamcounters.h
@@ -16,6 +16,7 @@
     NoRoute, /**< no route for the address */
     NoServer, /**< no server can take the flow */
     ServerGone, /**< the flow's server has ended */
+    ServerSilent, /**< the flow's server can't be reached and its client may repeat the request */
     RouteRemoved, /**< a new configuration dropped the route of an open flow */
     UnknownToken, /**< the token names no server that this instance knows */
     NoToken, /**< a later packet without a token, of a flow that this instance does not know */
@@ -23,13 +24,13 @@
     Unreadable, /**< not a packet of a stream flow */
 };
 
-constexpr std::size_t streamOutcomeCount = 11;
+constexpr std::size_t streamOutcomeCount = 12;
 
 /** Returns the lower-case name of an outcome, for logs and metrics. */
 constexpr std::string_view streamOutcomeName(StreamOutcome outcome)
 {
     constexpr std::array<std::string_view, streamOutcomeCount> names { "placed", "placed_again", "known", "no_route", "no_server",
-        "server_gone", "route_removed", "unknown_token", "no_token", "not_ready", "unreadable" };
+        "server_gone", "server_silent", "route_removed", "unknown_token", "no_token", "not_ready", "unreadable" };
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/stream/streamplane.cpp
+++ b/src/stream/streamplane.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds heldCheckInterval { 5 };
 
 // Many round trips between failure domains; a host that lives refuses within one.
-constexpr milliseconds connectTimeout { 250 };
+constexpr milliseconds connectTimeout { 120 };
 
 // Each probe holds a descriptor; when a failure domain is cut off, all of its servers become due at once.
 constexpr std::size_t maxRunningProbes = 64;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -44,7 +44,7 @@
     if (route == nullptr) {
         return refuse(packet, StreamOutcome::NoRoute);
     }
-    return packet.opens ? routeOpening(packet, *route) : routeLater(packet);
+    return packet.opens ? routeOpening(packet, *route) : routeLater(packet, *route);
 }
 
 StreamDecision StreamRouter::routeOpening(const StreamPacket &packet, const StreamRoute &route)
@@ -88,7 +88,7 @@
     return forward(*record, isCopy ? StreamOutcome::PlacedAgain : StreamOutcome::Placed);
 }
 
-StreamDecision StreamRouter::routeLater(const StreamPacket &packet)
+StreamDecision StreamRouter::routeLater(const StreamPacket &packet, const StreamRoute &route)
 {
     std::uint32_t token = packet.token;
     if (token == 0) {
@@ -102,7 +102,13 @@
     if (record == nullptr) {
         return drop(packet, StreamOutcome::UnknownToken);
     }
-    if (m_evidence.standing(token, m_clock.now()) == Standing::Gone) {
+    const Standing standing = m_evidence.standing(token, m_clock.now());
+    // The request can't reach its server; the client may repeat it, and does so at once after a reset.
+    if (standing == Standing::Silent && route.idempotent && packet.length > 0) {
+        m_flows.remove(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::ServerSilent);
+    }
+    if (standing == Standing::Gone) {
         m_flows.remove(packet.client, packet.service);
         return packet.resets ? drop(packet, StreamOutcome::ServerGone) : refuse(packet, StreamOutcome::ServerGone);
     }
@@ -207,7 +213,7 @@
     m_events.record(EventSeverity::Info, "configuration_in_force",
         { { "version", number(m_configuration.version) }, { "before", number(before) }, { "revision", number(m_configuration.revision) },
             { "routes", number(m_configuration.routes.size()) } });
-    resetAll(m_flows.takeFlowsWithoutRoute([this](Endpoint address) { return m_configuration.find(address) != nullptr; }),
+    resetAll(m_flows.takeIf([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
         StreamOutcome::RouteRemoved);
     return true;
 }
@@ -310,8 +316,13 @@
     if (result == ConnectResult::Refused) {
         end(*record, "connection_refused");
     }
-    if (m_evidence.connected(token, result, m_clock.now())) {
-        recordStanding(*record, connectResultName(result));
+    if (!m_evidence.connected(token, result, m_clock.now())) {
+        return;
+    }
+    recordStanding(*record, connectResultName(result));
+    if (m_evidence.standing(token, m_clock.now()) == Standing::Silent) {
+        resetAll(m_flows.takeIf([this, token](const StreamFlow &flow) { return flow.token == token && mayRepeat(flow); }),
+            StreamOutcome::ServerSilent);
     }
 }
 
@@ -331,6 +342,12 @@
     resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
 }
 
+bool StreamRouter::mayRepeat(const StreamFlow &flow) const
+{
+    const StreamRoute *const route = m_configuration.find(flow.service);
+    return !flow.awaiting || (route != nullptr && route->idempotent);
+}
+
 void StreamRouter::resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome)
 {
     for (const StreamFlow &flow : flows) {
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -128,7 +128,7 @@
 
 private:
     StreamDecision routeOpening(const StreamPacket &packet, const StreamRoute &route);
-    StreamDecision routeLater(const StreamPacket &packet);
+    StreamDecision routeLater(const StreamPacket &packet, const StreamRoute &route);
     StreamDecision place(const StreamPacket &packet, const StreamRoute &route, bool isCopy);
     StreamDecision refuse(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
@@ -138,6 +138,7 @@
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
     void end(const DirectoryRecord &record, std::string_view proof);
+    bool mayRepeat(const StreamFlow &flow) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void checkRemoved();
     void recordFlow(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
--- a/tests/adapter/entrydecodertests.cpp
+++ b/tests/adapter/entrydecodertests.cpp
@@ -104,6 +104,7 @@
     const StreamRoute *const split = configuration->find(Endpoint(0xc6120001, 8443));
     REQUIRE(split != nullptr);
     CHECK(split->name == "r-1");
+    CHECK(split->idempotent);
     CHECK(split->targets == std::vector<RouteTarget> { { "huvo11a", 90 }, { "wuno96b", 10 } });
     const StreamRoute *const plain = configuration->find(Endpoint(0xc6120002, 443));
     REQUIRE(plain != nullptr);
@@ -134,6 +135,10 @@
     {
         spec.erase("routes");
     }
+    SECTION("an unknown kind of request")
+    {
+        spec["routes"][0]["kind"] = "sometimes";
+    }
     SECTION("no version")
     {
         spec["version"] = "seven";
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -56,6 +56,7 @@
 public:
     static constexpr Endpoint client { 0x64400007, 40001 };
     static constexpr Endpoint service { 0xc6120001, 443 };
+    static constexpr Endpoint unsafeService { 0xc6120002, 443 };
     static constexpr Endpoint noService { 0xc6120009, 443 };
 
     RouterFixture();
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace Samphirepitch;
 using namespace Samphirepitch::Tests;
 
@@ -170,6 +172,39 @@
     CHECK(open(Endpoint(0x64400009, 1)).token != token);
 }
 
+TEST_CASE_METHOD(
+    RouterFixture, "a silent server loses the flows whose clients may repeat, and keeps unrepeatable requests", "[stream][router]")
+{
+    // Answers the pattern of servers that fall silent or are cut off: a request that may run only once can still be answered
+    // directly by its server, all others are better off elsewhere.
+    makeReady({ server(1), server(2) });
+    StreamConfiguration both = configuration(6);
+    both.routes.at(service).idempotent = true;
+    both.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { "pond", 1 } } });
+    router.adopt(both);
+    const std::uint32_t token = ServerDirectory::tokenOf(1);
+    const auto sendTo = [&](Endpoint to, std::uint16_t port, std::uint16_t length) {
+        return router.route({ .client = Endpoint(0x64400009, port), .service = to, .token = token, .length = length, .sequence = 100 });
+    };
+    sendTo(service, 1, 900);
+    sendTo(service, 2, 0);
+    sendTo(unsafeService, 3, 900);
+    sendTo(unsafeService, 4, 0);
+    router.probed(token, ConnectResult::Unanswered);
+    CHECK(router.takeResets().empty());
+    router.probed(token, ConnectResult::Unanswered);
+    std::set<std::uint16_t> ports;
+    for (const StreamReset &reset : router.takeResets()) {
+        ports.insert(reset.client.port());
+    }
+    CHECK(ports == std::set<std::uint16_t> { 1, 2, 4 });
+    CHECK(sendTo(service, 5, 900).outcome == StreamOutcome::ServerSilent);
+    CHECK(sendTo(service, 5, 0).action == Action::Forward);
+    CHECK(sendTo(unsafeService, 3, 900).action == Action::Forward);
+    router.probed(token, ConnectResult::Accepted);
+    CHECK(sendTo(service, 6, 900).action == Action::Forward);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a draining server is not judged by its listener", "[stream][router]")
 {
     StreamServer draining = server(1);
