--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -79,10 +79,10 @@
             "data.fabric_return_address", "UDP address of the fabric for packets to callers; required with PROXY packets.")),
         keyRow<&Fields::maxFlows>(count("data.max_flows", 400000, 1000, 4000000, "Flows that the flow table holds at most.")),
         keyRow<&Fields::platformAddress>(address("platform.address", "TCP address of the platform's object API.")),
-        keyRow<&Fields::serversWait>(timing("platform.servers_wait_ms", 4000, 100, 30000,
+        keyRow<&Fields::serversWait>(timing("platform.servers_wait_ms", 1000, 100, 30000,
             "Longest wait of a call for changes of backend servers; bounds how long a silent connection goes unnoticed.")),
         keyRow<&Fields::configurationWait>(
-            timing("platform.configuration_wait_ms", 2000, 100, 30000, "Longest wait of a call for a new configuration of stream flows.")),
+            timing("platform.configuration_wait_ms", 1000, 100, 30000, "Longest wait of a call for a new configuration of stream flows.")),
         keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
             .fallback = Endpoint(),
             .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -54,8 +54,6 @@
     , m_environment(std::move(environment))
     , m_latency(m_metrics)
     , m_router({ m_clock, m_random, m_events, m_selector, m_latency }, settings.values().failureDomain, settings.values().maxFlows)
-    , m_follower({ m_clock, m_timer, m_random, m_events, *m_environment.discovery, m_router },
-          { settings.values().serversWait, settings.values().configurationWait })
     , m_probe(m_executor, m_clock)
 {
 }
@@ -74,8 +72,22 @@
         return tl::unexpected(plane.error());
     }
     m_plane = *std::move(plane);
+    const Settings::Fields &values = m_settings.values();
+    PeerRecord self { .id = values.instanceId,
+        .failureDomain = values.failureDomain,
+        .address = values.peerAddress,
+        .startedAt = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()) };
+    auto peers = PeerExchange::create(m_executor, { m_clock, m_random, m_events, m_router }, std::move(self), values.peerSeeds);
+    if (!peers) {
+        return tl::unexpected(peers.error());
+    }
+    m_peers = *std::move(peers);
+    m_follower = std::make_unique<DiscoveryFollower>(
+        DiscoveryFollower::Parts { m_clock, m_timer, m_random, m_events, *m_environment.discovery, m_router, *m_peers },
+        DiscoveryFollower::Waits { values.serversWait, values.configurationWait });
     m_metrics.add(m_router);
-    m_metrics.add(m_follower);
+    m_metrics.add(*m_peers);
+    m_metrics.add(*m_follower);
     m_metrics.add(*m_plane);
     return listenForMetrics();
 }
@@ -83,8 +95,11 @@
 void StreamInstance::addChildren()
 {
     addFrameTasks();
-    m_supervisor.add({ .name = "servers", .start = [this] { return m_follower.followServers(); } });
-    m_supervisor.add({ .name = "configuration", .start = [this] { return m_follower.followConfiguration(); } });
+    m_supervisor.add({ .name = "peer_news", .start = [this] { return m_peers->receiveNews(); } });
+    m_supervisor.add({ .name = "peer_states", .start = [this] { return m_peers->serveStates(); } });
+    m_supervisor.add({ .name = "gossip", .start = [this] { return m_peers->gossip(); } });
+    m_supervisor.add({ .name = "servers", .start = [this] { return m_follower->followServers(); } });
+    m_supervisor.add({ .name = "configuration", .start = [this] { return m_follower->followConfiguration(); } });
     m_supervisor.add({ .name = "packets", .start = [this] { return m_plane->forwardPackets(); } });
     m_supervisor.add({ .name = "checks", .start = [this] { return m_plane->runChecks(); } });
     m_supervisor.add({ .name = "readiness", .start = [this] { return reportReadiness(); }, .restart = Restart::OnFailure });
--- a/src/daemon/streaminstance.h
+++ b/src/daemon/streaminstance.h
@@ -6,6 +6,7 @@
 #include "stream/discoveryfollower.h"
 #include "stream/leastflowsselector.h"
 #include "stream/packetcodec.h"
+#include "stream/peerexchange.h"
 #include "stream/streamobserver.h"
 #include "stream/streamplane.h"
 #include "stream/streamrouter.h"
@@ -72,7 +73,8 @@
     LeastFlowsSelector m_selector;
     StreamRouter m_router;
     SteadyTimer m_timer;
-    DiscoveryFollower m_follower;
+    std::unique_ptr<PeerExchange> m_peers;
+    std::unique_ptr<DiscoveryFollower> m_follower;
     TcpConnectProbe m_probe;
     std::unique_ptr<StreamPlane> m_plane;
 };
--- a/src/stream/discoveryfollower.cpp
+++ b/src/stream/discoveryfollower.cpp
@@ -17,7 +17,10 @@
 constexpr milliseconds readTimeout { 2500 };
 
 // What an answer may take beyond the wait that was asked for.
-constexpr milliseconds waitMargin { 700 };
+constexpr milliseconds waitMargin { 600 };
+
+// How often an instance that does not read looks whether it has to.
+constexpr milliseconds dutyInterval { 50 };
 
 // The pauses after failed calls: short at first, so that an instance that the store refused for a moment does not lag behind.
 constexpr milliseconds firstPause { 100 };
@@ -35,6 +38,7 @@
     , m_events(parts.events)
     , m_discovery(parts.discovery)
     , m_router(parts.router)
+    , m_duty(parts.duty)
     , m_waits(waits)
 {
 }
@@ -42,10 +46,15 @@
 asio::awaitable<Result<void>> DiscoveryFollower::followServers()
 {
     while (true) {
-        if (m_servers.revision == 0) {
+        const bool follows = m_duty.followsStore();
+        if (!follows && !m_duty.mustRead(m_router.viewMark().serversConfirmed)) {
+            co_await m_timer.waitUntil(m_clock.now() + dutyInterval);
+            continue;
+        }
+        if (m_servers.historyGone || m_router.viewMark().serversRevision == 0) {
             co_await listServers();
         } else {
-            co_await awaitServers();
+            co_await awaitServers(follows ? m_waits.servers : milliseconds(0));
         }
         if (m_servers.failures > 0) {
             co_await pause(m_servers);
@@ -56,10 +65,15 @@
 asio::awaitable<Result<void>> DiscoveryFollower::followConfiguration()
 {
     while (true) {
-        if (m_configuration.revision == 0) {
+        const bool follows = m_duty.followsStore();
+        if (!follows && !m_duty.mustRead(m_router.viewMark().configurationConfirmed)) {
+            co_await m_timer.waitUntil(m_clock.now() + dutyInterval);
+            continue;
+        }
+        if (m_configuration.historyGone || m_router.viewMark().configurationChecked == 0) {
             co_await readConfiguration();
         } else {
-            co_await awaitConfiguration();
+            co_await awaitConfiguration(follows ? m_waits.configuration : milliseconds(0));
         }
         if (m_configuration.failures > 0) {
             co_await pause(m_configuration);
@@ -70,7 +84,8 @@
 asio::awaitable<void> DiscoveryFollower::listServers()
 {
     ++m_servers.calls;
-    Result<ServerList> list = co_await m_discovery.servers(m_clock.now() + readTimeout);
+    const TimePoint asked = m_clock.now();
+    Result<ServerList> list = co_await m_discovery.servers(asked + readTimeout);
     if (!list) {
         failed(m_servers, list.error());
         co_return;
@@ -81,22 +96,23 @@
         recordFault("server_entry_refused", fault);
         unreadable.push_back(fault.subject);
     }
-    m_servers.revision = list->revision;
-    m_router.serversListed(list->servers, unreadable, list->revision);
+    m_router.serversListed(list->servers, unreadable, list->revision, asked);
+    m_duty.serversRead(0, { {}, list->revision });
 }
 
-asio::awaitable<void> DiscoveryFollower::awaitServers()
+asio::awaitable<void> DiscoveryFollower::awaitServers(milliseconds wait)
 {
     ++m_servers.calls;
-    const TimePoint deadline = m_clock.now() + m_waits.servers + waitMargin;
-    Result<ServerUpdates> updates = co_await m_discovery.serverUpdates(m_servers.revision, m_waits.servers, deadline);
+    const std::uint64_t from = m_router.viewMark().serversRevision;
+    const TimePoint asked = m_clock.now();
+    Result<ServerUpdates> updates = co_await m_discovery.serverUpdates(from, wait, asked + wait + waitMargin);
     if (!updates) {
         failed(m_servers, updates.error());
         co_return;
     }
     succeeded(m_servers);
     const bool changed = !updates->updates.empty();
-    take(*std::move(updates));
+    take(*std::move(updates), from, wait.count() == 0 ? asked : m_clock.now());
     if (changed) {
         co_await m_timer.waitUntil(m_clock.now() + gatherTime);
     }
@@ -105,59 +121,62 @@
 asio::awaitable<void> DiscoveryFollower::readConfiguration()
 {
     ++m_configuration.calls;
-    Result<ConfigurationRead> read = co_await m_discovery.configuration(m_clock.now() + readTimeout);
+    const TimePoint asked = m_clock.now();
+    Result<ConfigurationRead> read = co_await m_discovery.configuration(asked + readTimeout);
     if (!read) {
         failed(m_configuration, read.error());
         co_return;
     }
     succeeded(m_configuration);
-    take(*std::move(read));
+    take(*std::move(read), asked);
 }
 
-asio::awaitable<void> DiscoveryFollower::awaitConfiguration()
+asio::awaitable<void> DiscoveryFollower::awaitConfiguration(milliseconds wait)
 {
     ++m_configuration.calls;
-    const TimePoint deadline = m_clock.now() + m_waits.configuration + waitMargin;
-    Result<ConfigurationRead> read = co_await m_discovery.configurationUpdate(m_configuration.revision, m_waits.configuration, deadline);
+    const TimePoint asked = m_clock.now();
+    const std::uint64_t from = m_router.viewMark().configurationChecked;
+    Result<ConfigurationRead> read = co_await m_discovery.configurationUpdate(from, wait, asked + wait + waitMargin);
     if (!read) {
         failed(m_configuration, read.error());
         co_return;
     }
     succeeded(m_configuration);
-    take(*std::move(read));
+    take(*std::move(read), wait.count() == 0 ? asked : m_clock.now());
 }
 
-void DiscoveryFollower::take(ServerUpdates updates)
+void DiscoveryFollower::take(ServerUpdates updates, std::uint64_t from, TimePoint asked)
 {
-    for (ServerUpdate &update : updates.updates) {
-        if (update.listed) {
-            m_router.serverListed(*update.listed);
-        } else if (update.unlisted) {
-            m_router.serverUnlisted(*update.unlisted, update.revision);
-        } else if (update.fault) {
+    for (const ServerUpdate &update : updates.updates) {
+        if (update.fault) {
             recordFault("server_entry_refused", *update.fault);
         }
     }
-    m_servers.revision = std::max(m_servers.revision, updates.revision);
-    m_router.serversConfirmed();
+    m_router.serversUpdated(updates, asked);
+    m_duty.serversRead(from, updates);
 }
 
-void DiscoveryFollower::take(ConfigurationRead read)
+void DiscoveryFollower::take(ConfigurationRead read, TimePoint asked)
 {
-    m_configuration.revision = std::max(m_configuration.revision, read.revision);
     if (read.fault) {
         recordFault("configuration_refused", *read.fault);
-        return;
     }
     if (read.configuration) {
         m_router.adopt(*std::move(read.configuration));
     }
-    m_router.configurationConfirmed();
+    m_router.configurationConfirmed(read.revision, asked);
+    m_duty.configurationRead();
+}
+
+bool DiscoveryFollower::storeIsReachable() const
+{
+    return m_servers.reachable && m_configuration.reachable;
 }
 
 void DiscoveryFollower::succeeded(Feed &feed)
 {
     feed.failures = 0;
+    feed.historyGone = false;
     if (feed.reachable) {
         return;
     }
@@ -165,16 +184,16 @@
     const auto lost = std::chrono::duration_cast<milliseconds>(m_clock.now() - feed.lostAt);
     m_events.record(
         EventSeverity::Info, "store_regained", { { "feed", std::string(feed.name) }, { "lost_ms", std::to_string(lost.count()) } });
-    m_router.storeReachable(m_servers.reachable && m_configuration.reachable);
+    m_duty.storeReachable(storeIsReachable());
 }
 
 void DiscoveryFollower::failed(Feed &feed, const Error &error)
 {
     ++feed.failures;
     ++feed.failedCalls;
-    // Only a complete list says which entries went while nothing could be read.
-    feed.revision = 0;
     if (error.kind() == ErrorKind::HistoryGone) {
+        // Only a complete list says what happened since.
+        feed.historyGone = true;
         feed.failures = 0;
         m_events.record(EventSeverity::Info, "store_history_gone", { { "feed", std::string(feed.name) } });
         return;
@@ -182,7 +201,7 @@
     if (feed.reachable) {
         feed.reachable = false;
         feed.lostAt = m_clock.now();
-        m_router.storeReachable(false);
+        m_duty.storeReachable(false);
     }
     m_events.record(EventSeverity::Warning, "store_call_failed",
         { { "feed", std::string(feed.name) }, { "kind", std::string(errorKindName(error.kind())) }, { "error", error.describe() },
--- a/src/stream/discoveryfollower.h
+++ b/src/stream/discoveryfollower.h
@@ -19,6 +19,55 @@
 
 class StreamRouter;
 
+/** Tells a follower when to read, and takes what it read, so that a few instances can read for all. */
+class ReadingDuty
+{
+public:
+    virtual ~ReadingDuty() = default;
+
+    /** Returns whether this instance keeps calls waiting at the store. */
+    virtual bool followsStore() const = 0;
+
+    /** Returns whether to read once although others read, given when the view was complete last. */
+    virtual bool mustRead(TimePoint confirmed) const = 0;
+
+    /** Changes of servers after revision @p from were taken. */
+    virtual void serversRead(std::uint64_t from, const ServerUpdates &updates) = 0;
+
+    /** The configuration was read or confirmed. */
+    virtual void configurationRead() = 0;
+
+    /** A call to the store succeeded or failed. */
+    virtual void storeReachable(bool reachable) = 0;
+};
+
+/** The duty of an instance that reads for itself alone. */
+class ReadingAlone : public ReadingDuty
+{
+public:
+    bool followsStore() const override
+    {
+        return true;
+    }
+
+    bool mustRead(TimePoint) const override
+    {
+        return true;
+    }
+
+    void serversRead(std::uint64_t, const ServerUpdates &) override
+    {
+    }
+
+    void configurationRead() override
+    {
+    }
+
+    void storeReachable(bool) override
+    {
+    }
+};
+
 /** Keeps the servers and the configuration of a router up to date; one task for each of the two. */
 class DiscoveryFollower : public MetricSource
 {
@@ -31,12 +80,13 @@
         EventSink &events;
         Discovery &discovery;
         StreamRouter &router;
+        ReadingDuty &duty;
     };
 
     /** How long a call may wait at the store; bounded, because a connection may go silent without a reset. */
     struct Waits {
-        std::chrono::milliseconds servers { 4000 };
-        std::chrono::milliseconds configuration { 2000 };
+        std::chrono::milliseconds servers { 1000 };
+        std::chrono::milliseconds configuration { 1000 };
     };
 
     DiscoveryFollower(Parts parts, Waits waits);
@@ -53,7 +103,7 @@
     /** The state of one of the two tasks. */
     struct Feed {
         std::string_view name;
-        std::uint64_t revision = 0; /**< to continue from; 0 if everything has to be read */
+        bool historyGone = false; /**< everything has to be read again */
         bool reachable = true;
         std::uint64_t failures = 0; /**< in a row */
         std::uint64_t calls = 0;
@@ -62,11 +112,12 @@
     };
 
     asio::awaitable<void> listServers();
-    asio::awaitable<void> awaitServers();
+    asio::awaitable<void> awaitServers(std::chrono::milliseconds wait);
     asio::awaitable<void> readConfiguration();
-    asio::awaitable<void> awaitConfiguration();
-    void take(ServerUpdates updates);
-    void take(ConfigurationRead read);
+    asio::awaitable<void> awaitConfiguration(std::chrono::milliseconds wait);
+    void take(ServerUpdates updates, std::uint64_t from, TimePoint asked);
+    void take(ConfigurationRead read, TimePoint asked);
+    bool storeIsReachable() const;
     void succeeded(Feed &feed);
     void failed(Feed &feed, const Error &error);
     asio::awaitable<void> pause(Feed &feed);
@@ -78,6 +129,7 @@
     EventSink &m_events;
     Discovery &m_discovery;
     StreamRouter &m_router;
+    ReadingDuty &m_duty;
     const Waits m_waits;
     Feed m_servers { .name = "servers" };
     Feed m_configuration { .name = "configuration" };
--- /dev/null
+++ b/src/stream/peerdirectory.cpp
@@ -0,0 +1,129 @@
+#include "stream/peerdirectory.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+constexpr std::uint64_t orderSeed = 0x72656164; // keeps this order apart from other hashes of ids
+
+bool isNewer(const PeerRecord &left, const PeerRecord &right)
+{
+    return std::pair(left.startedAt, left.heartbeat) > std::pair(right.startedAt, right.heartbeat);
+}
+
+} // namespace
+
+PeerDirectory::PeerDirectory(PeerRecord self)
+    : m_self(std::move(self))
+{
+}
+
+const PeerRecord &PeerDirectory::self() const
+{
+    return m_self;
+}
+
+void PeerDirectory::beat()
+{
+    ++m_self.heartbeat;
+}
+
+bool PeerDirectory::setStoreReachable(bool reachable)
+{
+    return std::exchange(m_self.storeReachable, reachable) != reachable;
+}
+
+bool PeerDirectory::merge(const PeerRecord &record, TimePoint now)
+{
+    if (record.id == m_self.id || record.address == m_self.address) {
+        return false;
+    }
+    const auto [found, isNew] = m_known.try_emplace(record.id, Known { record, now + lapseTime });
+    if (isNew) {
+        return true;
+    }
+    Known &known = found->second;
+    if (!isNewer(record, known.record)) {
+        return false;
+    }
+    const bool wasAlive = now < known.deadline;
+    known.record = record;
+    known.deadline = now + lapseTime;
+    return !wasAlive;
+}
+
+void PeerDirectory::distrust(const std::string &id, TimePoint now)
+{
+    const auto found = m_known.find(id);
+    if (found != m_known.end()) {
+        found->second.deadline = std::min(found->second.deadline, now);
+    }
+}
+
+void PeerDirectory::expire(TimePoint now)
+{
+    std::erase_if(m_known, [now](const auto &entry) { return entry.second.deadline + retention <= now; });
+}
+
+std::vector<PeerRecord> PeerDirectory::order(TimePoint now) const
+{
+    std::vector<PeerRecord> records = known(true, now);
+    records.push_back(m_self);
+    const auto key = [](const PeerRecord &record) { return std::pair(!record.storeReachable, hash64(record.id, orderSeed)); };
+    std::sort(records.begin(), records.end(), [&key](const PeerRecord &left, const PeerRecord &right) { return key(left) < key(right); });
+    return records;
+}
+
+bool PeerDirectory::isReader(TimePoint now) const
+{
+    return order(now).front().id == m_self.id;
+}
+
+std::vector<Endpoint> PeerDirectory::children(TimePoint now) const
+{
+    const std::vector<PeerRecord> records = order(now);
+    const auto self = std::find_if(records.begin(), records.end(), [this](const PeerRecord &record) { return record.id == m_self.id; });
+    const auto first = static_cast<std::size_t>(self - records.begin()) * treeArity + 1;
+    std::vector<Endpoint> addresses;
+    for (std::size_t index = first; index < std::min(first + treeArity, records.size()); ++index) {
+        addresses.push_back(records[index].address);
+    }
+    return addresses;
+}
+
+std::vector<PeerRecord> PeerDirectory::sample(std::size_t count, RandomSource &random, TimePoint now) const
+{
+    std::vector<PeerRecord> records = known(true, now);
+    count = std::min(count, records.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        std::swap(records[index], records[index + random.below(records.size() - index)]);
+    }
+    records.resize(count);
+    return records;
+}
+
+std::optional<PeerRecord> PeerDirectory::sampleLapsed(RandomSource &random, TimePoint now) const
+{
+    const std::vector<PeerRecord> records = known(false, now);
+    return records.empty() ? std::nullopt : std::optional(records[random.below(records.size())]);
+}
+
+std::vector<PeerRecord> PeerDirectory::known(bool alive, TimePoint now) const
+{
+    std::vector<PeerRecord> records;
+    for (const auto &[id, known] : m_known) {
+        if ((now < known.deadline) == alive) {
+            records.push_back(known.record);
+        }
+    }
+    return records;
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/peerexchange.cpp
@@ -0,0 +1,473 @@
+#include "stream/peerexchange.h"
+
+#include "objectstore/internal/socketdeadline.h"
+#include "peer/framecodec.h"
+#include "peer/internal/framestream.h"
+#include "peer/internal/tcpendpoint.h"
+#include "stream/streamrouter.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+// How often the exchange looks for news of its own; a proven end of a server is worth little after a client's first repetition.
+constexpr milliseconds tickInterval { 50 };
+
+// A record reaches 78 instances in about 4 rounds.
+constexpr milliseconds gossipInterval { 500 };
+constexpr std::size_t gossipTargets = 3;
+
+// The proof that a server ended goes to this many instances at once; gossip of tokens would be late.
+constexpr std::size_t endedTargets = 100;
+
+// A reader without changes confirms its view this often.
+constexpr milliseconds confirmInterval { 400 };
+
+// A starting instance gives its seeds this long before it reads the store itself: some round trips between domains.
+constexpr milliseconds joinTime { 40 };
+
+// A state of some ten KB takes a few round trips; a peer behind a cut never answers.
+constexpr milliseconds pullTimeout { 400 };
+
+constexpr std::size_t maxServed = 32; // connections at once; each holds a descriptor and a state
+constexpr std::size_t maxRequest = 4096; // bytes of the news that a pull begins with
+constexpr std::size_t maxDatagram = 2048; // bytes; more than any news
+
+} // namespace
+
+PeerExchange::PeerExchange(asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds)
+    : m_executor(std::move(executor))
+    , m_clock(parts.clock)
+    , m_random(parts.random)
+    , m_events(parts.events)
+    , m_router(parts.router)
+    , m_directory(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_socket(m_executor)
+    , m_acceptor(m_executor)
+{
+    std::erase(m_seeds, m_directory.self().address);
+}
+
+Result<std::unique_ptr<PeerExchange>> PeerExchange::create(
+    asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds)
+{
+    std::unique_ptr<PeerExchange> exchange(new PeerExchange(std::move(executor), parts, std::move(self), std::move(seeds)));
+    if (auto bound = exchange->bind(); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    return exchange;
+}
+
+Result<void> PeerExchange::bind()
+{
+    const Endpoint address = m_directory.self().address;
+    const tcp::endpoint local = tcpEndpoint(address);
+    std::error_code error;
+    m_acceptor.open(local.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(local, error);
+    }
+    if (!error) {
+        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (!error) {
+        m_socket.open(udp::v4(), error);
+    }
+    if (!error) {
+        m_socket.bind({ local.address(), local.port() }, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return failure(ErrorKind::InputOutput, address.toString(), error.message());
+    }
+    m_joinDeadline = m_clock.now() + joinTime;
+    return {};
+}
+
+asio::awaitable<Result<void>> PeerExchange::gossip()
+{
+    m_joins = m_seeds.size();
+    for (const Endpoint seed : m_seeds) {
+        startPull(seed);
+    }
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        sendEnded();
+        watchReader();
+        if (m_clock.now() >= m_nextBeat) {
+            m_nextBeat = m_clock.now() + gossipInterval;
+            sendGossip();
+        }
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<Result<void>> PeerExchange::receiveNews()
+{
+    std::array<char, maxDatagram> buffer {};
+    while (true) {
+        udp::endpoint from;
+        std::error_code error;
+        const std::size_t size
+            = co_await m_socket.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+        // A peer that has just ended causes an error on this socket that concerns only what was sent to it.
+        if (error == asio::error::connection_refused) {
+            continue;
+        }
+        if (error) {
+            co_return failure(ErrorKind::InputOutput, "peer", error.message());
+        }
+        ++m_newsReceived;
+        const Result<PeerNews> news = PeerNewsCodec::decodeNews({ buffer.data(), size }, m_clock.now());
+        if (news) {
+            take(*news);
+        } else {
+            ++m_newsRefused;
+            m_events.record(EventSeverity::Warning, "peer_news_refused",
+                { { "peer", from.address().to_string() }, { "error", news.error().describe() } });
+        }
+    }
+}
+
+void PeerExchange::take(const PeerNews &news)
+{
+    const ViewMark before = m_router.viewMark();
+    merge(news.sender);
+    for (const PeerRecord &record : news.records) {
+        merge(record);
+    }
+    for (const EndedServer &ended : news.ended) {
+        m_router.serverEnded(ended);
+    }
+    if (!takeView(news)) {
+        startPull(news.sender.address);
+        return;
+    }
+    const ViewMark after = m_router.viewMark();
+    if (!news.pushed) {
+        return;
+    }
+    // Passing on only what is new here ends any circle among instances that see different trees.
+    if (after.serversRevision > before.serversRevision) {
+        push(news.changesFrom, news.changes);
+    } else if (after.serversConfirmed > before.serversConfirmed || after.configurationConfirmed > before.configurationConfirmed) {
+        confirmDownwards();
+    }
+}
+
+bool PeerExchange::takeView(const PeerNews &news)
+{
+    const ViewMark mine = m_router.viewMark();
+    const ViewMark &theirs = news.view;
+    bool complete = true;
+    if (theirs.serversRevision <= mine.serversRevision) {
+        if (theirs.serversRevision > 0) {
+            m_router.serversConfirmed(theirs.serversConfirmed);
+        }
+    } else if (mine.serversRevision > 0 && news.changesFrom > 0 && news.changesFrom <= mine.serversRevision) {
+        m_router.serversUpdated({ news.changes, theirs.serversRevision }, theirs.serversConfirmed);
+    } else {
+        complete = false;
+    }
+    if (theirs.configurationRevision > mine.configurationRevision) {
+        complete = false;
+    } else if (theirs.configurationRevision == mine.configurationRevision && mine.configurationRevision > 0) {
+        m_router.configurationConfirmed(theirs.configurationChecked, theirs.configurationConfirmed);
+    }
+    return complete;
+}
+
+void PeerExchange::merge(const PeerRecord &record)
+{
+    if (m_directory.merge(record, m_clock.now())) {
+        m_events.record(EventSeverity::Info, "peer_heard",
+            { { "peer", record.id }, { "domain", record.failureDomain }, { "address", record.address.toString() } });
+    }
+}
+
+PeerNews PeerExchange::makeNews() const
+{
+    return { .sender = m_directory.self(), .view = m_router.viewMark() };
+}
+
+void PeerExchange::send(const PeerNews &news, Endpoint to)
+{
+    const std::string bytes = PeerNewsCodec::encode(news, m_clock.now());
+    std::error_code ignored; // lost news are repaired by the next gossip
+    m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(to.address()), to.port() }, 0, ignored);
+    ++m_newsSent;
+}
+
+void PeerExchange::push(std::uint64_t from, const std::vector<ServerUpdate> &changes)
+{
+    m_lastPush = m_clock.now();
+    PeerNews news = makeNews();
+    news.pushed = true;
+    if (changes.size() <= PeerNewsCodec::maxChanges) {
+        news.changesFrom = from;
+        news.changes = changes;
+    }
+    for (const Endpoint child : m_directory.children(m_clock.now())) {
+        send(news, child);
+    }
+}
+
+void PeerExchange::confirmDownwards()
+{
+    if (m_clock.now() >= m_lastPush + confirmInterval) {
+        push(m_router.viewMark().serversRevision, {});
+    }
+}
+
+void PeerExchange::sendGossip()
+{
+    const TimePoint now = m_clock.now();
+    m_directory.beat();
+    m_directory.expire(now);
+    PeerNews news = makeNews();
+    news.records = m_directory.sample(PeerNewsCodec::maxRecords, m_random, now);
+    std::vector<PeerRecord> targets = m_directory.sample(gossipTargets, m_random, now);
+    if (const auto lapsed = m_directory.sampleLapsed(m_random, now)) {
+        targets.push_back(*lapsed);
+    }
+    for (const PeerRecord &target : targets) {
+        send(news, target.address);
+    }
+    if (targets.empty()) {
+        for (const Endpoint seed : m_seeds) {
+            send(news, seed);
+        }
+    }
+    if (followsStore()) {
+        confirmDownwards();
+    }
+}
+
+void PeerExchange::sendEnded()
+{
+    std::vector<EndedServer> ended = m_router.takeEnded();
+    if (ended.empty()) {
+        return;
+    }
+    PeerNews news = makeNews();
+    ended.resize(std::min(ended.size(), PeerNewsCodec::maxChanges));
+    news.ended = std::move(ended);
+    for (const PeerRecord &peer : m_directory.sample(endedTargets, m_random, m_clock.now())) {
+        send(news, peer.address);
+    }
+}
+
+void PeerExchange::watchReader()
+{
+    const TimePoint now = m_clock.now();
+    const ViewMark view = m_router.viewMark();
+    const PeerRecord reader = m_directory.order(now).front();
+    const bool isReader = reader.id == m_directory.self().id;
+    if (isReader != std::exchange(m_wasReader, isReader)) {
+        m_events.record(EventSeverity::Info, isReader ? "reading_begun" : "reading_ended",
+            { { "reader", reader.id }, { "peers", std::to_string(m_directory.order(now).size() - 1) } });
+    }
+    const TimePoint confirmed = std::min(view.serversConfirmed, view.configurationConfirmed);
+    if (!isReader && confirmed != TimePoint() && now > confirmed + distrustAfter) {
+        m_events.record(EventSeverity::Warning, "reader_passed_over",
+            { { "reader", reader.id }, { "age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - confirmed).count()) } });
+        m_directory.distrust(reader.id, now);
+    }
+}
+
+bool PeerExchange::followsStore() const
+{
+    return !(m_joins > 0 && m_clock.now() < m_joinDeadline) && m_directory.isReader(m_clock.now());
+}
+
+bool PeerExchange::mustRead(TimePoint confirmed) const
+{
+    const TimePoint now = m_clock.now();
+    if (m_joins > 0 && now < m_joinDeadline) {
+        return false;
+    }
+    return confirmed == TimePoint() || now > confirmed + readAfter;
+}
+
+void PeerExchange::serversRead(std::uint64_t from, const ServerUpdates &updates)
+{
+    if (updates.updates.empty()) {
+        confirmDownwards();
+    } else {
+        push(from, updates.updates);
+    }
+}
+
+void PeerExchange::configurationRead()
+{
+    // The configuration itself is pulled by those who lack it.
+    const ViewMark view = m_router.viewMark();
+    if (view.configurationRevision == view.configurationChecked) {
+        push(view.serversRevision, {});
+    } else {
+        confirmDownwards();
+    }
+}
+
+void PeerExchange::storeReachable(bool reachable)
+{
+    if (m_directory.setStoreReachable(reachable)) {
+        m_directory.beat();
+        push(m_router.viewMark().serversRevision, {});
+    }
+}
+
+void PeerExchange::startPull(Endpoint peer)
+{
+    if (m_pulls.insert(peer).second) {
+        asio::co_spawn(m_executor, pull(peer), asio::detached);
+    }
+}
+
+asio::awaitable<void> PeerExchange::pull(Endpoint peer)
+{
+    ++m_pullCount;
+    const ViewMark before = m_router.viewMark();
+    Result<PeerState> state = co_await fetchState(peer);
+    m_pulls.erase(peer);
+    m_joins -= m_joins > 0 ? 1 : 0;
+    if (!state) {
+        ++m_failedPulls;
+        m_events.record(EventSeverity::Warning, "peer_pull_failed", { { "peer", peer.toString() }, { "error", state.error().describe() } });
+        co_return;
+    }
+    merge(state->sender);
+    for (const PeerRecord &record : state->records) {
+        merge(record);
+    }
+    const ViewMark mine = m_router.viewMark();
+    if (state->view.serversRevision > mine.serversRevision) {
+        m_router.serversListed(state->servers, {}, state->view.serversRevision, state->view.serversConfirmed);
+    }
+    if (state->view.configurationRevision > mine.configurationRevision) {
+        m_router.adopt(std::move(state->configuration));
+        m_router.configurationConfirmed(state->view.configurationChecked, state->view.configurationConfirmed);
+    }
+    const ViewMark after = m_router.viewMark();
+    if (after.serversRevision > before.serversRevision || after.configurationRevision > before.configurationRevision) {
+        push(after.serversRevision, {});
+    }
+}
+
+asio::awaitable<Result<PeerState>> PeerExchange::fetchState(Endpoint peer)
+{
+    tcp::socket socket(m_executor);
+    const SocketDeadline limit(socket, pullTimeout);
+    std::error_code error;
+    co_await socket.async_connect(tcpEndpoint(peer), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
+    }
+    const Result<std::string> request = FrameCodec::encode(PeerNewsCodec::encode(makeNews(), m_clock.now()));
+    if (!request) {
+        co_return tl::unexpected(request.error());
+    }
+    co_await asio::async_write(socket, asio::buffer(*request), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
+    }
+    const Result<std::string> answer = co_await readFrame(socket, FrameCodec::maxBody);
+    if (!answer) {
+        co_return tl::unexpected(answer.error());
+    }
+    co_return PeerNewsCodec::decodeState(*answer, m_clock.now());
+}
+
+asio::awaitable<Result<void>> PeerExchange::serveStates()
+{
+    while (true) {
+        std::error_code error;
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            asio::steady_timer pause(m_executor, tickInterval); // such as "too many open files"
+            co_await pause.async_wait(asio::use_awaitable);
+        } else if (m_served < maxServed) {
+            ++m_served;
+            asio::co_spawn(m_executor, serveState(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> PeerExchange::serveState(tcp::socket socket)
+{
+    const SocketDeadline limit(socket, pullTimeout);
+    const Result<std::string> request = co_await readFrame(socket, maxRequest);
+    const Result<PeerNews> news = request ? PeerNewsCodec::decodeNews(*request, m_clock.now()) : tl::unexpected(request.error());
+    if (news) {
+        merge(news->sender);
+        const Result<std::string> answer = FrameCodec::encode(PeerNewsCodec::encode(makeState(news->view), m_clock.now()));
+        std::error_code error;
+        if (answer) {
+            co_await asio::async_write(socket, asio::buffer(*answer), asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (!answer || error) {
+            m_events.record(EventSeverity::Warning, "peer_state_unsent",
+                { { "peer", news->sender.id }, { "error", answer ? error.message() : answer.error().describe() } });
+        }
+    } else {
+        ++m_newsRefused;
+        m_events.record(EventSeverity::Warning, "peer_request_refused", { { "error", news.error().describe() } });
+    }
+    --m_served;
+}
+
+PeerState PeerExchange::makeState(const ViewMark &known) const
+{
+    PeerState state { .sender = m_directory.self(), .view = m_router.viewMark(), .records = m_directory.order(m_clock.now()) };
+    if (known.serversRevision < state.view.serversRevision) {
+        for (const DirectoryRecord *const record : m_router.directory().all()) {
+            state.servers.push_back(record->server);
+        }
+    }
+    if (known.configurationRevision < state.view.configurationRevision) {
+        state.configuration = m_router.configuration();
+    }
+    return state;
+}
+
+const PeerDirectory &PeerExchange::directory() const
+{
+    return m_directory;
+}
+
+void PeerExchange::writeMetrics(MetricWriter &writer) const
+{
+    const TimePoint now = m_clock.now();
+    writer.gauge("samphirepitch_peers", "Other instances that are heard of.", {}, static_cast<double>(m_directory.order(now).size() - 1));
+    writer.gauge("samphirepitch_store_reader", "Whether this instance reads the store for all.", {}, followsStore() ? 1 : 0);
+    writer.counter("samphirepitch_peer_news_sent_total", "Datagrams sent to other instances.", {}, m_newsSent);
+    writer.counter("samphirepitch_peer_news_received_total", "Datagrams from other instances.", {}, m_newsReceived);
+    writer.counter("samphirepitch_peer_news_refused_total", "Messages of other instances that could not be read.", {}, m_newsRefused);
+    writer.counter("samphirepitch_peer_pulls_total", "States asked for.", {}, m_pullCount);
+    writer.counter("samphirepitch_peer_failed_pulls_total", "States that did not arrive.", {}, m_failedPulls);
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/stream/peerexchange.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/eventsink.h"
+#include "core/metricsource.h"
+#include "core/random.h"
+#include "stream/discoveryfollower.h"
+#include "stream/peerdirectory.h"
+#include "stream/peernews.h"
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+class StreamRouter;
+
+/**
+ * Keeps instances up to date from each other, so that one of them reads the store for all. News travel as datagrams: down a tree
+ * from the reader, and by gossip that repairs what was lost. An instance that finds itself behind pulls a whole state
+ * over a connection, as does one that starts; thus an instance serves within a round trip, also while the store is away.
+ */
+class PeerExchange : public ReadingDuty, public MetricSource
+{
+public:
+    /** What the exchange needs; everything outlives it. */
+    struct Parts {
+        const Clock &clock;
+        RandomSource &random;
+        EventSink &events;
+        StreamRouter &router;
+    };
+
+    /** An instance without news of the reader for this long passes over it: a call that waits 1 s, a late answer and a push. */
+    static constexpr std::chrono::milliseconds distrustAfter { 1500 };
+    /** An instance whose view was not confirmed for this long reads the store itself; below the 3 s in which changes must hold. */
+    static constexpr std::chrono::milliseconds readAfter { 1900 };
+
+    /**
+     * Binds the UDP socket and the TCP listener.
+     * @param self with the address to bind
+     * @param seeds addresses of instances that may run
+     * @return the exchange, or InputOutput if the address cannot be bound
+     */
+    static Result<std::unique_ptr<PeerExchange>> create(
+        asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds);
+
+    /** Pulls the state of the seeds, then gossips until it is cancelled. */
+    asio::awaitable<Result<void>> gossip();
+
+    /** Takes news until it is cancelled. */
+    asio::awaitable<Result<void>> receiveNews();
+
+    /** Hands out states until it is cancelled. */
+    asio::awaitable<Result<void>> serveStates();
+
+    bool followsStore() const override;
+    bool mustRead(TimePoint confirmed) const override;
+    void serversRead(std::uint64_t from, const ServerUpdates &updates) override;
+    void configurationRead() override;
+    void storeReachable(bool reachable) override;
+
+    const PeerDirectory &directory() const;
+
+    void writeMetrics(MetricWriter &writer) const override;
+
+private:
+    PeerExchange(asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds);
+
+    Result<void> bind();
+    void take(const PeerNews &news);
+    bool takeView(const PeerNews &news);
+    void merge(const PeerRecord &record);
+    PeerNews makeNews() const;
+    void send(const PeerNews &news, Endpoint to);
+    void push(std::uint64_t from, const std::vector<ServerUpdate> &changes);
+    void confirmDownwards();
+    void sendGossip();
+    void sendEnded();
+    void watchReader();
+    void startPull(Endpoint peer);
+    asio::awaitable<void> pull(Endpoint peer);
+    asio::awaitable<Result<PeerState>> fetchState(Endpoint peer);
+    asio::awaitable<void> serveState(asio::ip::tcp::socket socket);
+    PeerState makeState(const ViewMark &known) const;
+
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    RandomSource &m_random;
+    EventSink &m_events;
+    StreamRouter &m_router;
+    PeerDirectory m_directory;
+    std::vector<Endpoint> m_seeds;
+    asio::ip::udp::socket m_socket;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::set<Endpoint> m_pulls; // that run
+    std::size_t m_joins = 0; // pulls from seeds that have not ended
+    TimePoint m_joinDeadline {};
+    TimePoint m_nextBeat {};
+    TimePoint m_lastPush {};
+    std::size_t m_served = 0; // connections that run
+    bool m_wasReader = false;
+    std::uint64_t m_newsSent = 0;
+    std::uint64_t m_newsReceived = 0;
+    std::uint64_t m_newsRefused = 0;
+    std::uint64_t m_pullCount = 0;
+    std::uint64_t m_failedPulls = 0;
+};
+
+} // namespace Samphirepitch
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -57,7 +57,6 @@
 DirectoryChanges ServerDirectory::update(const StreamServer &server, TimePoint now)
 {
     DirectoryChanges changes;
-    m_revision = std::max(m_revision, server.revision);
     put(server, now, changes);
     if (!changes.empty()) {
         rebuildIndexes();
@@ -68,7 +67,6 @@
 DirectoryChanges ServerDirectory::remove(const std::string &id, std::uint64_t revision, TimePoint now)
 {
     DirectoryChanges changes;
-    m_revision = std::max(m_revision, revision);
     const auto found = m_records.find(id);
     if (found == m_records.end() || !found->second->listed || found->second->server.revision > revision) {
         return changes;
@@ -122,6 +120,11 @@
     return records;
 }
 
+void ServerDirectory::completeUntil(std::uint64_t revision)
+{
+    m_revision = std::max(m_revision, revision);
+}
+
 std::uint64_t ServerDirectory::revision() const
 {
     return m_revision;
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -85,7 +85,10 @@
     /** Returns all listed servers. */
     std::vector<const DirectoryRecord *> all() const;
 
-    /** Returns the highest revision that was taken over. */
+    /** All changes up to @p revision of the store have been taken. */
+    void completeUntil(std::uint64_t revision);
+
+    /** Returns the revision of the store up to which all changes are known; 0 before the first list. */
     std::uint64_t revision() const;
 
 private:
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -209,7 +209,7 @@
         return false;
     }
     const std::uint64_t before = std::exchange(m_configuration, std::move(configuration)).version;
-    m_configurationAge.confirm(m_clock.now());
+    m_configurationChecked = std::max(m_configurationChecked, m_configuration.revision);
     m_events.record(EventSeverity::Info, "configuration_in_force",
         { { "version", number(m_configuration.version) }, { "before", number(before) }, { "revision", number(m_configuration.revision) },
             { "routes", number(m_configuration.routes.size()) } });
@@ -219,11 +219,23 @@
 }
 
 void StreamRouter::serversListed(
-    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision)
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint confirmedAt)
 {
     take(m_directory.replaceAll(servers, unreadable, revision, m_clock.now()));
-    m_hasServers = true;
-    serversConfirmed();
+    serversConfirmed(confirmedAt);
+}
+
+void StreamRouter::serversUpdated(const ServerUpdates &updates, TimePoint confirmedAt)
+{
+    for (const ServerUpdate &update : updates.updates) {
+        if (update.listed) {
+            serverListed(*update.listed);
+        } else if (update.unlisted) {
+            serverUnlisted(*update.unlisted, update.revision);
+        }
+    }
+    m_directory.completeUntil(updates.revision);
+    serversConfirmed(confirmedAt);
 }
 
 void StreamRouter::serverListed(const StreamServer &server)
@@ -236,22 +248,29 @@
     take(m_directory.remove(id, revision, m_clock.now()));
 }
 
-void StreamRouter::serversConfirmed()
+void StreamRouter::serversConfirmed(TimePoint time)
 {
-    m_serversAge.confirm(m_clock.now());
+    if (time > m_serversAge.confirmed() + confirmationGap) {
+        m_gapEnd = time;
+    }
+    m_serversAge.confirm(time);
 }
 
-void StreamRouter::configurationConfirmed()
+void StreamRouter::configurationConfirmed(std::uint64_t revision, TimePoint time)
 {
-    m_configurationAge.confirm(m_clock.now());
+    m_configurationChecked = std::max(m_configurationChecked, revision);
+    m_configurationAge.confirm(time);
 }
 
-void StreamRouter::storeReachable(bool reachable)
+ViewMark StreamRouter::viewMark() const
 {
-    if (reachable && !m_storeReachable) {
-        m_storeRegained = m_clock.now();
-    }
-    m_storeReachable = reachable;
+    return { m_directory.revision(), m_configuration.revision, m_configurationChecked, m_serversAge.confirmed(),
+        m_configurationAge.confirmed() };
+}
+
+std::vector<EndedServer> StreamRouter::takeEnded()
+{
+    return std::exchange(m_ended, {});
 }
 
 void StreamRouter::take(const DirectoryChanges &changes)
@@ -313,8 +332,8 @@
         m_evidence.forget(token); // it expired while the connection was made
         return;
     }
-    if (result == ConnectResult::Refused) {
-        end(*record, "connection_refused");
+    if (result == ConnectResult::Refused && end(*record, "connection_refused")) {
+        m_ended.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
     }
     if (!m_evidence.connected(token, result, m_clock.now())) {
         return;
@@ -326,20 +345,22 @@
     }
 }
 
-void StreamRouter::serverEnded(std::uint32_t token, std::string_view source)
+void StreamRouter::serverEnded(const EndedServer &ended)
 {
-    if (const DirectoryRecord *const record = m_directory.findToken(token)) {
-        end(*record, source);
+    const DirectoryRecord *const record = m_directory.findId(ended.id);
+    if (record != nullptr && static_cast<std::uint64_t>(record->server.startedAt) == ended.startedAt) {
+        end(*record, "another_instance");
     }
 }
 
-void StreamRouter::end(const DirectoryRecord &record, std::string_view proof)
+bool StreamRouter::end(const DirectoryRecord &record, std::string_view proof)
 {
     if (!m_evidence.ended(record.token, m_clock.now())) {
-        return;
+        return false;
     }
     recordStanding(record, proof);
     resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
+    return true;
 }
 
 bool StreamRouter::mayRepeat(const StreamFlow &flow) const
@@ -383,7 +404,8 @@
         if (record == nullptr || record->listed) {
             return true;
         }
-        if (!m_storeReachable || now < std::max(record->unlistedAt, m_storeRegained) + removalProofTime) {
+        const TimePoint confirmed = m_serversAge.confirmed();
+        if (now > confirmed + confirmationGap || confirmed < std::max(record->unlistedAt, m_gapEnd) + removalProofTime) {
             return false;
         }
         end(*record, "entry_removed");
@@ -398,7 +420,7 @@
 
 bool StreamRouter::isReady() const
 {
-    return m_configuration.revision > 0 && m_hasServers;
+    return m_configuration.revision > 0 && m_directory.revision() > 0;
 }
 
 const StreamConfiguration &StreamRouter::configuration() const
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -4,7 +4,9 @@
 #include "core/eventsink.h"
 #include "core/metricsource.h"
 #include "core/random.h"
+#include "stream/discovery.h"
 #include "stream/flowtracker.h"
+#include "stream/peernews.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverevidence.h"
 #include "stream/serverselector.h"
@@ -64,6 +66,8 @@
      * entries that lapsed during an outage are back about 2 s after it.
      */
     static constexpr std::chrono::milliseconds removalProofTime { 2500 };
+    /** A list of servers that was not confirmed for longer has a gap, in which entries may have lapsed: two calls to the store. */
+    static constexpr std::chrono::milliseconds confirmationGap { 3000 };
 
     /**
      * @param failureDomain of this instance; its servers are preferred
@@ -84,7 +88,8 @@
      * Takes the complete list of servers at @p revision of the store.
      * @param unreadable ids of entries that could not be read; what is known of such a server stays
      */
-    void serversListed(const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision);
+    void serversListed(const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision,
+        TimePoint confirmedAt);
 
     /** Takes the entry of one server. */
     void serverListed(const StreamServer &server);
@@ -92,14 +97,20 @@
     /** Takes the removal of an entry at @p revision of the store. */
     void serverUnlisted(const std::string &id, std::uint64_t revision);
 
-    /** The store answered: the list of servers was complete at this time. */
-    void serversConfirmed();
+    /** Takes changes that lead from a revision that is known to @p updates' own; they were complete at @p confirmedAt. */
+    void serversUpdated(const ServerUpdates &updates, TimePoint confirmedAt);
 
-    /** The store answered: no newer configuration existed at this time. */
-    void configurationConfirmed();
+    /** The list of servers was complete at @p time, by the store or by another instance that had it from there. */
+    void serversConfirmed(TimePoint time);
 
-    /** The store does not answer, or answers again. */
-    void storeReachable(bool reachable);
+    /** No configuration newer than the one in force existed at @p time, up to @p revision of the store. */
+    void configurationConfirmed(std::uint64_t revision, TimePoint time);
+
+    /** Returns how far the views go, for other instances. */
+    ViewMark viewMark() const;
+
+    /** Returns the servers that ended since the last call, by proof of this instance. */
+    std::vector<EndedServer> takeEnded();
 
     /** Returns the servers that a connection should be made to now, and counts them as asked. */
     std::vector<ProbeTarget> takeDueProbes();
@@ -107,8 +118,8 @@
     /** Takes the result of a connection. */
     void probed(std::uint32_t token, ConnectResult result);
 
-    /** Another instance found proof that a server ended. */
-    void serverEnded(std::uint32_t token, std::string_view source);
+    /** Another instance found proof that an incarnation of a server ended. */
+    void serverEnded(const EndedServer &ended);
 
     /** Looks into late answers and forgets what has expired; to be called every few tens of milliseconds. */
     void tick();
@@ -137,7 +148,7 @@
     const DirectoryRecord *choose(const std::string &service, std::uint32_t excludedToken);
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
-    void end(const DirectoryRecord &record, std::string_view proof);
+    bool end(const DirectoryRecord &record, std::string_view proof);
     bool mayRepeat(const StreamFlow &flow) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void checkRemoved();
@@ -159,9 +170,9 @@
     StreamCounters m_counters;
     std::vector<StreamReset> m_resets;
     std::vector<std::uint32_t> m_removed; // tokens of unlisted servers that are not known to have ended
-    bool m_hasServers = false;
-    bool m_storeReachable = true;
-    TimePoint m_storeRegained {};
+    std::vector<EndedServer> m_ended;
+    std::uint64_t m_configurationChecked = 0;
+    TimePoint m_gapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
 };
 
--- /dev/null
+++ b/tests/stream/peerdirectorytests.cpp
@@ -0,0 +1,148 @@
+#include "stream/peerdirectory.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace Samphirepitch;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const TimePoint start = TimePoint() + std::chrono::seconds(100);
+
+PeerRecord record(std::uint32_t number, std::uint64_t heartbeat = 1)
+{
+    return { .id = "entry-" + std::to_string(number),
+        .failureDomain = "a",
+        .address = Endpoint(0x0a000000 + number, 7720),
+        .startedAt = 1000,
+        .heartbeat = heartbeat };
+}
+
+/** The directories of several instances that all know each other. */
+std::vector<PeerDirectory> group(std::uint32_t size)
+{
+    std::vector<PeerDirectory> directories;
+    for (std::uint32_t number = 0; number < size; ++number) {
+        directories.emplace_back(record(number));
+        for (std::uint32_t other = 0; other < size; ++other) {
+            directories.back().merge(record(other), start);
+        }
+    }
+    return directories;
+}
+
+} // namespace
+
+TEST_CASE("all instances that know each other agree on one reader", "[stream][peerdirectory]")
+{
+    const std::vector<PeerDirectory> directories = group(9);
+    CHECK(std::count_if(directories.begin(), directories.end(), [](const PeerDirectory &one) { return one.isReader(start); }) == 1);
+}
+
+TEST_CASE("the tree reaches every instance once", "[stream][peerdirectory]")
+{
+    const std::vector<PeerDirectory> directories = group(78);
+    std::multiset<Endpoint> reached;
+    for (const PeerDirectory &directory : directories) {
+        const std::vector<Endpoint> children = directory.children(start);
+        CHECK(children.size() <= PeerDirectory::treeArity);
+        reached.insert(children.begin(), children.end());
+    }
+    CHECK(reached.size() == 77);
+    CHECK(std::set<Endpoint>(reached.begin(), reached.end()).size() == 77);
+}
+
+TEST_CASE("an instance whose heartbeat stands still is dead, and late gossip does not revive it", "[stream][peerdirectory]")
+{
+    PeerDirectory directory(record(0));
+    CHECK(directory.merge(record(1, 7), start));
+    CHECK_FALSE(directory.merge(record(1, 7), start + milliseconds(2000)));
+    const TimePoint later = start + PeerDirectory::lapseTime;
+    CHECK(directory.order(later).size() == 1);
+    CHECK_FALSE(directory.merge(record(1, 6), later));
+    CHECK(directory.order(later).size() == 1);
+    CHECK(directory.sampleLapsed(*std::make_unique<SeededRandom>(1), later)->id == "entry-1");
+    CHECK(directory.merge(record(1, 8), later));
+    CHECK(directory.order(later).size() == 2);
+}
+
+TEST_CASE("a restarted instance begins its heartbeat anew", "[stream][peerdirectory]")
+{
+    PeerDirectory directory(record(0));
+    directory.merge(record(1, 700), start);
+    PeerRecord restarted = record(1, 1);
+    restarted.startedAt = 2000;
+    const TimePoint later = start + PeerDirectory::lapseTime;
+    CHECK(directory.merge(restarted, later));
+    CHECK(directory.order(later).size() == 2);
+}
+
+TEST_CASE("an instance that cannot reach the store, or that is distrusted, is passed over as the reader", "[stream][peerdirectory]")
+{
+    std::vector<PeerDirectory> directories = group(5);
+    const PeerRecord readerRecord = directories[0].order(start).front();
+    const std::string reader = readerRecord.id;
+    auto &other = *std::find_if(directories.begin(), directories.end(), [&](const PeerDirectory &one) { return one.self().id != reader; });
+    SECTION("no store")
+    {
+        PeerRecord without = other.order(start).front();
+        without.storeReachable = false;
+        without.heartbeat = 9;
+        other.merge(without, start);
+        CHECK(other.order(start).front().id != reader);
+        CHECK(other.order(start).back().id == reader);
+    }
+    SECTION("distrusted until it is heard of again")
+    {
+        other.distrust(reader, start);
+        CHECK(other.order(start).front().id != reader);
+        PeerRecord again = readerRecord;
+        again.heartbeat = 9;
+        CHECK(other.merge(again, start));
+        CHECK(other.order(start).front().id == reader);
+    }
+}
+
+TEST_CASE("an instance alone is the reader", "[stream][peerdirectory]")
+{
+    PeerDirectory directory(record(0));
+    CHECK(directory.isReader(start));
+    CHECK(directory.children(start).empty());
+    CHECK_FALSE(directory.merge(record(0, 99), start));
+    directory.setStoreReachable(false);
+    CHECK(directory.isReader(start));
+}
+
+TEST_CASE("dead instances are forgotten after the retention", "[stream][peerdirectory]")
+{
+    PeerDirectory directory(record(0));
+    SeededRandom random(1);
+    directory.merge(record(1), start);
+    directory.expire(start + PeerDirectory::lapseTime);
+    CHECK(directory.sampleLapsed(random, start + PeerDirectory::lapseTime).has_value());
+    directory.expire(start + PeerDirectory::lapseTime + PeerDirectory::retention);
+    CHECK_FALSE(directory.sampleLapsed(random, start + PeerDirectory::lapseTime + PeerDirectory::retention).has_value());
+}
+
+TEST_CASE("samples have no repetitions and reach everyone in time", "[stream][peerdirectory]")
+{
+    const std::vector<PeerDirectory> directories = group(10);
+    SeededRandom random(20261204);
+    std::set<std::string> seen;
+    for (int round = 0; round < 60; ++round) {
+        const std::vector<PeerRecord> sample = directories[0].sample(3, random, start);
+        REQUIRE(sample.size() == 3);
+        std::set<std::string> ids;
+        for (const PeerRecord &peer : sample) {
+            ids.insert(peer.id);
+        }
+        CHECK(ids.size() == 3);
+        seen.insert(ids.begin(), ids.end());
+    }
+    CHECK(seen.size() == 9);
+}
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -67,6 +67,8 @@
     stale.phase = ServerPhase::Draining;
     CHECK(directory.update(stale, start).empty());
     CHECK(directory.replaceAll({}, {}, 29, start).empty());
+    directory.completeUntil(28);
+    CHECK(directory.revision() == 30);
     CHECK(directory.remove("i-1", 19, start).empty());
     CHECK(directory.listed("pond").front()->server.phase == ServerPhase::Ready);
 }
