--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,39 @@
+#include "soak/soakrun.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "seed of the schedule");
+DEFINE_uint32(instances, 6, "instances, each a process");
+DEFINE_uint32(network, 0, "0 to 31: runs side by side need networks of their own");
+DEFINE_string(program, "", "samphirepitchd");
+DEFINE_string(folder, "", "folder for settings and logs of the instances");
+DEFINE_bool(schedule, false, "print the schedule in any case");
+
+using namespace Samphirepitch::Soak;
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("samphirepitch-soak --program FILE --folder FOLDER [--seed N]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    SoakPlan plan;
+    plan.seed = FLAGS_seed;
+    plan.instances = FLAGS_instances;
+    plan.program = FLAGS_program;
+    plan.folder = FLAGS_folder;
+    plan.network = FLAGS_network;
+    SoakRun run(plan);
+    const std::vector<std::string> violations = run.play();
+    if (FLAGS_schedule || !violations.empty()) {
+        for (const std::string &line : run.schedule()) {
+            std::cout << "  " << line << '\n';
+        }
+    }
+    for (const std::string &violation : violations) {
+        std::cout << "  BROKEN: " << violation << '\n';
+    }
+    std::cout << "soak: seed=" << FLAGS_seed << (violations.empty() ? " held" : " red") << " served=" << run.servedCount()
+              << " failed=" << run.failedCount() << '\n';
+    return violations.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/soak/soakclient.cpp
@@ -0,0 +1,199 @@
+#include "soak/soakclient.h"
+
+#include "soak/soakserver.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <array>
+
+namespace Samphirepitch::Soak
+{
+
+namespace
+{
+
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t requestsPerFlow = 8; // at most
+constexpr std::uint64_t longestPause = 120; // milliseconds between requests
+
+// The platform's clients wait as long before each copy of an opening packet and before they give up.
+constexpr std::array<milliseconds, 3> openingWaits { milliseconds(200), milliseconds(400), milliseconds(800) };
+// The same for data; their sum is the time limit of a request.
+constexpr std::array<milliseconds, 3> dataWaits { milliseconds(200), milliseconds(400), milliseconds(900) };
+
+} // namespace
+
+SoakClient::SoakClient(asio::any_io_executor executor, Ledger &ledger, RandomSource &random, const PacketRoute &fabric, Endpoint address)
+    : m_executor(std::move(executor))
+    , m_ledger(ledger)
+    , m_random(random)
+    , m_fabric(fabric)
+    , m_address(address)
+    , m_socket(m_executor, udp::endpoint(asio::ip::address_v4(address.address()), address.port()))
+{
+    asio::co_spawn(m_executor, receive(), asio::detached);
+}
+
+void SoakClient::startUser(SoakRoute route)
+{
+    asio::co_spawn(m_executor, runUser(std::move(route)), asio::detached);
+}
+
+void SoakClient::stop()
+{
+    m_stopped = true;
+}
+
+asio::awaitable<void> SoakClient::receive()
+{
+    std::array<char, 2048> buffer {};
+    while (true) {
+        std::error_code error;
+        const std::size_t size = co_await m_socket.async_receive(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::connection_refused) {
+            continue; // an instance or server that has ended
+        }
+        if (error) {
+            co_return;
+        }
+        if (const auto segment = Segment::decode({ buffer.data(), size })) {
+            take(*segment);
+        }
+    }
+}
+
+void SoakClient::take(const Segment &segment)
+{
+    const auto found = m_flows.find({ segment.destination, segment.source });
+    if (found == m_flows.end()) {
+        return;
+    }
+    Flow &flow = *found->second;
+    if (segment.has(Segment::rst)) {
+        if (!segment.genuine && flow.open && m_fabric.resetBreaksPromise(segment.destination, segment.source)) {
+            m_ledger.violation(
+                "open flow " + segment.destination.toString() + '>' + segment.source.toString() + " was reset while its server serves");
+        }
+        flow.reset = true;
+    } else if (!segment.genuine) {
+        m_ledger.violation("a client got a packet that no server wrote so");
+    } else if (segment.has(Segment::syn)) {
+        if (!flow.open) {
+            flow.open = true;
+            flow.token = segment.token;
+            flow.expected = segment.sequence + 1;
+        }
+    } else if (flow.open && !segment.data.empty()) {
+        flow.token = segment.token;
+        if (segment.sequence == flow.expected) {
+            flow.expected += static_cast<std::uint32_t>(segment.data.size());
+            flow.answer = segment.data;
+        }
+    }
+    flow.arrived.cancel();
+}
+
+asio::awaitable<void> SoakClient::runUser(SoakRoute route)
+{
+    asio::steady_timer pause(m_executor);
+    while (!m_stopped) {
+        Flow flow(m_executor);
+        flow.client = Endpoint(m_address.address(), ++m_nextPort);
+        const auto entry = m_flows.emplace(std::pair(flow.client, route.address), &flow).first;
+        bool usable = co_await open(flow, route);
+        if (!usable) {
+            m_ledger.failed(0);
+        }
+        const std::uint64_t requests = 1 + m_random.below(requestsPerFlow);
+        for (std::uint64_t request = 0; usable && !m_stopped && request < requests; ++request) {
+            usable = co_await exchange(flow, route);
+            pause.expires_after(milliseconds(m_random.below(longestPause)));
+            co_await pause.async_wait(asio::use_awaitable);
+            usable = usable && !flow.reset;
+        }
+        if (usable) {
+            send(flow, route, Segment::fin | Segment::ack, flow.sent);
+        }
+        m_flows.erase(entry);
+    }
+}
+
+asio::awaitable<bool> SoakClient::open(Flow &flow, const SoakRoute &route)
+{
+    const auto first = static_cast<std::uint32_t>(m_random.next());
+    flow.sent = first + 1;
+    std::uint32_t copy = 0;
+    for (const milliseconds wait : openingWaits) {
+        flow.expected = copy++; // an opening packet carries the number of the copy here
+        send(flow, route, Segment::syn, first);
+        co_await waitFor(flow, wait);
+        if (flow.open || flow.reset) {
+            break;
+        }
+    }
+    if (flow.open) {
+        send(flow, route, Segment::ack, flow.sent);
+    }
+    co_return flow.open;
+}
+
+asio::awaitable<bool> SoakClient::exchange(Flow &flow, const SoakRoute &route)
+{
+    const Exchange request { m_random.next() >> 1, route.mayRepeat, route.service };
+    const std::string data = request.encode();
+    flow.answer.clear();
+    for (const milliseconds wait : dataWaits) {
+        send(flow, route, Segment::ack, flow.sent, data);
+        co_await waitFor(flow, wait);
+        if (!flow.answer.empty() || flow.reset) {
+            break;
+        }
+    }
+    flow.sent += static_cast<std::uint32_t>(data.size());
+    if (flow.answer.empty()) {
+        m_ledger.failed(request.request);
+        co_return false;
+    }
+    send(flow, route, Segment::ack, flow.sent);
+    if (flow.answer != data) {
+        m_ledger.violation("the answer to \"" + data + "\" is \"" + flow.answer + "\"");
+    }
+    m_ledger.served(request.request);
+    co_return true;
+}
+
+asio::awaitable<void> SoakClient::waitFor(Flow &flow, milliseconds time)
+{
+    const bool wasOpen = flow.open;
+    const auto deadline = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < deadline && flow.open == wasOpen && !flow.reset && flow.answer.empty()) {
+        std::error_code ignored;
+        flow.arrived.expires_at(deadline);
+        co_await flow.arrived.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void SoakClient::send(const Flow &flow, const SoakRoute &route, std::uint8_t flags, std::uint32_t sequence, std::string data)
+{
+    const Endpoint instance = m_fabric.instanceFor(flow.client, route.address);
+    if (instance.isUnset()) {
+        return;
+    }
+    const Segment segment { .source = flow.client,
+        .destination = route.address,
+        .token = flow.token,
+        .flags = flags,
+        .sequence = sequence,
+        .acknowledgement = flow.expected,
+        .data = std::move(data) };
+    const std::string bytes = segment.encode();
+    std::error_code ignored; // lost like any datagram
+    m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(instance.address()), instance.port() }, 0, ignored);
+}
+
+} // namespace Samphirepitch::Soak
--- /dev/null
+++ b/soak/soakrun.cpp
@@ -0,0 +1,499 @@
+#include "soak/soakrun.h"
+
+#include "core/clock.h"
+#include "core/hash.h"
+#include "objectstore/httpconnection.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace Samphirepitch::Soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+constexpr std::uint16_t dataPort = 8172;
+constexpr std::uint16_t healthPort = 8167;
+constexpr std::uint16_t peerPort = 8166;
+constexpr std::uint16_t serverPort = 8080;
+
+// Groups of addresses inside the network of a run.
+constexpr std::uint32_t instanceGroup = 1;
+constexpr std::uint32_t serverGroup = 2;
+constexpr std::uint32_t clientGroup = 3;
+constexpr std::uint32_t routeGroup = 4;
+
+constexpr std::uint32_t clientHosts = 6;
+constexpr std::uint32_t usersPerRoute = 2; // of each client host
+
+constexpr milliseconds startTime { 8000 }; // by which all instances have to be ready at first
+constexpr milliseconds readinessInterval { 250 };
+constexpr milliseconds heartbeatLapse { 3600 }; // the store drops a silent server after three heartbeats of 1,200 ms
+constexpr milliseconds reuseTime { 2000 }; // before an address goes to another server
+constexpr milliseconds drainTime { 3000 }; // in which a draining server may still get new flows
+constexpr milliseconds drainSlack { 7000 }; // while instances may be harmed; the rule counts them 4 s later
+constexpr milliseconds stopTime { 6000 }; // between SIGTERM and SIGKILL
+constexpr std::uint64_t faultSpacing = 700; // milliseconds; at most, so that faults overlap
+constexpr double leastServedAtEnd = 0.9; // of the requests in the last seconds, when nothing is harmed any more
+
+std::string hex(std::uint64_t value)
+{
+    std::ostringstream stream;
+    stream << std::hex << value;
+    return stream.str();
+}
+
+} // namespace
+
+/** One instance, its way to the store, and whether the fabric sends it packets. */
+struct SoakRun::Node {
+    Node(const asio::any_io_executor &executor, Endpoint store, std::string program, const std::string &folder, std::uint32_t index)
+        : number(index)
+        , settings(folder + "/entry-" + std::to_string(index) + ".toml")
+        , proxy(executor, store)
+        , process(std::move(program), settings, folder + "/entry-" + std::to_string(index) + ".log")
+    {
+    }
+
+    std::uint32_t number;
+    std::string settings;
+    LoopbackProxy proxy;
+    InstanceProcess process;
+    Endpoint data;
+    Endpoint health;
+    int misses = 2;
+    bool stopping = false; // by SIGTERM
+    bool paused = false;
+    Time killAt {};
+    Time restartAt {};
+};
+
+SoakRun::SoakRun(SoakPlan plan)
+    : m_plan(std::move(plan))
+    , m_random(m_plan.seed)
+    , m_context(1)
+    , m_store(m_context.get_executor())
+{
+    std::filesystem::create_directories(m_plan.folder);
+}
+
+SoakRun::~SoakRun() = default;
+
+std::vector<std::string> SoakRun::play()
+{
+    for (std::uint32_t number = 0; number < 2; ++number) {
+        m_routes.push_back({ address(routeGroup, 1, static_cast<std::uint16_t>(443 + number)), "pond", number == 0 });
+    }
+    m_routes.push_back({ address(routeGroup, 2, 443), "tile", true });
+    writeConfiguration();
+    createServers();
+    createInstances();
+    asio::co_spawn(m_context, watchInstances(), asio::detached);
+    const auto ready = [](const auto &node) { return node->misses == 0; };
+    const Time limit = std::chrono::steady_clock::now() + startTime;
+    while (!std::all_of(m_nodes.begin(), m_nodes.end(), ready) && std::chrono::steady_clock::now() < limit) {
+        runFor(milliseconds(50));
+    }
+    if (!std::all_of(m_nodes.begin(), m_nodes.end(), ready)) {
+        m_ledger.violation("not all instances became ready");
+        return m_ledger.violations();
+    }
+    startClients();
+    planFaults();
+    runFor(m_plan.faultTime + m_plan.calmTime);
+    checkEnd();
+    m_over = true;
+    return m_ledger.violations();
+}
+
+Endpoint SoakRun::address(std::uint32_t group, std::uint32_t number, std::uint16_t port) const
+{
+    return { 0x7f400000 + (m_plan.network << 16) + (group << 8) + number, port };
+}
+
+void SoakRun::createInstances()
+{
+    for (std::uint32_t number = 1; number <= m_plan.instances; ++number) {
+        auto node = std::make_unique<Node>(m_context.get_executor(), m_store.address(), m_plan.program, m_plan.folder, number);
+        node->data = address(instanceGroup, number, dataPort);
+        node->health = address(instanceGroup, number, healthPort);
+        writeSettings(*node);
+        if (!node->process.start()) {
+            m_ledger.violation("an instance could not be started");
+        }
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+void SoakRun::writeSettings(const Node &node) const
+{
+    std::ofstream file(node.settings);
+    file << "deployment = \"soak\"\n[instance]\nid = \"entry-" << node.number << "\"\nfailure_domain = \"d"
+         << node.number % m_plan.failureDomains << "\"\n[peer]\naddress = \"" << address(instanceGroup, node.number, peerPort).toString()
+         << "\"\nseeds = [\"" << address(instanceGroup, 1, peerPort).toString() << "\", \""
+         << address(instanceGroup, 2, peerPort).toString() << "\"]\n[data]\npackets = \"stream\"\naddress = \"" << node.data.toString()
+         << "\"\n[platform]\naddress = \"" << node.proxy.address().toString() << "\"\n[health]\naddress = \"" << node.health.toString()
+         << "\"\n[stop]\ntimeout_ms = 4000\nlinger_ms = 2500\n[events]\nrate = 200\n";
+}
+
+void SoakRun::createServers()
+{
+    for (std::uint32_t index = 0; index < m_plan.serversPerService * 2; ++index) {
+        startServer("i-" + hex(0x1000 + m_nextServer++), index % 2 == 0 ? "pond" : "tile", address(serverGroup, index + 1, serverPort),
+            "d" + std::to_string(index / 2 % m_plan.failureDomains));
+    }
+}
+
+void SoakRun::startServer(const std::string &id, const std::string &service, Endpoint address, const std::string &failureDomain)
+{
+    auto server = SoakServer::start(m_context.get_executor(), m_ledger, m_random, id, service, address, dataPort);
+    m_servers.push_back(server);
+    writeServer(server, failureDomain, false);
+}
+
+void SoakRun::writeServer(const std::shared_ptr<SoakServer> &server, const std::string &failureDomain, bool draining)
+{
+    m_store.put("servers", server->id(),
+        { { "service", server->service() }, { "address", server->address().toString() }, { "zone", failureDomain }, { "version", "v1" },
+            { "slots", 2 }, { "state", draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "sequence", 1 },
+            { "born", server->startedAt() } });
+}
+
+void SoakRun::writeConfiguration()
+{
+    Json routes = Json::array();
+    const auto add = [&routes](const std::string &name, Endpoint at, const std::string &service, bool mayRepeat) {
+        const std::string text = at.toString();
+        routes.push_back({ { "name", name }, { "hostname", text.substr(0, text.find(':')) },
+            { "path_prefix", "/" + std::to_string(at.port()) + "/" }, { "kind", mayRepeat ? "safe" : "unsafe" }, { "service", service } });
+    };
+    for (std::size_t index = 0; index < m_routes.size(); ++index) {
+        add("r-" + std::to_string(index), m_routes[index].address, m_routes[index].service, m_routes[index].mayRepeat);
+    }
+    for (std::uint32_t extra = 0; extra < m_extraRoutes; ++extra) {
+        add("x-" + std::to_string(extra), address(routeGroup, 3, static_cast<std::uint16_t>(1000 + extra)), "tile", true);
+    }
+    m_store.put("config", "main",
+        { { "version", ++m_version }, { "routes", routes }, { "services", { { { "name", "pond" } }, { { "name", "tile" } } } },
+            { "limits", { { "idle_timeout_ms", 15000 } } } });
+}
+
+void SoakRun::startClients()
+{
+    for (std::uint32_t host = 1; host <= clientHosts; ++host) {
+        m_clients.push_back(
+            std::make_unique<SoakClient>(m_context.get_executor(), m_ledger, m_random, *this, address(clientGroup, host, dataPort)));
+        for (const SoakRoute &route : m_routes) {
+            for (std::uint32_t user = 0; user < usersPerRoute; ++user) {
+                m_clients.back()->startUser(route);
+            }
+        }
+    }
+}
+
+void SoakRun::planFaults()
+{
+    milliseconds at(500);
+    while (at < m_plan.faultTime) {
+        switch (m_random.below(5)) {
+        case 0:
+        case 1:
+            planInstanceFault(at);
+            break;
+        case 2:
+            planStoreFault(at);
+            break;
+        case 3:
+            planServerFault(at);
+            break;
+        default:
+            planChange(at);
+        }
+        at += milliseconds(m_random.below(faultSpacing));
+    }
+    // Everything is whole again for the calm time.
+    plan(m_plan.faultTime, "all faults end", [this] {
+        m_store.setBusy(false);
+        for (const auto &node : m_nodes) {
+            node->proxy.setMode(LoopbackProxy::Mode::Pass);
+        }
+    });
+}
+
+void SoakRun::plan(milliseconds at, const std::string &what, std::function<void()> work)
+{
+    m_schedule.push_back(std::to_string(at.count()) + " ms: " + what);
+    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, at));
+    m_timers.back()->async_wait([work = std::move(work)](std::error_code error) {
+        if (!error) {
+            work();
+        }
+    });
+}
+
+void SoakRun::planInstanceFault(milliseconds at)
+{
+    Node &node = *m_nodes[m_random.below(m_nodes.size())];
+    const milliseconds time(200 + m_random.below(2800));
+    const std::string name = "entry-" + std::to_string(node.number);
+    switch (m_random.below(4)) {
+    case 0:
+        plan(at, name + " is killed", [&node, time] {
+            node.process.signal(SIGKILL);
+            node.restartAt = std::chrono::steady_clock::now() + time;
+        });
+        break;
+    case 1:
+        plan(at, name + " is stopped and started again", [&node, time] {
+            // A second SIGTERM would ask the process to end at once, without the rest of its stop.
+            if (node.stopping || !node.process.isRunning()) {
+                return;
+            }
+            node.stopping = true;
+            node.process.signal(SIGTERM);
+            node.killAt = std::chrono::steady_clock::now() + stopTime;
+            node.restartAt = std::chrono::steady_clock::now() + time;
+        });
+        break;
+    case 2:
+        plan(at, name + " is paused for " + std::to_string(time.count()) + " ms", [&node] {
+            node.paused = true;
+            node.process.signal(SIGSTOP);
+        });
+        plan(at + time, name + " goes on", [&node] {
+            node.paused = false;
+            node.process.signal(SIGCONT);
+        });
+        break;
+    default:
+        if (m_random.below(4) != 0) {
+            plan(at, name + " is told to reload", [&node] { node.process.signal(SIGHUP); });
+            break;
+        }
+        plan(at, "all instances are killed", [this, time] {
+            for (const auto &each : m_nodes) {
+                each->process.signal(SIGKILL);
+                each->restartAt = std::chrono::steady_clock::now() + time / 2;
+            }
+        });
+    }
+}
+
+void SoakRun::planStoreFault(milliseconds at)
+{
+    constexpr std::array modes { LoopbackProxy::Mode::Delay, LoopbackProxy::Mode::Swallow, LoopbackProxy::Mode::Silent,
+        LoopbackProxy::Mode::Reset };
+    const LoopbackProxy::Mode mode = modes[m_random.below(modes.size())];
+    const milliseconds time(500 + m_random.below(4000));
+    const bool forAll = m_random.below(2) == 0;
+    const std::size_t drawn = m_random.below(m_nodes.size());
+    if (m_random.below(4) == 0) {
+        plan(at, "the store is busy", [this] { m_store.setBusy(true); });
+        plan(at + time, "the store answers again", [this] { m_store.setBusy(false); });
+        return;
+    }
+    if (m_random.below(4) == 0) {
+        plan(at, "the store forgets its history", [this] { m_store.compact(); });
+        return;
+    }
+    const auto set = [this, forAll, drawn](LoopbackProxy::Mode to) {
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            if (forAll || index == drawn) {
+                m_nodes[index]->proxy.setMode(to);
+            }
+        }
+    };
+    const std::string whose = forAll ? "all instances" : "entry-" + std::to_string(m_nodes[drawn]->number);
+    plan(at, "connections of " + whose + " to the store: mode " + std::to_string(static_cast<int>(mode)), [set, mode] { set(mode); });
+    plan(at + time, "connections of " + whose + " to the store pass", [set] { set(LoopbackProxy::Mode::Pass); });
+}
+
+void SoakRun::planServerFault(milliseconds at)
+{
+    const std::uint64_t drawn = m_random.next();
+    switch (m_random.below(3)) {
+    case 0:
+        plan(at, "a server crashes and another one gets its address", [this, drawn] { crashServer(drawn, false); });
+        break;
+    case 1:
+        plan(at, "a server crashes and starts again under its id", [this, drawn] { crashServer(drawn, true); });
+        break;
+    default:
+        plan(at, "a server drains and leaves", [this, drawn] { drainServer(drawn); });
+    }
+}
+
+void SoakRun::planChange(milliseconds at)
+{
+    const auto extra = static_cast<std::uint32_t>(m_random.below(200));
+    plan(at, "the configuration has " + std::to_string(extra) + " further routes", [this, extra] {
+        m_extraRoutes = extra;
+        writeConfiguration();
+    });
+}
+
+std::shared_ptr<SoakServer> SoakRun::anyRunning(std::uint64_t drawn) const
+{
+    std::vector<std::shared_ptr<SoakServer>> running;
+    std::copy_if(m_servers.begin(), m_servers.end(), std::back_inserter(running), [](const auto &server) { return server->isRunning(); });
+    // Half of a service has to stay, so that what is checked at the end can hold.
+    if (running.size() <= m_plan.serversPerService) {
+        return nullptr;
+    }
+    return running[drawn % running.size()];
+}
+
+void SoakRun::crashServer(std::uint64_t drawn, bool sameId)
+{
+    const auto server = anyRunning(drawn);
+    if (!server) {
+        return;
+    }
+    server->crash();
+    const std::string id = sameId ? server->id() : "i-" + hex(0x1000 + m_nextServer++);
+    const std::string service = sameId || drawn % 2 == 0 ? server->service() : (server->service() == "pond" ? "tile" : "pond");
+    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, heartbeatLapse));
+    if (!sameId) {
+        m_timers.back()->async_wait([this, server](std::error_code) { m_store.remove("servers", server->id()); });
+    }
+    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, reuseTime));
+    m_timers.back()->async_wait([this, id, service, server, drawn](std::error_code error) {
+        if (!error) {
+            startServer(id, service, server->address(), "d" + std::to_string(drawn % m_plan.failureDomains));
+        }
+    });
+}
+
+void SoakRun::drainServer(std::uint64_t drawn)
+{
+    const auto server = anyRunning(drawn);
+    if (!server) {
+        return;
+    }
+    writeServer(server, "d0", true);
+    server->drainUntil(std::chrono::steady_clock::now() + drainTime + drainSlack);
+    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, drainTime + drainSlack / 2));
+    m_timers.back()->async_wait([this, server](std::error_code error) {
+        if (!error && server->isRunning()) {
+            server->crash();
+            m_store.remove("servers", server->id());
+        }
+    });
+}
+
+asio::awaitable<void> SoakRun::watchInstances()
+{
+    asio::steady_timer timer(m_context);
+    while (!m_over) {
+        const Time now = std::chrono::steady_clock::now();
+        for (const auto &node : m_nodes) {
+            if (const auto code = node->process.reap()) {
+                const bool killed = *code == 128 + SIGKILL;
+                if (!killed && !(node->stopping && *code == 0)) {
+                    m_ledger.violation("entry-" + std::to_string(node->number) + " ended with code " + std::to_string(*code));
+                }
+                if (killed && node->stopping && now >= node->killAt && !node->paused) {
+                    m_ledger.violation("entry-" + std::to_string(node->number) + " did not end in time after SIGTERM");
+                }
+                node->stopping = false;
+                node->paused = false;
+            }
+            if (node->stopping && now >= node->killAt) {
+                node->process.signal(SIGKILL);
+            }
+            if (!node->process.isRunning() && now >= node->restartAt) {
+                node->process.start();
+            }
+            asio::co_spawn(m_context, checkReadiness(*node), asio::detached);
+        }
+        timer.expires_after(readinessInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> SoakRun::checkReadiness(Node &node)
+{
+    const SteadyClock clock;
+    HttpConnection connection(m_context.get_executor(), clock, node.health);
+    HttpRequest request;
+    request.target = "/healthz";
+    const Result<HttpResponse> response = co_await connection.exchange(std::move(request), clock.now() + readinessInterval);
+    connection.close();
+    node.misses = response && response->status == 200 ? 0 : node.misses + 1;
+}
+
+Endpoint SoakRun::instanceFor(Endpoint client, Endpoint service) const
+{
+    std::vector<const Node *> rotation;
+    for (const auto &node : m_nodes) {
+        if (node->misses < 2) {
+            rotation.push_back(node.get());
+        }
+    }
+    if (rotation.size() * 2 < m_nodes.size()) {
+        rotation.clear();
+        for (const auto &node : m_nodes) {
+            rotation.push_back(node.get());
+        }
+    }
+    const std::uint64_t hash
+        = mix64(std::uint64_t { client.address() } << 16 | client.port(), std::uint64_t { service.address() } << 16 | service.port());
+    return rotation[hash % rotation.size()]->data;
+}
+
+bool SoakRun::resetBreaksPromise(Endpoint client, Endpoint service) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) { return server->holds(client, service); });
+}
+
+void SoakRun::checkEnd()
+{
+    constexpr milliseconds lastTime { 2000 };
+    const std::uint64_t served = m_ledger.servedCount();
+    const std::uint64_t failed = m_ledger.failedCount();
+    runFor(lastTime);
+    const double good = static_cast<double>(m_ledger.servedCount() - served);
+    const double bad = static_cast<double>(m_ledger.failedCount() - failed);
+    if (good < 1 || good / (good + bad) < leastServedAtEnd) {
+        m_ledger.violation("after all faults " + std::to_string(static_cast<int>(good)) + " requests were served and "
+            + std::to_string(static_cast<int>(bad)) + " failed");
+    }
+    for (const auto &node : m_nodes) {
+        if (node->misses > 0) {
+            m_ledger.violation("entry-" + std::to_string(node->number) + " is not ready after all faults");
+        }
+    }
+}
+
+void SoakRun::runFor(milliseconds time)
+{
+    m_context.run_for(time);
+}
+
+const std::vector<std::string> &SoakRun::schedule() const
+{
+    return m_schedule;
+}
+
+std::uint64_t SoakRun::servedCount() const
+{
+    return m_ledger.servedCount();
+}
+
+std::uint64_t SoakRun::failedCount() const
+{
+    return m_ledger.failedCount();
+}
+
+} // namespace Samphirepitch::Soak
--- /dev/null
+++ b/soak/soakrun.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/random.h"
+#include "soak/instanceprocess.h"
+#include "soak/ledger.h"
+#include "soak/loopbackproxy.h"
+#include "soak/soakclient.h"
+#include "soak/soakserver.h"
+#include "soak/storestandin.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Samphirepitch::Soak
+{
+
+/** How one run is played. */
+struct SoakPlan {
+    std::uint64_t seed = 1;
+    std::uint32_t instances = 6;
+    std::uint32_t failureDomains = 3;
+    std::uint32_t serversPerService = 6;
+    std::chrono::milliseconds faultTime { 9000 }; /**< in which faults begin */
+    std::chrono::milliseconds calmTime { 6000 }; /**< afterwards, at whose end service has to be back */
+    std::string program; /**< samphirepitchd */
+    std::string folder; /**< for settings and logs */
+    std::uint32_t network = 0; /**< 127.64.0.0 and up: runs side by side have networks of their own */
+};
+
+/** Plays one schedule of faults over real processes, and checks what callers and servers see. */
+class SoakRun : public PacketRoute
+{
+public:
+    explicit SoakRun(SoakPlan plan);
+    ~SoakRun() override;
+
+    /** Plays it. @return the broken promises */
+    std::vector<std::string> play();
+
+    /** Returns the schedule that the seed gave, a line a fault. */
+    const std::vector<std::string> &schedule() const;
+
+    std::uint64_t servedCount() const;
+    std::uint64_t failedCount() const;
+
+    Endpoint instanceFor(Endpoint client, Endpoint service) const override;
+    bool resetBreaksPromise(Endpoint client, Endpoint service) const override;
+
+private:
+    struct Node;
+    using Time = std::chrono::steady_clock::time_point;
+
+    Endpoint address(std::uint32_t group, std::uint32_t number, std::uint16_t port) const;
+    void createInstances();
+    void writeSettings(const Node &node) const;
+    void createServers();
+    void startServer(const std::string &id, const std::string &service, Endpoint address, const std::string &failureDomain);
+    void writeServer(const std::shared_ptr<SoakServer> &server, const std::string &failureDomain, bool draining);
+    void writeConfiguration();
+    void startClients();
+    void planFaults();
+    void plan(std::chrono::milliseconds at, const std::string &what, std::function<void()> work);
+    void planInstanceFault(std::chrono::milliseconds at);
+    void planStoreFault(std::chrono::milliseconds at);
+    void planServerFault(std::chrono::milliseconds at);
+    void planChange(std::chrono::milliseconds at);
+    void crashServer(std::uint64_t drawn, bool sameId);
+    void drainServer(std::uint64_t drawn);
+    std::shared_ptr<SoakServer> anyRunning(std::uint64_t drawn) const;
+    asio::awaitable<void> watchInstances();
+    asio::awaitable<void> checkReadiness(Node &node);
+    void checkEnd();
+    void runFor(std::chrono::milliseconds time);
+
+    SoakPlan m_plan;
+    SeededRandom m_random;
+    asio::io_context m_context;
+    Ledger m_ledger;
+    StoreStandin m_store;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<std::shared_ptr<SoakServer>> m_servers;
+    std::vector<std::unique_ptr<SoakClient>> m_clients;
+    std::vector<SoakRoute> m_routes;
+    std::vector<std::string> m_schedule;
+    std::vector<std::unique_ptr<asio::steady_timer>> m_timers;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_nextServer = 1;
+    std::uint32_t m_extraRoutes = 0;
+    bool m_over = false;
+};
+
+} // namespace Samphirepitch::Soak
--- /dev/null
+++ b/soak/soakserver.cpp
@@ -0,0 +1,251 @@
+#include "soak/soakserver.h"
+
+#include "core/clock.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace Samphirepitch::Soak
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr std::size_t prefixSize = 8; // names the server that a packet is meant for
+constexpr milliseconds leastWork { 5 };
+constexpr std::uint64_t workSpread = 30; // milliseconds
+constexpr milliseconds repeatTime { 200 };
+constexpr int maxRepeats = 5;
+
+std::uint64_t prefixOf(std::string_view bytes)
+{
+    std::uint64_t number = 0;
+    for (std::size_t index = 0; index < prefixSize; ++index) {
+        number = number << 8 | static_cast<std::uint8_t>(bytes[index]);
+    }
+    return number;
+}
+
+} // namespace
+
+std::string Exchange::encode() const
+{
+    return std::to_string(request) + ' ' + (mayRepeat ? '1' : '0') + ' ' + service;
+}
+
+std::optional<Exchange> Exchange::decode(std::string_view data)
+{
+    std::istringstream stream { std::string(data) };
+    Exchange exchange;
+    return stream >> exchange.request >> exchange.mayRepeat >> exchange.service ? std::optional(exchange) : std::nullopt;
+}
+
+SoakServer::SoakServer(asio::any_io_executor executor, Ledger &ledger, RandomSource &random, std::string id, std::string service,
+    Endpoint address, std::uint16_t dataPort)
+    : m_executor(std::move(executor))
+    , m_ledger(ledger)
+    , m_random(random)
+    , m_id(std::move(id))
+    , m_number(std::stoull(m_id.substr(m_id.rfind('-') + 1), nullptr, 16))
+    , m_service(std::move(service))
+    , m_address(address)
+    , m_dataPort(dataPort)
+    , m_startedAt(SteadyClock().wallNow().time_since_epoch().count())
+    , m_socket(m_executor, udp::endpoint(asio::ip::address_v4(address.address()), address.port()))
+    , m_acceptor(m_executor, tcp::endpoint(asio::ip::address_v4(address.address()), address.port()))
+{
+}
+
+std::shared_ptr<SoakServer> SoakServer::start(asio::any_io_executor executor, Ledger &ledger, RandomSource &random, std::string id,
+    std::string service, Endpoint address, std::uint16_t dataPort)
+{
+    std::shared_ptr<SoakServer> server(
+        new SoakServer(std::move(executor), ledger, random, std::move(id), std::move(service), address, dataPort));
+    asio::co_spawn(server->m_executor, server->receive(server), asio::detached);
+    asio::co_spawn(server->m_executor, server->accept(server), asio::detached);
+    return server;
+}
+
+void SoakServer::crash()
+{
+    m_running = false;
+    m_flows.clear();
+    std::error_code ignored;
+    m_socket.close(ignored);
+    m_acceptor.close(ignored);
+}
+
+void SoakServer::drainUntil(std::chrono::steady_clock::time_point deadline)
+{
+    m_drainDeadline = deadline;
+}
+
+bool SoakServer::holds(Endpoint client, Endpoint service) const
+{
+    const auto found = m_flows.find({ client, service });
+    return m_running && found != m_flows.end() && found->second.open;
+}
+
+bool SoakServer::isRunning() const
+{
+    return m_running;
+}
+
+std::int64_t SoakServer::startedAt() const
+{
+    return m_startedAt;
+}
+
+const std::string &SoakServer::id() const
+{
+    return m_id;
+}
+
+const std::string &SoakServer::service() const
+{
+    return m_service;
+}
+
+Endpoint SoakServer::address() const
+{
+    return m_address;
+}
+
+asio::awaitable<void> SoakServer::receive([[maybe_unused]] std::shared_ptr<SoakServer> self)
+{
+    std::array<char, 2048> buffer {};
+    std::error_code error;
+    while (!error) {
+        const std::size_t size = co_await m_socket.async_receive(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        if (!error && size > prefixSize) {
+            take({ buffer.data(), size });
+        }
+    }
+}
+
+asio::awaitable<void> SoakServer::accept([[maybe_unused]] std::shared_ptr<SoakServer> self)
+{
+    std::error_code error;
+    while (!error) {
+        co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void SoakServer::take(std::string_view bytes)
+{
+    const std::uint64_t meant = prefixOf(bytes);
+    const auto segment = Segment::decode(bytes.substr(prefixSize));
+    if (!segment || !segment->genuine) {
+        m_ledger.violation("server " + m_id + " got a packet that no client wrote so");
+        return;
+    }
+    if (meant != m_number && meant != 0) {
+        return;
+    }
+    const FlowKey key(segment->source, segment->destination);
+    const auto found = m_flows.find(key);
+    if (segment->has(Segment::syn)) {
+        if (m_drainDeadline && std::chrono::steady_clock::now() > *m_drainDeadline && found == m_flows.end()) {
+            m_ledger.violation("server " + m_id + " got a new flow long after it began to drain");
+        }
+        Flow &flow = m_flows[key];
+        if (found == m_flows.end()) {
+            flow.expected = segment->sequence + 1;
+            flow.sent = static_cast<std::uint32_t>(m_random.next());
+        }
+        flow.token = segment->token;
+        if (!flow.open) {
+            reply(key, flow, Segment::syn | Segment::ack, flow.sent);
+        }
+        return;
+    }
+    if (found == m_flows.end() || (!found->second.open && segment->acknowledgement != found->second.sent + 1)) {
+        if (!segment->has(Segment::rst)) {
+            Flow none;
+            none.token = segment->token;
+            reply(key, none, Segment::rst, segment->acknowledgement);
+        }
+        return;
+    }
+    takeData(key, found->second, *segment);
+    if (segment->has(Segment::fin) || segment->has(Segment::rst)) {
+        m_flows.erase(key);
+    }
+}
+
+void SoakServer::takeData(const FlowKey &key, Flow &flow, const Segment &segment)
+{
+    flow.token = segment.token;
+    if (!flow.open) {
+        flow.open = true;
+        ++flow.sent; // the opening packet counts as one byte
+    }
+    if (flow.unacknowledged && segment.acknowledgement == flow.sent) {
+        flow.unacknowledged.reset();
+    }
+    if (segment.data.empty()) {
+        return;
+    }
+    if (segment.sequence != flow.expected) {
+        reply(key, flow, Segment::ack, flow.sent);
+        return;
+    }
+    flow.expected += static_cast<std::uint32_t>(segment.data.size());
+    const auto exchange = Exchange::decode(segment.data);
+    if (!exchange || exchange->service != m_service) {
+        m_ledger.violation("server " + m_id + " of " + m_service + " got a request for " + (exchange ? exchange->service : "nothing"));
+        return;
+    }
+    m_ledger.ran(exchange->request, exchange->mayRepeat);
+    asio::co_spawn(m_executor, answer(shared_from_this(), key, *exchange), asio::detached);
+}
+
+asio::awaitable<void> SoakServer::answer([[maybe_unused]] std::shared_ptr<SoakServer> self, FlowKey key, Exchange exchange)
+{
+    asio::steady_timer timer(m_executor, leastWork + milliseconds(m_random.below(workSpread)));
+    co_await timer.async_wait(asio::use_awaitable);
+    auto found = m_flows.find(key);
+    if (!m_running || found == m_flows.end()) {
+        co_return;
+    }
+    const std::string data = exchange.encode();
+    const std::uint32_t first = found->second.sent;
+    found->second.sent += static_cast<std::uint32_t>(data.size());
+    found->second.unacknowledged = Segment();
+    for (int repeat = 0; repeat < maxRepeats && m_running && found != m_flows.end() && found->second.unacknowledged; ++repeat) {
+        reply(key, found->second, Segment::ack, first, data);
+        timer.expires_after(repeatTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        found = m_flows.find(key);
+    }
+}
+
+void SoakServer::reply(const FlowKey &key, const Flow &flow, std::uint8_t flags, std::uint32_t sequence, std::string data)
+{
+    send({ .source = key.second,
+        .destination = key.first,
+        .token = flow.token,
+        .flags = flags,
+        .sequence = sequence,
+        .acknowledgement = flow.expected,
+        .data = std::move(data) });
+}
+
+void SoakServer::send(const Segment &segment)
+{
+    const std::string bytes = segment.encode();
+    std::error_code ignored; // lost like any datagram
+    m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(segment.destination.address()), m_dataPort }, 0, ignored);
+}
+
+} // namespace Samphirepitch::Soak
--- a/src/daemon/daemonframe.cpp
+++ b/src/daemon/daemonframe.cpp
@@ -121,8 +121,14 @@
 
 Result<void> DaemonFrame::listenForMetrics()
 {
-    const Endpoint address = m_settings.values().metricsAddress;
-    return address.isUnset() ? Result<void>() : m_metricsServer.listen(m_executor, address);
+    for (const Endpoint address : { m_settings.values().metricsAddress, m_settings.values().healthAddress }) {
+        if (!address.isUnset()) {
+            if (auto listening = m_metricsServer.listen(m_executor, address); !listening) {
+                return listening;
+            }
+        }
+    }
+    return {};
 }
 
 bool DaemonFrame::isLeaving() const
--- a/src/daemon/metricsserver.cpp
+++ b/src/daemon/metricsserver.cpp
@@ -33,20 +33,20 @@
     if (!server) {
         return tl::unexpected(server.error());
     }
-    m_server = *std::move(server);
+    m_servers.push_back(*std::move(server));
     return {};
 }
 
 void MetricsServer::stop()
 {
-    if (m_server) {
-        m_server->stop();
+    for (const auto &server : m_servers) {
+        server->stop();
     }
 }
 
 Endpoint MetricsServer::address() const
 {
-    return m_server ? m_server->address() : Endpoint();
+    return m_servers.empty() ? Endpoint() : m_servers.front()->address();
 }
 
 asio::awaitable<std::optional<HttpResponse>> MetricsServer::handle(HttpRequest request)
--- a/src/daemon/metricsserver.h
+++ b/src/daemon/metricsserver.h
@@ -6,6 +6,7 @@
 #include "objectstore/httpserver.h"
 
 #include <memory>
+#include <vector>
 
 namespace Samphirepitch
 {
@@ -17,13 +18,13 @@
     /** Takes metrics and health, which have to outlive this object. */
     MetricsServer(const Metrics &metrics, const HealthSource &health);
 
-    /** Starts to listen. @return InputOutput if the address cannot be bound */
+    /** Starts to listen at one more address. @return InputOutput if the address cannot be bound */
     Result<void> listen(asio::any_io_executor executor, Endpoint address);
 
-    /** Closes the listener and all connections. */
+    /** Closes the listeners and all connections. */
     void stop();
 
-    /** Returns the bound address; unset if it does not listen. */
+    /** Returns the first bound address; unset if it does not listen. */
     Endpoint address() const;
 
     asio::awaitable<std::optional<HttpResponse>> handle(HttpRequest request) override;
@@ -33,7 +34,7 @@
 
     const Metrics &m_metrics;
     const HealthSource &m_health;
-    std::unique_ptr<HttpServer> m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
 };
 
 } // namespace Samphirepitch
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -36,6 +36,7 @@
         std::chrono::milliseconds serversWait { 0 };
         std::chrono::milliseconds configurationWait { 0 };
         Endpoint metricsAddress;
+        Endpoint healthAddress;
         std::string logLevel;
         std::string logFile;
         std::chrono::milliseconds stopTimeout { 0 };
--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -86,6 +86,9 @@
         keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
             .fallback = Endpoint(),
             .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
+        keyRow<&Fields::healthAddress>({ .key = "health.address",
+            .fallback = Endpoint(),
+            .documentation = "A second TCP address of GET /metrics and /healthz, for the fabric's checks; empty for none." }),
         keyRow<&Fields::logLevel>(reloadable(text("log.level", "info", "info warning error", "Least severity that is logged."))),
         keyRow<&Fields::logFile>(text(
             "log.file", "", "", "Log file; empty for the standard output, to which lines are lost and counted rather than waited for.")),
--- a/src/stream/discoveryfollower.cpp
+++ b/src/stream/discoveryfollower.cpp
@@ -26,6 +26,11 @@
 constexpr milliseconds firstPause { 100 };
 constexpr milliseconds longestPause { 800 };
 
+// The longest pause grows with the number of instances that look for the store, since the first one to reach it tells the others:
+// the store is then asked about 5 times a second by all together, and no instance stays away for longer than the last limit.
+constexpr milliseconds pausePerReader { 200 };
+constexpr milliseconds longestSharedPause { 4000 };
+
 // Several changes that come together are answered by one call if the next one starts a little later.
 constexpr milliseconds gatherTime { 40 };
 
@@ -210,8 +215,10 @@
 
 asio::awaitable<void> DiscoveryFollower::pause(Feed &feed)
 {
-    const auto doubled = firstPause * (std::int64_t { 1 } << std::min<std::uint64_t>(feed.failures - 1, 4));
-    const std::chrono::nanoseconds longest = std::min<std::chrono::nanoseconds>(doubled, longestPause);
+    const auto doubled = firstPause * (std::int64_t { 1 } << std::min<std::uint64_t>(feed.failures - 1, 6));
+    const milliseconds shared = pausePerReader * static_cast<std::int64_t>(m_duty.readers());
+    const std::chrono::nanoseconds longest
+        = std::min<std::chrono::nanoseconds>(doubled, std::clamp(shared, longestPause, longestSharedPause));
     // Half of the pause is random, so that instances that lost the store together do not return together.
     const std::chrono::nanoseconds half = longest / 2;
     const auto jitter = std::chrono::nanoseconds(m_random.below(static_cast<std::uint64_t>(half.count()) + 1));
--- a/src/stream/discoveryfollower.h
+++ b/src/stream/discoveryfollower.h
@@ -31,6 +31,9 @@
     /** Returns whether to read once although others read, given when the view was complete last. */
     virtual bool mustRead(TimePoint confirmed) const = 0;
 
+    /** Returns how many instances look for the store when it is away; each then asks less often. */
+    virtual std::size_t readers() const = 0;
+
     /** Changes of servers after revision @p from were taken. */
     virtual void serversRead(std::uint64_t from, const ServerUpdates &updates) = 0;
 
@@ -55,6 +58,11 @@
         return true;
     }
 
+    std::size_t readers() const override
+    {
+        return 1;
+    }
+
     void serversRead(std::uint64_t, const ServerUpdates &) override
     {
     }
--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -42,10 +42,26 @@
     }
     moveTo(*flow, token);
     flow->repeatedAt = now;
+    m_lastOpenings[hostKey(packet)] = { key, token, now };
     m_overdueChecks.push({ now + overdueTime, key, now, true });
     return true;
 }
 
+std::optional<std::uint32_t> FlowTracker::unopenedBefore(const StreamPacket &packet, TimePoint now) const
+{
+    const auto found = m_lastOpenings.find(hostKey(packet));
+    if (found == m_lastOpenings.end() || found->second.flow == flowKey(packet.client, packet.service)) {
+        return std::nullopt;
+    }
+    const auto age = now - found->second.at;
+    return age >= leastOpeningTime && age <= longestOpeningTime ? std::optional(found->second.token) : std::nullopt;
+}
+
+std::uint64_t FlowTracker::hostKey(const StreamPacket &packet)
+{
+    return flowKey(Endpoint(packet.client.address(), 0), packet.service);
+}
+
 PacketEvidence FlowTracker::packet(const StreamPacket &packet, std::uint32_t token, TimePoint now)
 {
     PacketEvidence evidence;
@@ -70,6 +86,10 @@
     moveTo(flow, token);
     evidence.openedNow = !std::exchange(flow.open, true);
     if (evidence.openedNow) {
+        const auto opening = m_lastOpenings.find(hostKey(packet));
+        if (opening != m_lastOpenings.end() && opening->second.flow == key) {
+            m_lastOpenings.erase(opening);
+        }
         evidence.answered = true;
         flow.acknowledged = packet.acknowledgement;
         flow.sentUpTo = packet.sequence;
@@ -132,6 +152,7 @@
 
 void FlowTracker::expire(TimePoint now, std::chrono::nanoseconds idleTimeout)
 {
+    std::erase_if(m_lastOpenings, [now](const auto &entry) { return entry.second.at + longestOpeningTime < now; });
     while (!m_recent.empty() && m_recent.front().lastSeen + loadWindow <= now) {
         setRecent(m_recent.front(), false);
         m_idle.splice(m_idle.end(), m_recent, m_recent.begin());
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -56,6 +56,10 @@
     static constexpr std::chrono::seconds loadWindow { 5 };
     /** Packets that come again sooner are copies made on the way; clients repeat after 200 ms at the earliest. */
     static constexpr std::chrono::milliseconds leastRepeatTime { 150 };
+    /** A flow that is opened sooner after another one is a second user of the client; less than a round trip to a server. */
+    static constexpr std::chrono::milliseconds leastOpeningTime { 3 };
+    /** An opening that is older was given up for another reason. A client waits 1,400 ms. */
+    static constexpr std::chrono::milliseconds longestOpeningTime { 1400 };
     /** An answer that takes longer than this is looked into; most requests take less than a third of it. */
     static constexpr std::chrono::milliseconds overdueTime { 90 };
 
@@ -68,6 +72,13 @@
     /** Takes an opening packet that goes to the server @p token. @return false if the table is full */
     bool opening(const StreamPacket &packet, std::uint32_t token, TimePoint now);
 
+    /**
+     * Returns the server of the last flow that the same client host opened to @p packet's service, if that flow has not opened although
+     * a round trip has passed. A host on which nothing listens any more resets a flow past the instances, and the client opens
+     * the next one at once.
+     */
+    std::optional<std::uint32_t> unopenedBefore(const StreamPacket &packet, TimePoint now) const;
+
     /** Takes any later packet of the client, which goes to the server @p token. */
     PacketEvidence packet(const StreamPacket &packet, std::uint32_t token, TimePoint now);
 
@@ -104,6 +115,14 @@
         bool opening = false; /**< waits for the flow to open, and not for an answer */
     };
 
+    /** The last flow that a client host opened to a service. */
+    struct LastOpening {
+        std::uint64_t flow = 0; // its key
+        std::uint32_t token = 0;
+        TimePoint at {};
+    };
+
+    static std::uint64_t hostKey(const StreamPacket &packet);
     StreamFlow *insert(const StreamPacket &packet, std::uint64_t key, TimePoint now);
     void touch(Flows::iterator flow, TimePoint now);
     void moveTo(StreamFlow &flow, std::uint32_t token);
@@ -117,6 +136,7 @@
     Flows m_idle; // the same; these no longer count as load
     std::unordered_map<std::uint64_t, Flows::iterator> m_byKey;
     std::unordered_map<std::uint32_t, ServerFlows> m_load;
+    std::unordered_map<std::uint64_t, LastOpening> m_lastOpenings; // of client hosts whose flow has not opened yet
     std::queue<OverdueCheck> m_overdueChecks; // all have the same delay, so they are sorted
 };
 
--- a/src/stream/peerexchange.cpp
+++ b/src/stream/peerexchange.cpp
@@ -39,6 +39,9 @@
 // A reader without changes confirms its view this often.
 constexpr milliseconds confirmInterval { 400 };
 
+// The next reader gets this long to read and to pass it on.
+constexpr milliseconds distrustInterval { 400 };
+
 // A starting instance gives its seeds this long before it reads the store itself: some round trips between domains.
 constexpr milliseconds joinTime { 40 };
 
@@ -291,7 +294,8 @@
             { { "reader", reader.id }, { "peers", std::to_string(m_directory.order(now).size() - 1) } });
     }
     const TimePoint confirmed = std::min(view.serversConfirmed, view.configurationConfirmed);
-    if (!isReader && confirmed != TimePoint() && now > confirmed + distrustAfter) {
+    if (!isReader && confirmed != TimePoint() && now > confirmed + distrustAfter && now >= m_nextDistrust) {
+        m_nextDistrust = now + distrustInterval;
         m_events.record(EventSeverity::Warning, "reader_passed_over",
             { { "reader", reader.id }, { "age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - confirmed).count()) } });
         m_directory.distrust(reader.id, now);
@@ -312,6 +316,11 @@
     return confirmed == TimePoint() || now > confirmed + readAfter;
 }
 
+std::size_t PeerExchange::readers() const
+{
+    return m_directory.order(m_clock.now()).size();
+}
+
 void PeerExchange::serversRead(std::uint64_t from, const ServerUpdates &updates)
 {
     if (updates.updates.empty()) {
--- a/src/stream/peerexchange.h
+++ b/src/stream/peerexchange.h
@@ -65,6 +65,7 @@
 
     bool followsStore() const override;
     bool mustRead(TimePoint confirmed) const override;
+    std::size_t readers() const override;
     void serversRead(std::uint64_t from, const ServerUpdates &updates) override;
     void configurationRead() override;
     void storeReachable(bool reachable) override;
@@ -107,6 +108,7 @@
     TimePoint m_joinDeadline {};
     TimePoint m_nextBeat {};
     TimePoint m_lastPush {};
+    TimePoint m_nextDistrust {};
     std::size_t m_served = 0; // connections that run
     bool m_wasReader = false;
     std::uint64_t m_newsSent = 0;
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -8,6 +8,14 @@
 namespace Samphirepitch
 {
 
+namespace
+{
+
+// Incarnations under one id whose flows may still be open; a server that restarts more often has none of that age.
+constexpr std::size_t maxFormerTokens = 8;
+
+} // namespace
+
 std::string_view directoryChangeName(DirectoryChange::Kind kind)
 {
     switch (kind) {
@@ -25,10 +33,10 @@
     return "unknown";
 }
 
-std::uint32_t ServerDirectory::tokenOf(std::uint64_t number)
+std::uint32_t ServerDirectory::tokenOf(const StreamServer &server)
 {
-    constexpr std::uint64_t tokenDomain = 0x746f6b656e; // keeps tokens apart from other hashes of the same number
-    const auto token = static_cast<std::uint32_t>(mix64(number, tokenDomain));
+    constexpr std::uint64_t tokenDomain = 0x746f6b656e; // keeps tokens apart from other hashes of the same numbers
+    const auto token = static_cast<std::uint32_t>(mix64(mix64(server.number, static_cast<std::uint64_t>(server.startedAt)), tokenDomain));
     return token == 0 ? 1 : token; // 0 means that a packet has no token yet
 }
 
@@ -134,7 +142,7 @@
 {
     std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
     if (!record) {
-        record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server.number) });
+        record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server) });
         changes.push_back({ DirectoryChange::Kind::Added, record.get() });
         endFormerOwner(server, now, changes);
         return;
@@ -144,12 +152,20 @@
     }
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
     const bool wasListed = record->listed;
+    const std::uint32_t formerToken = restarted ? record->token : 0;
     record->server = server;
     record->listed = true;
+    record->token = tokenOf(server);
+    if (restarted) {
+        record->formerTokens.push_back(formerToken);
+        if (record->formerTokens.size() > maxFormerTokens) {
+            record->formerTokens.erase(record->formerTokens.begin());
+        }
+    }
     const auto kind = restarted ? DirectoryChange::Kind::Restarted
         : wasListed             ? DirectoryChange::Kind::Changed
                                 : DirectoryChange::Kind::Added;
-    changes.push_back({ kind, record.get() });
+    changes.push_back({ kind, record.get(), formerToken });
     endFormerOwner(server, now, changes);
 }
 
@@ -183,6 +199,11 @@
             m_byService[record->server.service].push_back(record.get());
         }
     }
+    for (const auto &[id, record] : m_records) {
+        for (const std::uint32_t token : record->formerTokens) {
+            m_byToken.try_emplace(token, record.get());
+        }
+    }
 }
 
 } // namespace Samphirepitch
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -16,7 +16,8 @@
 /** A backend server and what the directory adds to its entry. */
 struct DirectoryRecord {
     StreamServer server;
-    std::uint32_t token = 0; /**< names the server in packets; never 0 */
+    std::uint32_t token = 0; /**< names this incarnation in packets; never 0 */
+    std::vector<std::uint32_t> formerTokens; /**< of earlier incarnations under the id */
     bool listed = true; /**< whether discovery still lists it */
     bool shadowed = false; /**< another server has the same token; this one takes no flows */
     TimePoint unlistedAt {}; /**< when it was last seen to be missing; only if it is not listed */
@@ -28,13 +29,14 @@
     enum class Kind {
         Added,
         Changed,
-        Restarted, /**< A new incarnation under the same id; the earlier one holds no flows any more. */
+        Restarted, /**< A new incarnation under the same id; what was known of the earlier one is void. */
         Removed,
         AddressReused, /**< A server of another id got its address, so this one has ended. */
     };
 
     Kind kind;
     const DirectoryRecord *record; /**< valid until the next expire() */
+    std::uint32_t formerToken = 0; /**< of the incarnation that ended; only of Restarted */
 };
 
 using DirectoryChanges = std::vector<DirectoryChange>;
@@ -52,8 +54,11 @@
     /** How long an unlisted server is remembered; no flow is older. Platform bound max_flow_s. */
     static constexpr std::chrono::seconds retention { 60 };
 
-    /** Returns the placement token of a server number; the same on every instance. */
-    static std::uint32_t tokenOf(std::uint64_t number);
+    /**
+     * Returns the placement token of an incarnation; the same on every instance. It depends on the start time, because an instance
+     * that has not heard of a restart would take flows of the new incarnation for those of the one that ended.
+     */
+    static std::uint32_t tokenOf(const StreamServer &server);
 
     /**
      * Takes a complete list.
@@ -73,7 +78,11 @@
     /** Forgets servers that were unlisted longer ago than the retention. @return their tokens */
     std::vector<std::uint32_t> expire(TimePoint now);
 
-    /** Returns the server that a token names, listed or not, or nothing. */
+    /**
+     * Returns the server that a token names, listed or not, or nothing. The token of an earlier incarnation gives the current one: an
+     * instance that had not heard of the restart may have given it flows under that token, and it resets those that it does not
+     * hold by itself.
+     */
     const DirectoryRecord *findToken(std::uint32_t token) const;
 
     /** Returns the server of an id, listed or not, or nothing. */
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -64,6 +64,13 @@
 {
     const Standing before = standing(token, now);
     State &state = m_states[token];
+    if (state.isGone) {
+        const TimePoint accepted = state.acceptedAt == TimePoint() ? now : state.acceptedAt;
+        state.acceptedAt = result == ConnectResult::Accepted ? accepted : TimePoint();
+        state.wantsProbe = true;
+        state.nextProbe = now + recheckInterval;
+        return false;
+    }
     state.isGone = result == ConnectResult::Refused;
     state.failures = result == ConnectResult::Unanswered ? state.failures + 1 : 0;
     state.wantsProbe = result != ConnectResult::Accepted;
@@ -75,6 +82,21 @@
     return standing(token, now) != before;
 }
 
+std::vector<std::uint32_t> ServerEvidence::takeReturned(TimePoint confirmed, const std::function<bool(std::uint32_t)> &isListed)
+{
+    std::vector<std::uint32_t> returned;
+    for (const auto &[token, state] : m_states) {
+        const bool accepts = state.isGone && state.acceptedAt != TimePoint();
+        if (accepts && confirmed >= state.acceptedAt + returnTime && isListed(token)) {
+            returned.push_back(token);
+        }
+    }
+    for (const std::uint32_t token : returned) {
+        m_states.erase(token);
+    }
+    return returned;
+}
+
 bool ServerEvidence::ended(std::uint32_t token, TimePoint now)
 {
     State &state = m_states[token];
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +51,11 @@
     static constexpr std::chrono::milliseconds secondProbeDelay { 50 };
     /** Connections in a row that make a server silent: one is lost too easily. */
     static constexpr std::uint32_t failuresUntilSilent = 2;
+    /**
+     * A server that refused connections has ended, and one that accepts them afterwards is most likely its next incarnation. It counts as
+     * the same one only if the list of servers still says so this long after.
+     */
+    static constexpr std::chrono::milliseconds returnTime { 2500 };
 
     /** The server @p token answered something. */
     void progress(std::uint32_t token, TimePoint now);
@@ -63,6 +69,14 @@
     /** Takes the result of a connection. @return whether the standing changed */
     bool connected(std::uint32_t token, ConnectResult result, TimePoint now);
 
+    /**
+     * Trusts servers again that were gone and accept connections, if discovery still lists the same incarnation.
+     * @param confirmed when the list of servers was complete last; a new incarnation is listed within about 2 s of its start
+     * @param isListed whether discovery lists the incarnation of a token
+     * @return the servers that are trusted again
+     */
+    std::vector<std::uint32_t> takeReturned(TimePoint confirmed, const std::function<bool(std::uint32_t)> &isListed);
+
     /** The server has ended for certain. @return whether that is new */
     bool ended(std::uint32_t token, TimePoint now);
 
@@ -82,6 +96,7 @@
         bool isGone = false;
         std::uint32_t failures = 0; // connections in a row that were not made in time
         bool wantsProbe = false;
+        TimePoint acceptedAt {}; // when a server that was gone accepted a connection
         TimePoint suspectedUntil {};
         TimePoint nextProbe {};
     };
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -72,6 +72,10 @@
             }
         }
     }
+    if (const auto unopened = isCopy ? std::nullopt : m_flows.unopenedBefore(packet, m_clock.now())) {
+        earlier = *unopened;
+        m_evidence.overdue(earlier, m_clock.now());
+    }
     const std::string &service = targetService(route);
     const DirectoryRecord *const record = choose(service, earlier);
     if (record == nullptr) {
@@ -102,6 +106,7 @@
     if (record == nullptr) {
         return drop(packet, StreamOutcome::UnknownToken);
     }
+    token = record->token;
     const Standing standing = m_evidence.standing(token, m_clock.now());
     // The request can't reach its server; the client may repeat it, and does so at once after a reset.
     if (standing == Standing::Silent && route.idempotent && packet.length > 0) {
@@ -295,8 +300,7 @@
             m_evidence.overdue(record.token, m_clock.now());
             break;
         case DirectoryChange::Kind::Restarted:
-            m_evidence.restarted(record.token);
-            resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
+            m_evidence.forget(change.formerToken);
             break;
         case DirectoryChange::Kind::Added:
             m_evidence.restarted(record.token);
@@ -312,7 +316,7 @@
     std::vector<ProbeTarget> targets;
     for (const std::uint32_t token : m_evidence.takeDueProbes(m_clock.now())) {
         const DirectoryRecord *const record = m_directory.findToken(token);
-        if (record == nullptr) {
+        if (record == nullptr || record->token != token) {
             continue;
         }
         // A draining server may have closed its listener and still hold flows, so that a connection proves nothing.
@@ -328,8 +332,8 @@
 void StreamRouter::probed(std::uint32_t token, ConnectResult result)
 {
     const DirectoryRecord *const record = m_directory.findToken(token);
-    if (record == nullptr) {
-        m_evidence.forget(token); // it expired while the connection was made
+    if (record == nullptr || record->token != token) {
+        m_evidence.forget(token); // it expired, or started again, while the connection was made
         return;
     }
     if (result == ConnectResult::Refused && end(*record, "connection_refused")) {
@@ -391,6 +395,7 @@
     const auto idleTimeout = m_configuration.idleTimeout.count() > 0 ? m_configuration.idleTimeout : defaultIdleTimeout;
     m_flows.expire(now, idleTimeout);
     checkRemoved();
+    checkReturned();
     for (const std::uint32_t token : m_directory.expire(now)) {
         m_evidence.forget(token);
     }
@@ -413,6 +418,17 @@
     });
 }
 
+void StreamRouter::checkReturned()
+{
+    const auto isListed = [this](std::uint32_t token) {
+        const DirectoryRecord *const record = m_directory.findToken(token);
+        return record != nullptr && record->listed && record->token == token;
+    };
+    for (const std::uint32_t token : m_evidence.takeReturned(m_serversAge.confirmed(), isListed)) {
+        recordStanding(*m_directory.findToken(token), "accepted_and_listed");
+    }
+}
+
 std::vector<StreamReset> StreamRouter::takeResets()
 {
     return std::exchange(m_resets, {});
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -152,6 +152,7 @@
     bool mayRepeat(const StreamFlow &flow) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void checkRemoved();
+    void checkReturned();
     void recordFlow(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
     void recordStanding(const DirectoryRecord &record, std::string_view evidence);
 
--- a/tests/stream/discoveryfollowertests.cpp
+++ b/tests/stream/discoveryfollowertests.cpp
@@ -101,7 +101,13 @@
         told.push_back(reachable ? "reachable" : "not reachable");
     }
 
+    std::size_t readers() const override
+    {
+        return count;
+    }
+
     bool follows = true;
+    std::size_t count = 1;
     mutable int reads = 0;
     std::vector<std::string> told;
 };
@@ -177,6 +183,25 @@
     CHECK(router.directory().listed("pond").size() == 1);
 }
 
+TEST_CASE_METHOD(FollowerFixture, "many instances together ask a store that is away no more often than a few", "[stream][follower]")
+{
+    // Calls are priced, refused ones too, and the first instance that reaches the store tells the others.
+    duty.count = GENERATE(1, 10, 78, 5000);
+    CAPTURE(duty.count);
+    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    constexpr int failures = 20;
+    for (int count = 0; count < failures; ++count) {
+        discovery.updates.push_back(unavailable());
+    }
+    const TimePoint before = clock.now();
+    followServers();
+    const double waited = std::chrono::duration<double>(clock.now() - before).count();
+    CHECK(waited / failures < 4.0);
+    if (duty.count <= 10) {
+        CHECK(static_cast<double>(duty.count) * failures / waited < 12.0);
+    }
+}
+
 TEST_CASE_METHOD(FollowerFixture, "an unusable configuration leaves the one in force", "[stream][follower]")
 {
     discovery.reads.push_back(ConfigurationRead { configuration(4), {}, 10 });
