Pull changes instead of lists, stagger starts, and explain a flow from the logs

Each change that did not fit into a datagram made every instance pull all 3,000 servers and all members; every starting instance listed all servers.

Change: a state holds what changed after the asker's revision; the first 8 in the order read at a start, others wait 10 ms a rank; a connection whose deadline was noticed over 20 ms late is inconclusive; reader and rank are found in one pass. An old proof of an end resets nothing while the list of servers is not confirmed (the case left open before). Instances of other deployments are refused. samphirepitchctl explain lists what happened to a flow.

Conclusion: the effect at 100 and 300 machines is not measured; open.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	@tools/format.sh --check
 	@tools/lint.sh
 	@ctest --test-dir $(BUILD_DIR) --output-on-failure -j 4
+	@tools/soak.sh soak/regression-seeds.txt
 
 demo: build
 	@tools/demo.sh
--- a/src/control/commandtable.cpp
+++ b/src/control/commandtable.cpp
@@ -4,6 +4,7 @@
 #include "control/diffcommand.h"
 #include "control/draininstancecommand.h"
 #include "control/eventscommand.h"
+#include "control/explaincommand.h"
 #include "control/historycommand.h"
 #include "control/serverstatecommand.h"
 #include "control/statuscommand.h"
@@ -25,6 +26,7 @@
     add(std::make_unique<ServerStateCommand>(ServerState::Active));
     add(std::make_unique<DrainInstanceCommand>());
     add(std::make_unique<EventsCommand>());
+    add(std::make_unique<ExplainCommand>());
 }
 
 void CommandTable::add(std::unique_ptr<Command> command)
--- /dev/null
+++ b/src/control/explaincommand.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "control/command.h"
+
+namespace Samphirepitch
+{
+
+/** Shows from log files what happened to one flow and why. */
+class ExplainCommand : public Command
+{
+public:
+    std::string_view name() const override;
+    std::string_view arguments() const override;
+    std::string_view summary() const override;
+    bool needsPlatform() const override;
+    asio::awaitable<CommandExit> run(CommandContext &context, std::vector<std::string> words) override;
+};
+
+} // namespace Samphirepitch
--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -77,7 +77,8 @@
         .failureDomain = values.failureDomain,
         .address = values.peerAddress,
         .startedAt = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()) };
-    auto peers = PeerExchange::create(m_executor, { m_clock, m_random, m_events, m_router }, std::move(self), values.peerSeeds);
+    auto peers
+        = PeerExchange::create(m_executor, { m_clock, m_random, m_events, m_router }, values.deployment, std::move(self), values.peerSeeds);
     if (!peers) {
         return tl::unexpected(peers.error());
     }
--- a/src/stream/connectprobe.cpp
+++ b/src/stream/connectprobe.cpp
@@ -16,6 +16,11 @@
 {
 }
 
+ConnectResult TcpConnectProbe::unanswered(TimePoint deadline, TimePoint now)
+{
+    return now > deadline + maxLateness ? ConnectResult::Inconclusive : ConnectResult::Unanswered;
+}
+
 asio::awaitable<ConnectResult> TcpConnectProbe::connect(Endpoint server, TimePoint deadline)
 {
     asio::ip::tcp::socket socket(m_executor);
@@ -24,7 +29,7 @@
     const SocketDeadline limit(socket, deadline - m_clock.now());
     co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
     if (limit.expired()) {
-        co_return ConnectResult::Unanswered;
+        co_return unanswered(deadline, m_clock.now());
     }
     if (error == asio::error::connection_refused) {
         co_return ConnectResult::Refused;
--- a/src/stream/connectprobe.h
+++ b/src/stream/connectprobe.h
@@ -24,6 +24,12 @@
 class TcpConnectProbe : public ConnectProbe
 {
 public:
+    /** A deadline that was noticed later than this says nothing: the answer may have waited for the processor all the while. */
+    static constexpr std::chrono::milliseconds maxLateness { 20 };
+
+    /** Returns what an unanswered connection means if its deadline was noticed at @p now. */
+    static ConnectResult unanswered(TimePoint deadline, TimePoint now);
+
     TcpConnectProbe(asio::any_io_executor executor, const Clock &clock);
 
     asio::awaitable<ConnectResult> connect(Endpoint server, TimePoint deadline) override;
--- a/src/stream/peerdirectory.cpp
+++ b/src/stream/peerdirectory.cpp
@@ -22,9 +22,15 @@
 
 PeerDirectory::PeerDirectory(PeerRecord self)
     : m_self(std::move(self))
+    , m_selfHash(hash64(m_self.id, orderSeed))
 {
 }
 
+PeerDirectory::Key PeerDirectory::keyOf(const PeerRecord &record, std::uint64_t hash)
+{
+    return { !record.storeReachable, hash };
+}
+
 const PeerRecord &PeerDirectory::self() const
 {
     return m_self;
@@ -45,7 +51,7 @@
     if (record.id == m_self.id || record.address == m_self.address) {
         return false;
     }
-    const auto [found, isNew] = m_known.try_emplace(record.id, Known { record, now + lapseTime });
+    const auto [found, isNew] = m_known.try_emplace(record.id, Known { record, hash64(record.id, orderSeed), now + lapseTime });
     if (isNew) {
         return true;
     }
@@ -76,14 +82,42 @@
 {
     std::vector<PeerRecord> records = known(true, now);
     records.push_back(m_self);
-    const auto key = [](const PeerRecord &record) { return std::pair(!record.storeReachable, hash64(record.id, orderSeed)); };
+    const auto key = [](const PeerRecord &record) { return keyOf(record, hash64(record.id, orderSeed)); };
     std::sort(records.begin(), records.end(), [&key](const PeerRecord &left, const PeerRecord &right) { return key(left) < key(right); });
     return records;
 }
 
+std::size_t PeerDirectory::rank(TimePoint now) const
+{
+    const Key self = keyOf(m_self, m_selfHash);
+    return static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(),
+        [&](const auto &entry) { return now < entry.second.deadline && keyOf(entry.second.record, entry.second.hash) < self; }));
+}
+
 bool PeerDirectory::isReader(TimePoint now) const
 {
-    return order(now).front().id == m_self.id;
+    return rank(now) == 0;
+}
+
+const std::string &PeerDirectory::readerId(TimePoint now) const
+{
+    Key first = keyOf(m_self, m_selfHash);
+    const std::string *reader = &m_self.id;
+    for (const auto &[id, known] : m_known) {
+        const Key key = keyOf(known.record, known.hash);
+        if (now < known.deadline && key < first) {
+            first = key;
+            reader = &id;
+        }
+    }
+    return *reader;
+}
+
+std::size_t PeerDirectory::aliveCount(TimePoint now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(), [now](const auto &entry) {
+        return now < entry.second.deadline;
+    }));
 }
 
 std::vector<Endpoint> PeerDirectory::children(TimePoint now) const
--- a/src/stream/peerdirectory.h
+++ b/src/stream/peerdirectory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Samphirepitch
@@ -50,9 +51,18 @@
     /** Returns all live instances with this one, in the computed order. */
     std::vector<PeerRecord> order(TimePoint now) const;
 
+    /** Returns how many live instances come before this one in the order. */
+    std::size_t rank(TimePoint now) const;
+
     /** Returns whether this instance is first in the order. */
     bool isReader(TimePoint now) const;
 
+    /** Returns the id of the first instance in the order. */
+    const std::string &readerId(TimePoint now) const;
+
+    /** Returns the number of live instances, with this one. */
+    std::size_t aliveCount(TimePoint now) const;
+
     /** Returns the addresses of this instance's children in the tree. */
     std::vector<Endpoint> children(TimePoint now) const;
 
@@ -65,12 +75,19 @@
 private:
     struct Known {
         PeerRecord record;
+        std::uint64_t hash = 0; // of the id
         TimePoint deadline {}; // until which the instance counts as alive
     };
 
+    /** Sorts instances: those that reach the store first, then by the hash of the id. */
+    using Key = std::pair<bool, std::uint64_t>;
+
+    static Key keyOf(const PeerRecord &record, std::uint64_t hash);
+
     std::vector<PeerRecord> known(bool alive, TimePoint now) const;
 
     PeerRecord m_self;
+    std::uint64_t m_selfHash;
     std::map<std::string, Known> m_known;
 };
 
--- a/src/stream/peerexchange.cpp
+++ b/src/stream/peerexchange.cpp
@@ -13,6 +13,7 @@
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -45,21 +46,28 @@
 // A starting instance gives its seeds this long before it reads the store itself: some round trips between domains.
 constexpr milliseconds joinTime { 40 };
 
+// How many instances of those that start together read the store at once, and how long each further one waits for their news.
+constexpr std::size_t firstReaders = 8;
+constexpr milliseconds startStep { 10 };
+constexpr milliseconds longestStart { 2000 };
+
 // A state of some ten KB takes a few round trips; a peer behind a cut never answers.
 constexpr milliseconds pullTimeout { 400 };
 
-constexpr std::size_t maxServed = 32; // connections at once; each holds a descriptor and a state
+constexpr std::size_t maxServed = 512; // connections at once; each holds a descriptor and a state
 constexpr std::size_t maxRequest = 4096; // bytes of the news that a pull begins with
 constexpr std::size_t maxDatagram = 2048; // bytes; more than any news
 
 } // namespace
 
-PeerExchange::PeerExchange(asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds)
+PeerExchange::PeerExchange(
+    asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds)
     : m_executor(std::move(executor))
     , m_clock(parts.clock)
     , m_random(parts.random)
     , m_events(parts.events)
     , m_router(parts.router)
+    , m_deployment(std::move(deployment))
     , m_directory(std::move(self))
     , m_seeds(std::move(seeds))
     , m_socket(m_executor)
@@ -69,9 +77,10 @@
 }
 
 Result<std::unique_ptr<PeerExchange>> PeerExchange::create(
-    asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds)
+    asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds)
 {
-    std::unique_ptr<PeerExchange> exchange(new PeerExchange(std::move(executor), parts, std::move(self), std::move(seeds)));
+    std::unique_ptr<PeerExchange> exchange(
+        new PeerExchange(std::move(executor), parts, std::move(deployment), std::move(self), std::move(seeds)));
     if (auto bound = exchange->bind(); !bound) {
         return tl::unexpected(bound.error());
     }
@@ -144,21 +153,39 @@
             co_return failure(ErrorKind::InputOutput, "peer", error.message());
         }
         ++m_newsReceived;
-        const Result<PeerNews> news = PeerNewsCodec::decodeNews({ buffer.data(), size }, m_clock.now());
+        const Result<PeerNews> news = readNews({ buffer.data(), size });
         if (news) {
             take(*news);
         } else {
-            ++m_newsRefused;
-            m_events.record(EventSeverity::Warning, "peer_news_refused",
-                { { "peer", from.address().to_string() }, { "error", news.error().describe() } });
+            refuse("peer_news_refused", from.address().to_string(), news.error());
         }
     }
 }
 
+Result<PeerNews> PeerExchange::readNews(std::string_view bytes) const
+{
+    Result<PeerNews> news = PeerNewsCodec::decodeNews(bytes, m_clock.now());
+    if (news && news->deployment != m_deployment) {
+        return failure(ErrorKind::WrongDeployment, news->sender.id, "it belongs to " + news->deployment);
+    }
+    return news;
+}
+
+void PeerExchange::refuse(std::string_view event, const std::string &peer, const Error &error)
+{
+    ++m_newsRefused;
+    m_events.record(EventSeverity::Warning, event, { { "peer", peer }, { "error", error.describe() } });
+}
+
 void PeerExchange::take(const PeerNews &news)
 {
     const ViewMark before = m_router.viewMark();
-    merge(news.sender);
+    if (merge(news.sender)) {
+        // A newcomer learns at once of others than the seeds that it was given.
+        PeerNews welcome = makeNews();
+        welcome.records = m_directory.sample(PeerNewsCodec::maxRecords, m_random, m_clock.now());
+        send(welcome, news.sender.address);
+    }
     for (const PeerRecord &record : news.records) {
         merge(record);
     }
@@ -203,17 +230,19 @@
     return complete;
 }
 
-void PeerExchange::merge(const PeerRecord &record)
+bool PeerExchange::merge(const PeerRecord &record)
 {
-    if (m_directory.merge(record, m_clock.now())) {
+    const bool isNew = m_directory.merge(record, m_clock.now());
+    if (isNew) {
         m_events.record(EventSeverity::Info, "peer_heard",
             { { "peer", record.id }, { "domain", record.failureDomain }, { "address", record.address.toString() } });
     }
+    return isNew;
 }
 
 PeerNews PeerExchange::makeNews() const
 {
-    return { .sender = m_directory.self(), .view = m_router.viewMark() };
+    return { .deployment = m_deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
 }
 
 void PeerExchange::send(const PeerNews &news, Endpoint to)
@@ -287,18 +316,18 @@
 {
     const TimePoint now = m_clock.now();
     const ViewMark view = m_router.viewMark();
-    const PeerRecord reader = m_directory.order(now).front();
-    const bool isReader = reader.id == m_directory.self().id;
+    const std::string reader = m_directory.readerId(now);
+    const bool isReader = reader == m_directory.self().id;
     if (isReader != std::exchange(m_wasReader, isReader)) {
         m_events.record(EventSeverity::Info, isReader ? "reading_begun" : "reading_ended",
-            { { "reader", reader.id }, { "peers", std::to_string(m_directory.order(now).size() - 1) } });
+            { { "reader", reader }, { "peers", std::to_string(m_directory.aliveCount(now) - 1) } });
     }
     const TimePoint confirmed = std::min(view.serversConfirmed, view.configurationConfirmed);
     if (!isReader && confirmed != TimePoint() && now > confirmed + distrustAfter && now >= m_nextDistrust) {
         m_nextDistrust = now + distrustInterval;
         m_events.record(EventSeverity::Warning, "reader_passed_over",
-            { { "reader", reader.id }, { "age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - confirmed).count()) } });
-        m_directory.distrust(reader.id, now);
+            { { "reader", reader }, { "age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - confirmed).count()) } });
+        m_directory.distrust(reader, now);
     }
 }
 
@@ -313,12 +342,17 @@
     if (m_joins > 0 && now < m_joinDeadline) {
         return false;
     }
-    return confirmed == TimePoint() || now > confirmed + readAfter;
+    if (confirmed != TimePoint()) {
+        return now > confirmed + readAfter;
+    }
+    // Nothing is known yet. When many instances start together, those that come first in the order read, and the others are told.
+    const std::size_t rank = m_directory.rank(now);
+    return rank < firstReaders || now > m_joinDeadline + std::min<milliseconds>(startStep * static_cast<std::int64_t>(rank), longestStart);
 }
 
 std::size_t PeerExchange::readers() const
 {
-    return m_directory.order(m_clock.now()).size();
+    return m_directory.aliveCount(m_clock.now());
 }
 
 void PeerExchange::serversRead(std::uint64_t from, const ServerUpdates &updates)
@@ -374,7 +408,7 @@
     }
     const ViewMark mine = m_router.viewMark();
     if (state->view.serversRevision > mine.serversRevision) {
-        m_router.serversListed(state->servers, {}, state->view.serversRevision, state->view.serversConfirmed);
+        takeServers(*state, mine.serversRevision);
     }
     if (state->view.configurationRevision > mine.configurationRevision) {
         m_router.adopt(std::move(state->configuration));
@@ -386,6 +420,23 @@
     }
 }
 
+void PeerExchange::takeServers(const PeerState &state, std::uint64_t known)
+{
+    if (state.changesFrom > 0) {
+        if (state.changesFrom <= known) {
+            m_router.serversUpdated({ state.changes, state.view.serversRevision }, state.view.serversConfirmed);
+        }
+        return;
+    }
+    std::vector<StreamServer> servers;
+    for (const ServerUpdate &change : state.changes) {
+        if (change.listed) {
+            servers.push_back(*change.listed);
+        }
+    }
+    m_router.serversListed(servers, {}, state.view.serversRevision, state.view.serversConfirmed);
+}
+
 asio::awaitable<Result<PeerState>> PeerExchange::fetchState(Endpoint peer)
 {
     tcp::socket socket(m_executor);
@@ -407,7 +458,11 @@
     if (!answer) {
         co_return tl::unexpected(answer.error());
     }
-    co_return PeerNewsCodec::decodeState(*answer, m_clock.now());
+    Result<PeerState> state = PeerNewsCodec::decodeState(*answer, m_clock.now());
+    if (state && state->deployment != m_deployment) {
+        co_return failure(ErrorKind::WrongDeployment, state->sender.id, "it belongs to " + state->deployment);
+    }
+    co_return state;
 }
 
 asio::awaitable<Result<void>> PeerExchange::serveStates()
@@ -429,7 +484,7 @@
 {
     const SocketDeadline limit(socket, pullTimeout);
     const Result<std::string> request = co_await readFrame(socket, maxRequest);
-    const Result<PeerNews> news = request ? PeerNewsCodec::decodeNews(*request, m_clock.now()) : tl::unexpected(request.error());
+    const Result<PeerNews> news = request ? readNews(*request) : tl::unexpected(request.error());
     if (news) {
         merge(news->sender);
         const Result<std::string> answer = FrameCodec::encode(PeerNewsCodec::encode(makeState(news->view), m_clock.now()));
@@ -442,18 +497,23 @@
                 { { "peer", news->sender.id }, { "error", answer ? error.message() : answer.error().describe() } });
         }
     } else {
-        ++m_newsRefused;
-        m_events.record(EventSeverity::Warning, "peer_request_refused", { { "error", news.error().describe() } });
+        refuse("peer_request_refused", "unknown", news.error());
     }
     --m_served;
 }
 
 PeerState PeerExchange::makeState(const ViewMark &known) const
 {
-    PeerState state { .sender = m_directory.self(), .view = m_router.viewMark(), .records = m_directory.order(m_clock.now()) };
+    PeerState state { .deployment = m_deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
+    if (known.serversRevision == 0) {
+        state.records = m_directory.order(m_clock.now()); // it has just started
+    }
     if (known.serversRevision < state.view.serversRevision) {
-        for (const DirectoryRecord *const record : m_router.directory().all()) {
-            state.servers.push_back(record->server);
+        if (auto changes = m_router.directory().changesAfter(known.serversRevision)) {
+            state.changesFrom = known.serversRevision;
+            state.changes = *std::move(changes);
+        } else {
+            state.changes = m_router.directory().completeList();
         }
     }
     if (known.configurationRevision < state.view.configurationRevision) {
@@ -470,7 +530,7 @@
 void PeerExchange::writeMetrics(MetricWriter &writer) const
 {
     const TimePoint now = m_clock.now();
-    writer.gauge("samphirepitch_peers", "Other instances that are heard of.", {}, static_cast<double>(m_directory.order(now).size() - 1));
+    writer.gauge("samphirepitch_peers", "Other instances that are heard of.", {}, static_cast<double>(m_directory.aliveCount(now) - 1));
     writer.gauge("samphirepitch_store_reader", "Whether this instance reads the store for all.", {}, followsStore() ? 1 : 0);
     writer.counter("samphirepitch_peer_news_sent_total", "Datagrams sent to other instances.", {}, m_newsSent);
     writer.counter("samphirepitch_peer_news_received_total", "Datagrams from other instances.", {}, m_newsReceived);
--- a/src/stream/peerexchange.h
+++ b/src/stream/peerexchange.h
@@ -47,12 +47,13 @@
 
     /**
      * Binds the UDP socket and the TCP listener.
+     * @param deployment instances of other deployments are refused
      * @param self with the address to bind
      * @param seeds addresses of instances that may run
      * @return the exchange, or InputOutput if the address cannot be bound
      */
     static Result<std::unique_ptr<PeerExchange>> create(
-        asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds);
+        asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds);
 
     /** Pulls the state of the seeds, then gossips until it is cancelled. */
     asio::awaitable<Result<void>> gossip();
@@ -75,12 +76,14 @@
     void writeMetrics(MetricWriter &writer) const override;
 
 private:
-    PeerExchange(asio::any_io_executor executor, Parts parts, PeerRecord self, std::vector<Endpoint> seeds);
+    PeerExchange(asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds);
 
     Result<void> bind();
+    Result<PeerNews> readNews(std::string_view bytes) const;
+    void refuse(std::string_view event, const std::string &peer, const Error &error);
     void take(const PeerNews &news);
     bool takeView(const PeerNews &news);
-    void merge(const PeerRecord &record);
+    bool merge(const PeerRecord &record);
     PeerNews makeNews() const;
     void send(const PeerNews &news, Endpoint to);
     void push(std::uint64_t from, const std::vector<ServerUpdate> &changes);
@@ -90,6 +93,7 @@
     void watchReader();
     void startPull(Endpoint peer);
     asio::awaitable<void> pull(Endpoint peer);
+    void takeServers(const PeerState &state, std::uint64_t known);
     asio::awaitable<Result<PeerState>> fetchState(Endpoint peer);
     asio::awaitable<void> serveState(asio::ip::tcp::socket socket);
     PeerState makeState(const ViewMark &known) const;
@@ -99,6 +103,7 @@
     RandomSource &m_random;
     EventSink &m_events;
     StreamRouter &m_router;
+    std::string m_deployment;
     PeerDirectory m_directory;
     std::vector<Endpoint> m_seeds;
     asio::ip::udp::socket m_socket;
--- a/src/stream/peernews.cpp
+++ b/src/stream/peernews.cpp
@@ -123,6 +123,7 @@
 };
 
 struct WireNews {
+    std::string deployment;
     PeerRecord sender;
     WireView view;
     bool pushed = false;
@@ -133,9 +134,11 @@
 };
 
 struct WireState {
+    std::string deployment;
     PeerRecord sender;
     WireView view;
-    std::vector<WireServer> servers;
+    std::uint64_t changesFrom = 0;
+    std::vector<WireServer> changes;
     std::uint64_t version = 0;
     std::uint64_t idleTimeout = 0;
     std::vector<StreamRoute> routes;
@@ -170,6 +173,7 @@
 template<typename Visitor, MaybeConst<WireNews> Value>
 void describe(Visitor &visitor, Value &value)
 {
+    visitor.text(value.deployment, maxText);
     visitor.record(value.sender);
     visitor.record(value.view);
     visitor.boolean(value.pushed);
@@ -182,9 +186,11 @@
 template<typename Visitor, MaybeConst<WireState> Value>
 void describe(Visitor &visitor, Value &value)
 {
+    visitor.text(value.deployment, maxText);
     visitor.record(value.sender);
     visitor.record(value.view);
-    visitor.list(value.servers, PeerNewsCodec::maxServers, eachRecord);
+    visitor.number(value.changesFrom);
+    visitor.list(value.changes, PeerNewsCodec::maxServers, eachRecord);
     visitor.number(value.version);
     visitor.number(value.idleTimeout);
     visitor.list(value.routes, PeerNewsCodec::maxRoutes, eachRecord);
@@ -215,6 +221,35 @@
         time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), server.revision };
 }
 
+std::vector<WireServer> toWire(const std::vector<ServerUpdate> &changes, const WireTime &time)
+{
+    std::vector<WireServer> wire;
+    for (const ServerUpdate &change : changes) {
+        if (change.listed) {
+            wire.push_back(toWire(*change.listed, time));
+        } else if (change.unlisted) {
+            wire.push_back({ .id = *change.unlisted, .revision = change.revision });
+        }
+    }
+    return wire;
+}
+
+std::vector<ServerUpdate> fromWire(const std::vector<WireServer> &wire, const WireTime &time)
+{
+    std::vector<ServerUpdate> changes;
+    for (const WireServer &server : wire) {
+        ServerUpdate change;
+        change.revision = server.revision;
+        if (server.service.empty()) {
+            change.unlisted = server.id;
+        } else {
+            change.listed = fromWire(server, time);
+        }
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
 template<typename Message>
 std::string pack(const Message &message)
 {
@@ -256,25 +291,16 @@
 std::string PeerNewsCodec::encode(const PeerNews &news, TimePoint now)
 {
     const WireTime time(now);
-    WireNews wire { news.sender, toWire(news.view, time), news.pushed, news.changesFrom, {}, news.ended, news.records };
-    for (const ServerUpdate &change : news.changes) {
-        if (change.listed) {
-            wire.changes.push_back(toWire(*change.listed, time));
-        } else if (change.unlisted) {
-            wire.changes.push_back({ .id = *change.unlisted, .revision = change.revision });
-        }
-    }
+    WireNews wire { news.deployment, news.sender, toWire(news.view, time), news.pushed, news.changesFrom, {}, news.ended, news.records };
+    wire.changes = toWire(news.changes, time);
     return pack(wire);
 }
 
 std::string PeerNewsCodec::encode(const PeerState &state, TimePoint now)
 {
     const WireTime time(now);
-    WireState wire { state.sender, toWire(state.view, time), {}, state.configuration.version,
-        static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records };
-    for (const StreamServer &server : state.servers) {
-        wire.servers.push_back(toWire(server, time));
-    }
+    WireState wire { state.deployment, state.sender, toWire(state.view, time), state.changesFrom, toWire(state.changes, time),
+        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records };
     for (const auto &[address, route] : state.configuration.routes) {
         wire.routes.push_back(route);
     }
@@ -288,18 +314,8 @@
         return tl::unexpected(wire.error());
     }
     const WireTime time(now);
-    PeerNews news { wire->sender, fromWire(wire->view, time), wire->pushed, wire->changesFrom, {}, wire->ended, wire->records };
-    for (const WireServer &change : wire->changes) {
-        ServerUpdate update;
-        update.revision = change.revision;
-        if (change.service.empty()) {
-            update.unlisted = change.id;
-        } else {
-            update.listed = fromWire(change, time);
-        }
-        news.changes.push_back(std::move(update));
-    }
-    return news;
+    return PeerNews { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->changesFrom,
+        fromWire(wire->changes, time), wire->ended, wire->records };
 }
 
 Result<PeerState> PeerNewsCodec::decodeState(std::string_view bytes, TimePoint now)
@@ -309,10 +325,14 @@
         return tl::unexpected(wire.error());
     }
     const WireTime time(now);
-    PeerState state { wire->sender, fromWire(wire->view, time), {}, {}, wire->records };
-    for (const WireServer &server : wire->servers) {
-        state.servers.push_back(fromWire(server, time));
-    }
+    Result<PeerState> result { PeerState() };
+    PeerState &state = *result;
+    state.deployment = wire->deployment;
+    state.sender = wire->sender;
+    state.view = fromWire(wire->view, time);
+    state.changesFrom = wire->changesFrom;
+    state.changes = fromWire(wire->changes, time);
+    state.records = wire->records;
     state.configuration.version = wire->version;
     state.configuration.revision = wire->view.configurationRevision;
     state.configuration.idleTimeout = std::chrono::milliseconds(wire->idleTimeout);
@@ -322,7 +342,7 @@
         }
         state.configuration.routes.emplace(route.address, route);
     }
-    return state;
+    return result;
 }
 
 } // namespace Samphirepitch
--- a/src/stream/peernews.h
+++ b/src/stream/peernews.h
@@ -35,6 +35,7 @@
 
 /** A datagram between instances. */
 struct PeerNews {
+    std::string deployment; /**< instances of other deployments refuse it */
     PeerRecord sender;
     ViewMark view;
     bool pushed = false; /**< passed down the tree of the reader, and on by each receiver to which it is new */
@@ -44,12 +45,14 @@
     std::vector<PeerRecord> records; /**< other instances */
 };
 
-/** Everything that an instance needs to serve, sent over a connection. */
+/** What an instance lacks to serve, sent over a connection. */
 struct PeerState {
+    std::string deployment; /**< instances of other deployments refuse it */
     PeerRecord sender;
     ViewMark view;
-    std::vector<StreamServer> servers;
-    StreamConfiguration configuration;
+    std::uint64_t changesFrom = 0; /**< the changes lead from this revision to that of the view; 0 if they are the complete list */
+    std::vector<ServerUpdate> changes;
+    StreamConfiguration configuration; /**< empty if the asking instance has it */
     std::vector<PeerRecord> records;
 };
 
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -55,6 +55,7 @@
     }
     for (auto &[id, record] : m_records) {
         if (record->listed && !present.contains(id) && record->server.revision <= revision) {
+            record->server.revision = revision; // the removal has none of its own here
             unlist(*record, DirectoryChange::Kind::Removed, now, changes);
         }
     }
@@ -91,6 +92,7 @@
     for (const auto &[id, record] : m_records) {
         if (!record->listed && record->unlistedAt + retention <= now) {
             forgotten.push_back(record->token);
+            m_forgotten = std::max(m_forgotten, record->server.revision);
         }
     }
     if (!forgotten.empty()) {
@@ -128,6 +130,42 @@
     return records;
 }
 
+std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(std::uint64_t revision) const
+{
+    if (revision == 0 || revision < m_forgotten) {
+        return std::nullopt;
+    }
+    std::vector<ServerUpdate> changes;
+    for (const auto &[id, record] : m_records) {
+        if (record->server.revision <= revision) {
+            continue;
+        }
+        ServerUpdate change;
+        change.revision = record->server.revision;
+        if (record->listed) {
+            change.listed = record->server;
+        } else {
+            change.unlisted = id;
+        }
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+std::vector<ServerUpdate> ServerDirectory::completeList() const
+{
+    std::vector<ServerUpdate> list;
+    for (const auto &[id, record] : m_records) {
+        if (record->listed) {
+            ServerUpdate entry;
+            entry.listed = record->server;
+            entry.revision = record->server.revision;
+            list.push_back(std::move(entry));
+        }
+    }
+    return list;
+}
+
 void ServerDirectory::completeUntil(std::uint64_t revision)
 {
     m_revision = std::max(m_revision, revision);
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "stream/discovery.h"
 #include "stream/streamserver.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,8 +36,8 @@
         AddressReused, /**< A server of another id got its address, so this one has ended. */
     };
 
-    Kind kind;
-    const DirectoryRecord *record; /**< valid until the next expire() */
+    Kind kind = Kind::Added;
+    const DirectoryRecord *record = nullptr; /**< valid until the next expire() */
     std::uint32_t formerToken = 0; /**< of the incarnation that ended; only of Restarted */
 };
 
@@ -94,6 +96,15 @@
     /** Returns all listed servers. */
     std::vector<const DirectoryRecord *> all() const;
 
+    /**
+     * Returns the changes of entries after a revision, for another instance.
+     * @return nothing if some of them are no longer known, so that only the complete list helps
+     */
+    std::optional<std::vector<ServerUpdate>> changesAfter(std::uint64_t revision) const;
+
+    /** Returns all listed entries as changes, for another instance. */
+    std::vector<ServerUpdate> completeList() const;
+
     /** All changes up to @p revision of the store have been taken. */
     void completeUntil(std::uint64_t revision);
 
@@ -112,6 +123,7 @@
     std::unordered_map<std::uint32_t, const DirectoryRecord *> m_byToken;
     std::map<std::string, std::vector<const DirectoryRecord *>> m_byService;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_forgotten = 0; // the highest revision of a removal that is no longer known
 };
 
 } // namespace Samphirepitch
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -29,6 +29,8 @@
         return "refused";
     case ConnectResult::Unanswered:
         return "unanswered";
+    case ConnectResult::Inconclusive:
+        return "inconclusive";
     }
     return "unknown";
 }
@@ -64,6 +66,11 @@
 {
     const Standing before = standing(token, now);
     State &state = m_states[token];
+    if (result == ConnectResult::Inconclusive) {
+        state.wantsProbe = true;
+        state.nextProbe = now + probeInterval;
+        return false;
+    }
     if (state.isGone) {
         const TimePoint accepted = state.acceptedAt == TimePoint() ? now : state.acceptedAt;
         state.acceptedAt = result == ConnectResult::Accepted ? accepted : TimePoint();
@@ -72,6 +79,7 @@
         return false;
     }
     state.isGone = result == ConnectResult::Refused;
+    state.goneSince = now;
     state.failures = result == ConnectResult::Unanswered ? state.failures + 1 : 0;
     state.wantsProbe = result != ConnectResult::Accepted;
     if (result == ConnectResult::Accepted) {
@@ -101,6 +109,9 @@
 {
     State &state = m_states[token];
     const bool isNew = !state.isGone;
+    if (isNew) {
+        state.goneSince = now;
+    }
     state.isGone = true;
     state.wantsProbe = false;
     state.nextProbe = now;
@@ -141,6 +152,12 @@
     return now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
 }
 
+TimePoint ServerEvidence::goneSince(std::uint32_t token) const
+{
+    const auto found = m_states.find(token);
+    return found == m_states.end() || !found->second.isGone ? TimePoint() : found->second.goneSince;
+}
+
 void ServerEvidence::forget(std::uint32_t token)
 {
     m_states.erase(token);
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -29,6 +29,7 @@
     Accepted,
     Refused, /**< Its host lives and nothing listens there. */
     Unanswered,
+    Inconclusive, /**< This instance was too late to tell an answer from silence. */
 };
 
 /** Returns the lower-case name of a result, for logs and metrics. */
@@ -88,12 +89,16 @@
 
     Standing standing(std::uint32_t token, TimePoint now) const;
 
+    /** Returns when a server became gone; the beginning of the clock if it is not. */
+    TimePoint goneSince(std::uint32_t token) const;
+
     /** Forgets the server. */
     void forget(std::uint32_t token);
 
 private:
     struct State {
         bool isGone = false;
+        TimePoint goneSince {};
         std::uint32_t failures = 0; // connections in a row that were not made in time
         bool wantsProbe = false;
         TimePoint acceptedAt {}; // when a server that was gone accepted a connection
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -113,7 +113,7 @@
         m_flows.remove(packet.client, packet.service);
         return refuse(packet, StreamOutcome::ServerSilent);
     }
-    if (standing == Standing::Gone) {
+    if (isCertainlyGone(token)) {
         m_flows.remove(packet.client, packet.service);
         return packet.resets ? drop(packet, StreamOutcome::ServerGone) : refuse(packet, StreamOutcome::ServerGone);
     }
@@ -367,6 +367,16 @@
     return true;
 }
 
+bool StreamRouter::isCertainlyGone(std::uint32_t token) const
+{
+    const TimePoint now = m_clock.now();
+    if (m_evidence.standing(token, now) != Standing::Gone) {
+        return false;
+    }
+    const bool isViewConfirmed = now <= m_serversAge.confirmed() + confirmationGap;
+    return isViewConfirmed || now < m_evidence.goneSince(token) + freshProofTime;
+}
+
 bool StreamRouter::mayRepeat(const StreamFlow &flow) const
 {
     const StreamRoute *const route = m_configuration.find(flow.service);
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -66,6 +66,11 @@
      * entries that lapsed during an outage are back about 2 s after it.
      */
     static constexpr std::chrono::milliseconds removalProofTime { 2500 };
+    /**
+     * The proof that a server ended holds for this long by itself; afterwards only with a confirmed list of servers, because the server
+     * may have started again under its id: a process takes about as long to start and to take flows.
+     */
+    static constexpr std::chrono::milliseconds freshProofTime { 1500 };
     /** A list of servers that was not confirmed for longer has a gap, in which entries may have lapsed: two calls to the store. */
     static constexpr std::chrono::milliseconds confirmationGap { 3000 };
 
@@ -149,6 +154,7 @@
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
     bool end(const DirectoryRecord &record, std::string_view proof);
+    bool isCertainlyGone(std::uint32_t token) const;
     bool mayRepeat(const StreamFlow &flow) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void checkRemoved();
--- /dev/null
+++ b/tests/stream/connectprobetests.cpp
@@ -0,0 +1,47 @@
+#include "fakes/await.h"
+#include "stream/connectprobe.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Samphirepitch;
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// Only a bound against a test that hangs; loopback answers at once.
+constexpr std::chrono::seconds patience { 20 };
+
+ConnectResult connectTo(Endpoint server)
+{
+    const SteadyClock clock;
+    asio::io_context context;
+    std::optional<ConnectResult> result;
+    TcpConnectProbe probe(context.get_executor(), clock);
+    asio::co_spawn(context, Tests::keepResult(probe.connect(server, clock.now() + patience), result), [](const std::exception_ptr &) {});
+    context.run();
+    return result.value();
+}
+
+} // namespace
+
+TEST_CASE("a listener accepts and a closed port refuses", "[stream][connectprobe]")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+    const Endpoint server(0x7f000001, acceptor.local_endpoint().port());
+    CHECK(connectTo(server) == ConnectResult::Accepted);
+    acceptor.close();
+    CHECK(connectTo(server) == ConnectResult::Refused);
+}
+
+TEST_CASE("a deadline that was noticed late says nothing about the server", "[stream][connectprobe]")
+{
+    // Answers the pattern of slow instances: the answer and the deadline are found together after a turn without the processor.
+    const TimePoint deadline = TimePoint() + std::chrono::seconds(100);
+    CHECK(TcpConnectProbe::unanswered(deadline, deadline + milliseconds(5)) == ConnectResult::Unanswered);
+    CHECK(TcpConnectProbe::unanswered(deadline, deadline + milliseconds(60)) == ConnectResult::Inconclusive);
+}
--- a/tests/stream/peerdirectorytests.cpp
+++ b/tests/stream/peerdirectorytests.cpp
@@ -44,6 +44,16 @@
     CHECK(std::count_if(directories.begin(), directories.end(), [](const PeerDirectory &one) { return one.isReader(start); }) == 1);
 }
 
+TEST_CASE("rank, reader and count follow the order", "[stream][peerdirectory]")
+{
+    for (const PeerDirectory &directory : group(20)) {
+        const std::vector<PeerRecord> order = directory.order(start);
+        CHECK(order.size() == directory.aliveCount(start));
+        CHECK(order.front().id == directory.readerId(start));
+        CHECK(order[directory.rank(start)].id == directory.self().id);
+    }
+}
+
 TEST_CASE("the tree reaches every instance once", "[stream][peerdirectory]")
 {
     const std::vector<PeerDirectory> directories = group(78);
--- a/tests/stream/peerexchangetests.cpp
+++ b/tests/stream/peerexchangetests.cpp
@@ -4,6 +4,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/io_context.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -22,13 +23,14 @@
 
 /** One instance's exchange and router, without a store. */
 struct Node {
-    Node(asio::io_context &context, const Clock &clock, std::uint32_t number, std::vector<Endpoint> seeds)
+    Node(asio::io_context &context, const Clock &clock, std::uint32_t number, std::vector<Endpoint> seeds, std::string deployment)
         : random(number + 1)
         , router({ clock, random, events, selector, times }, "a", 1000)
     {
         PeerRecord self { .id = "entry-" + std::to_string(number), .failureDomain = "a", .address = addressOf(number), .startedAt = 1 };
-        exchange = std::move(
-            PeerExchange::create(context.get_executor(), { clock, random, events, router }, std::move(self), std::move(seeds)).value());
+        exchange = std::move(PeerExchange::create(
+            context.get_executor(), { clock, random, events, router }, std::move(deployment), std::move(self), std::move(seeds))
+                                 .value());
         asio::co_spawn(context, exchange->receiveNews(), asio::detached);
         asio::co_spawn(context, exchange->serveStates(), asio::detached);
         asio::co_spawn(context, exchange->gossip(), asio::detached);
@@ -51,9 +53,9 @@
 class ExchangeFixture
 {
 public:
-    Node &add(std::vector<Endpoint> seeds)
+    Node &add(std::vector<Endpoint> seeds, std::string deployment = "dewnet")
     {
-        return nodes.emplace_back(context, clock, static_cast<std::uint32_t>(nodes.size()), std::move(seeds));
+        return nodes.emplace_back(context, clock, static_cast<std::uint32_t>(nodes.size()), std::move(seeds), std::move(deployment));
     }
 
     /** Runs the nodes until @p done holds. @return whether it came to hold */
@@ -154,6 +156,18 @@
     REQUIRE(reach([&] { return second.router.evidence().standing(token, clock.now()) == Standing::Gone; }));
 }
 
+TEST_CASE_METHOD(ExchangeFixture, "instances of other deployments are refused", "[stream][peerexchange]")
+{
+    // A wrong seed must not bring another deployment's routes and servers.
+    Node &first = add({});
+    first.router.adopt(RouterFixture::configuration(4));
+    first.router.serversListed({ RouterFixture::server(1) }, {}, 10, clock.now());
+    Node &second = add({ Node::addressOf(0) }, "tugan-kun");
+    REQUIRE(reach([&] { return first.events.count("peer_request_refused") > 0 && second.events.count("peer_pull_failed") > 0; }));
+    CHECK_FALSE(second.router.isReady());
+    CHECK(first.events.last("peer_request_refused").find("wrong_deployment") != std::string::npos);
+}
+
 TEST_CASE_METHOD(ExchangeFixture, "bytes of strangers are refused and counted", "[stream][peerexchange]")
 {
     Node &node = add({});
--- a/tests/stream/peernewstests.cpp
+++ b/tests/stream/peernewstests.cpp
@@ -27,7 +27,7 @@
 
 PeerNews news()
 {
-    PeerNews news { .sender = record("entry-1"), .view = view(sent), .pushed = true, .changesFrom = 37 };
+    PeerNews news { .deployment = "dewnet", .sender = record("entry-1"), .view = view(sent), .pushed = true, .changesFrom = 37 };
     StreamServer cold = RouterFixture::server(7);
     cold.coldUntil = sent + milliseconds(500);
     cold.phase = ServerPhase::Draining;
@@ -49,6 +49,7 @@
 {
     const auto read = PeerNewsCodec::decodeNews(PeerNewsCodec::encode(news(), sent), received);
     REQUIRE(read.has_value());
+    CHECK(read->deployment == "dewnet");
     CHECK(read->sender == record("entry-1"));
     CHECK(read->view == view(received));
     CHECK(read->pushed);
@@ -85,13 +86,17 @@
 TEST_CASE("a state keeps servers, routes and members", "[stream][peernews]")
 {
     PeerState state { .sender = record("entry-1"), .view = view(sent), .records = { record("entry-2") } };
-    state.servers = { RouterFixture::server(1), RouterFixture::server(2) };
+    state.changesFrom = 39;
+    state.changes = news().changes;
     state.configuration = RouterFixture::configuration(38);
     state.configuration.routes.begin()->second.idempotent = true;
     const auto read = PeerNewsCodec::decodeState(PeerNewsCodec::encode(state, sent), received);
     REQUIRE(read.has_value());
     CHECK(read->view == view(received));
-    CHECK(read->servers == state.servers);
+    CHECK(read->changesFrom == 39);
+    REQUIRE(read->changes.size() == 2);
+    CHECK(read->changes[0].listed->id == "i-7");
+    CHECK(read->changes[1].unlisted == std::optional<std::string>("i-8"));
     CHECK(read->configuration == state.configuration);
     CHECK(read->records == state.records);
 }
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -74,6 +74,49 @@
     CHECK(directory.listed("pond").front()->server.phase == ServerPhase::Ready);
 }
 
+TEST_CASE("changes after a revision bring another directory up to date", "[stream][directory]")
+{
+    // At 300 instances and 3,000 servers, complete lists for each change were most of what the instances sent.
+    ServerDirectory source;
+    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2), RouterFixture::server(3) }, {}, 10, start);
+    ServerDirectory copy;
+    for (const ServerUpdate &entry : source.completeList()) {
+        copy.update(*entry.listed, start);
+    }
+    copy.completeUntil(10);
+    StreamServer draining = at(RouterFixture::server(1), 11);
+    draining.phase = ServerPhase::Draining;
+    source.update(draining, start);
+    source.remove("i-2", 12, start);
+    source.completeUntil(12);
+    const auto changes = source.changesAfter(10);
+    REQUIRE(changes.has_value());
+    CHECK(changes->size() == 2);
+    for (const ServerUpdate &change : *changes) {
+        if (change.listed) {
+            copy.update(*change.listed, start);
+        } else {
+            copy.remove(*change.unlisted, change.revision, start);
+        }
+    }
+    CHECK(copy.findId("i-1")->server.phase == ServerPhase::Draining);
+    CHECK(copy.listed("pond").size() == 2);
+}
+
+TEST_CASE("changes are not given from before a removal that is forgotten", "[stream][directory]")
+{
+    ServerDirectory source;
+    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, 10, start);
+    source.remove("i-2", 12, start);
+    source.completeUntil(12);
+    CHECK(source.changesAfter(11).has_value());
+    source.expire(start + ServerDirectory::retention);
+    CHECK_FALSE(source.changesAfter(11).has_value());
+    CHECK(source.changesAfter(12).has_value());
+    CHECK_FALSE(source.changesAfter(0).has_value());
+    CHECK(source.completeList().size() == 1);
+}
+
 TEST_CASE("an unreadable entry keeps what is known of its server", "[stream][directory]")
 {
     ServerDirectory directory;
--- a/tests/stream/serverevidencetests.cpp
+++ b/tests/stream/serverevidencetests.cpp
@@ -82,6 +82,15 @@
     CHECK(evidence.standing(server, start + milliseconds(500)) == Standing::Trusted);
 }
 
+TEST_CASE("an inconclusive connection changes no standing and is made again", "[stream][evidence]")
+{
+    ServerEvidence evidence;
+    evidence.connected(server, ConnectResult::Unanswered, start);
+    CHECK_FALSE(evidence.connected(server, ConnectResult::Inconclusive, start + milliseconds(200)));
+    CHECK(evidence.standing(server, start + milliseconds(200)) == Standing::Unreachable);
+    CHECK(evidence.takeDueProbes(start + milliseconds(350)).size() == 1);
+}
+
 TEST_CASE("a server that is gone and refuses again does not return", "[stream][evidence]")
 {
     ServerEvidence evidence;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -173,6 +173,20 @@
     CHECK(open(Endpoint(0x64400009, 1)).outcome == StreamOutcome::NoServer);
 }
 
+TEST_CASE_METHOD(RouterFixture, "an old proof resets nothing while the list of servers is not confirmed", "[stream][router]")
+{
+    // The server may have started again under its id, and another instance that knows neither may have given it flows.
+    makeReady({ server(1) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    router.probed(token, ConnectResult::Refused);
+    CHECK(send(token, 101, 900, 55).action == Action::Reset);
+    pass(milliseconds(4000));
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    CHECK(open(Endpoint(0x64400009, 1)).outcome == StreamOutcome::NoServer);
+    router.serversConfirmed(clock.now());
+    CHECK(send(token, 101, 900, 55).action == Action::Reset);
+}
+
 TEST_CASE_METHOD(RouterFixture, "an answer that takes long asks for a connection and casts no doubt", "[stream][router]")
 {
     makeReady({ server(1) });
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,9 +1,15 @@
 #!/usr/bin/env bash
-# Plays the fault soak: soak.sh SEEDS [FIRST] [JOBS]. Each seed gives a schedule of faults over real processes. Prints a line
-# a seed and keeps the logs of those that broke a promise in run/soak/.
+# Plays the fault soak: soak.sh SEEDS [FIRST] [JOBS], or soak.sh FILE with a seed at the start of each line. Each seed gives a
+# schedule of faults over real processes. Prints a line a seed and keeps the logs of those that broke a promise in run/soak/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seeds="${1:-10}" first="${2:-$(date +%s)}" jobs="${3:-4}"
+jobs="${3:-4}"
+if [ -f "$1" ]; then
+    mapfile -t seeds < <(grep -oE '^[0-9]+' "$1")
+else
+    first="${2:-$(date +%s)}"
+    mapfile -t seeds < <(seq "$first" $((first + $1 - 1)))
+fi
 export bin="${BUILD_DIR:-build}/bin" logs="run/soak"
 mkdir -p "$logs"
 networks=31 # runs side by side have loopback networks of their own
@@ -14,17 +20,17 @@
     if timeout 60 "$bin/samphirepitch-soak" --program "$bin/samphirepitchd" --folder "$folder" --seed "$seed" --network "$network" \
         >"$folder.out" 2>&1; then
         rm -rf "$folder"
+        tail -n 1 "$folder.out"
     else
         cat "$folder.out"
         tail -n 1 "$folder.out" | grep -q '^soak: ' || echo "soak: seed=$seed red (it did not end)"
     fi
-    tail -n 1 "$folder.out" | grep '^soak: seed=.* held' || true
 }
 export -f play
-for ((index = 0; index < seeds; ++index)); do
-    echo "$((first + index)) $((index % networks))"
+for index in "${!seeds[@]}"; do
+    echo "${seeds[index]} $((index % networks))"
 done | xargs -P "$jobs" -L 1 bash -c 'play "$@"' _ | tee "$logs/last.out"
 held=$(grep -c '^soak: seed=.* held' "$logs/last.out" || true)
-red=$((seeds - held))
-echo "soak: seeds=$seeds held=$held red=$red"
+red=$((${#seeds[@]} - held))
+echo "soak: seeds=${#seeds[@]} held=$held red=$red"
 [ "$red" -eq 0 ]
