Find the former owner of an address by an index; remove twins and dead code

Cause: reading the whole change.

Ruled out: joining the two loops of DiscoveryFollower (the calls differ in type, and a shared loop would need more than it saves).

Decisions are unchanged; a client's reset to nowhere is now logged as a dropped packet. New test: "a server that moved gives its earlier address up".

Conclusion: no change of what is decided.

--- a/src/stream/discoveryfollower.h
+++ b/src/stream/discoveryfollower.h
@@ -44,38 +44,6 @@
     virtual void storeReachable(bool reachable) = 0;
 };
 
-/** The duty of an instance that reads for itself alone. */
-class ReadingAlone : public ReadingDuty
-{
-public:
-    bool followsStore() const override
-    {
-        return true;
-    }
-
-    bool mustRead(TimePoint) const override
-    {
-        return true;
-    }
-
-    std::size_t readers() const override
-    {
-        return 1;
-    }
-
-    void serversRead(std::uint64_t, const ServerUpdates &) override
-    {
-    }
-
-    void configurationRead() override
-    {
-    }
-
-    void storeReachable(bool) override
-    {
-    }
-};
-
 /** Keeps the servers and the configuration of a router up to date; one task for each of the two. */
 class DiscoveryFollower : public MetricSource
 {
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -93,6 +93,7 @@
         if (!record->listed && record->unlistedAt + retention <= now) {
             forgotten.push_back(record->token);
             m_forgotten = std::max(m_forgotten, record->server.revision);
+            removeAddress(*record);
         }
     }
     if (!forgotten.empty()) {
@@ -181,6 +182,7 @@
     std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
     if (!record) {
         record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server) });
+        m_byAddress.emplace(server.address, record.get());
         changes.push_back({ DirectoryChange::Kind::Added, record.get() });
         endFormerOwner(server, now, changes);
         return;
@@ -191,6 +193,10 @@
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
     const bool wasListed = record->listed;
     const std::uint32_t formerToken = restarted ? record->token : 0;
+    if (record->server.address != server.address) {
+        removeAddress(*record);
+        m_byAddress.emplace(server.address, record.get());
+    }
     record->server = server;
     record->listed = true;
     record->token = tokenOf(server);
@@ -216,15 +222,26 @@
 
 void ServerDirectory::endFormerOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
 {
-    for (auto &[id, record] : m_records) {
-        const StreamServer &other = record->server;
+    const auto [begin, end] = m_byAddress.equal_range(server.address);
+    for (auto owner = begin; owner != end; ++owner) {
+        DirectoryRecord &record = *owner->second;
+        const StreamServer &other = record.server;
         const bool isEarlier = other.revision < server.revision && other.startedAt < server.startedAt;
-        if (id != server.id && other.address == server.address && record->listed && isEarlier) {
-            unlist(*record, DirectoryChange::Kind::AddressReused, now, changes);
+        if (other.id != server.id && record.listed && isEarlier) {
+            unlist(record, DirectoryChange::Kind::AddressReused, now, changes);
         }
     }
 }
 
+void ServerDirectory::removeAddress(const DirectoryRecord &record)
+{
+    const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    const auto owner = std::find_if(begin, end, [&record](const auto &entry) { return entry.second == &record; });
+    if (owner != end) {
+        m_byAddress.erase(owner);
+    }
+}
+
 void ServerDirectory::rebuildIndexes()
 {
     m_byToken.clear();
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -117,9 +117,11 @@
     void put(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
     void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
     void endFormerOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
+    void removeAddress(const DirectoryRecord &record);
     void rebuildIndexes();
 
     Records m_records;
+    std::multimap<Endpoint, DirectoryRecord *> m_byAddress; // all records; an address may pass from one server to the next
     std::unordered_map<std::uint32_t, const DirectoryRecord *> m_byToken;
     std::map<std::string, std::vector<const DirectoryRecord *>> m_byService;
     std::uint64_t m_revision = 0;
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -57,7 +57,7 @@
     return standing(token, now) != before;
 }
 
-void ServerEvidence::overdue(std::uint32_t token, TimePoint)
+void ServerEvidence::overdue(std::uint32_t token)
 {
     m_states[token].wantsProbe = true;
 }
@@ -118,11 +118,6 @@
     return isNew;
 }
 
-void ServerEvidence::restarted(std::uint32_t token)
-{
-    m_states.erase(token);
-}
-
 std::vector<std::uint32_t> ServerEvidence::takeDueProbes(TimePoint now)
 {
     std::vector<std::uint32_t> due;
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -65,7 +65,7 @@
     bool unanswered(std::uint32_t token, TimePoint now);
 
     /** An answer of the server takes long; asks for a connection without suspecting it. */
-    void overdue(std::uint32_t token, TimePoint now);
+    void overdue(std::uint32_t token);
 
     /** Takes the result of a connection. @return whether the standing changed */
     bool connected(std::uint32_t token, ConnectResult result, TimePoint now);
@@ -81,9 +81,6 @@
     /** The server has ended for certain. @return whether that is new */
     bool ended(std::uint32_t token, TimePoint now);
 
-    /** A new incarnation runs under the token; what was known of the earlier one is void. */
-    void restarted(std::uint32_t token);
-
     /** Returns the servers that a connection should be made to now, and counts them as asked. */
     std::vector<std::uint32_t> takeDueProbes(TimePoint now);
 
@@ -92,7 +89,7 @@
     /** Returns when a server became gone; the beginning of the clock if it is not. */
     TimePoint goneSince(std::uint32_t token) const;
 
-    /** Forgets the server. */
+    /** Forgets what is known of the server, which makes it a trusted one. */
     void forget(std::uint32_t token);
 
 private:
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -74,7 +74,7 @@
     }
     if (const auto unopened = isCopy ? std::nullopt : m_flows.unopenedBefore(packet, m_clock.now())) {
         earlier = *unopened;
-        m_evidence.overdue(earlier, m_clock.now());
+        m_evidence.overdue(earlier);
     }
     const std::string &service = targetService(route);
     const DirectoryRecord *const record = choose(service, earlier);
@@ -115,7 +115,7 @@
     }
     if (isCertainlyGone(token)) {
         m_flows.remove(packet.client, packet.service);
-        return packet.resets ? drop(packet, StreamOutcome::ServerGone) : refuse(packet, StreamOutcome::ServerGone);
+        return refuse(packet, StreamOutcome::ServerGone);
     }
     if (packet.resets) {
         m_flows.remove(packet.client, packet.service);
@@ -127,9 +127,13 @@
 
 StreamDecision StreamRouter::refuse(const StreamPacket &packet, StreamOutcome outcome)
 {
+    // A reset is never answered by another one.
+    if (packet.resets) {
+        return drop(packet, outcome);
+    }
     m_counters.count(outcome);
     recordFlow(EventSeverity::Warning, "flow_reset", packet, { { "reason", std::string(streamOutcomeName(outcome)) } });
-    return { .action = packet.resets ? StreamDecision::Action::Drop : StreamDecision::Action::Reset, .outcome = outcome };
+    return { .action = StreamDecision::Action::Reset, .outcome = outcome };
 }
 
 StreamDecision StreamRouter::drop(const StreamPacket &packet, StreamOutcome outcome)
@@ -297,13 +301,13 @@
             break;
         case DirectoryChange::Kind::Removed:
             m_removed.push_back(record.token);
-            m_evidence.overdue(record.token, m_clock.now());
+            m_evidence.overdue(record.token);
             break;
         case DirectoryChange::Kind::Restarted:
             m_evidence.forget(change.formerToken);
             break;
         case DirectoryChange::Kind::Added:
-            m_evidence.restarted(record.token);
+            m_evidence.forget(record.token);
             break;
         case DirectoryChange::Kind::Changed:
             break;
@@ -397,7 +401,7 @@
 void StreamRouter::tick()
 {
     const TimePoint now = m_clock.now();
-    m_flows.checkOverdue(now, [this, now](std::uint32_t token) { m_evidence.overdue(token, now); });
+    m_flows.checkOverdue(now, [this](std::uint32_t token) { m_evidence.overdue(token); });
     if (now < m_nextExpiry) {
         return;
     }
--- a/tests/stream/discoveryfollowertests.cpp
+++ b/tests/stream/discoveryfollowertests.cpp
@@ -74,7 +74,7 @@
 };
 
 /** Reads only when its script says so, and keeps what it is told. */
-class ScriptedDuty : public ReadingAlone
+class ScriptedDuty : public ReadingDuty
 {
 public:
     bool followsStore() const override
@@ -96,6 +96,10 @@
         told.push_back(std::to_string(from) + " to " + std::to_string(updates.revision));
     }
 
+    void configurationRead() override
+    {
+    }
+
     void storeReachable(bool reachable) override
     {
         told.push_back(reachable ? "reachable" : "not reachable");
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -168,3 +168,18 @@
     CHECK(directory.findId("j-1")->shadowed);
     CHECK(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1)))->server.id == "i-1");
 }
+
+TEST_CASE("a server that moved gives its earlier address up", "[stream][directory]")
+{
+    // Guards the index of addresses: a former address must not end the server that left it.
+    ServerDirectory directory;
+    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    StreamServer moved = at(RouterFixture::server(1), 11);
+    moved.address = Endpoint(0x0a020001, 8080);
+    directory.update(moved, start);
+    StreamServer successor = at(RouterFixture::server(2), 12);
+    successor.address = RouterFixture::server(1).address;
+    successor.startedAt = 4000;
+    CHECK(describe(directory.update(successor, start)) == "added i-2;");
+    CHECK(directory.listed("pond").size() == 2);
+}
--- a/tests/stream/serverevidencetests.cpp
+++ b/tests/stream/serverevidencetests.cpp
@@ -33,7 +33,7 @@
     ServerEvidence evidence;
     std::size_t probes = 0;
     for (int step = 0; step < 1000; ++step) {
-        evidence.overdue(server, start + milliseconds(step));
+        evidence.overdue(server);
         probes += evidence.takeDueProbes(start + milliseconds(step)).size();
     }
     CHECK(probes == 7);
@@ -120,6 +120,6 @@
 {
     ServerEvidence evidence;
     evidence.ended(server, start);
-    evidence.restarted(server);
+    evidence.forget(server);
     CHECK(evidence.standing(server, start) == Standing::Trusted);
 }
