Reset only flows that were open before a connection failed

Cause: an instance with the proof that an incarnation of a server had ended reset every later packet under its token.

Change: a connection now decides only about flows that the instance saw open before the connection was begun. A flow seen later is forwarded and asks for the next connection. A peer's report keeps new flows away and asks for an own connection; it no longer resets by itself. Ended flows are remembered until they are idle, so that a lost reset is repeated at once. A server whose connections are not made counts as silent only while clients repeat: a full queue of connections on a busy server drops them too. A peer whose time of day was set back before a restart is heard again after its old record lapsed.

Ruled out: proofs with an age (a frozen instance reads them late, so the age is too low); states that carry ended incarnations (too late for flows that were placed before).

--- a/src/stream/connectprobe.cpp
+++ b/src/stream/connectprobe.cpp
@@ -21,6 +21,19 @@
     return now > deadline + maxLateness ? ConnectResult::Inconclusive : ConnectResult::Unanswered;
 }
 
+ConnectResult TcpConnectProbe::resultOf(const std::error_code &error)
+{
+    if (!error) {
+        return ConnectResult::Accepted;
+    }
+    if (error == asio::error::connection_refused) {
+        return ConnectResult::Refused;
+    }
+    const bool isSilence
+        = error == asio::error::timed_out || error == asio::error::host_unreachable || error == asio::error::network_unreachable;
+    return isSilence ? ConnectResult::Unanswered : ConnectResult::Inconclusive;
+}
+
 asio::awaitable<ConnectResult> TcpConnectProbe::connect(Endpoint server, TimePoint deadline)
 {
     asio::ip::tcp::socket socket(m_executor);
@@ -31,10 +44,7 @@
     if (limit.expired()) {
         co_return unanswered(deadline, m_clock.now());
     }
-    if (error == asio::error::connection_refused) {
-        co_return ConnectResult::Refused;
-    }
-    co_return error ? ConnectResult::Unanswered : ConnectResult::Accepted;
+    co_return resultOf(error);
 }
 
 } // namespace Samphirepitch
--- a/src/stream/connectprobe.h
+++ b/src/stream/connectprobe.h
@@ -7,6 +7,8 @@
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
 
+#include <system_error>
+
 namespace Samphirepitch
 {
 
@@ -27,6 +29,9 @@
     /** A deadline that was noticed later than this says nothing: the answer may have waited for the processor all the while. */
     static constexpr std::chrono::milliseconds maxLateness { 20 };
 
+    /** Returns what the end of an attempt before its deadline means; faults of this instance, such as no descriptor, say nothing. */
+    static ConnectResult resultOf(const std::error_code &error);
+
     /** Returns what an unanswered connection means if its deadline was noticed at @p now. */
     static ConnectResult unanswered(TimePoint deadline, TimePoint now);
 
--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -71,6 +71,7 @@
         // A flow that another instance opened: its acknowledgement says nothing about how long an answer took.
         if (StreamFlow *const flow = insert(packet, key, now)) {
             flow->open = true;
+            flow->openSince = now;
             moveTo(*flow, token);
             flow->acknowledged = packet.acknowledgement;
             flow->sentUpTo = packet.sequence;
@@ -86,6 +87,7 @@
     moveTo(flow, token);
     evidence.openedNow = !std::exchange(flow.open, true);
     if (evidence.openedNow) {
+        flow.openSince = now;
         const auto opening = m_lastOpenings.find(hostKey(packet));
         if (opening != m_lastOpenings.end() && opening->second.flow == key) {
             m_lastOpenings.erase(opening);
@@ -128,9 +130,21 @@
     }
 }
 
-std::vector<StreamFlow> FlowTracker::takeFlowsOf(std::uint32_t token)
+std::vector<StreamFlow> FlowTracker::endIf(const std::function<bool(const StreamFlow &)> &matches)
 {
-    return takeIf([token](const StreamFlow &flow) { return flow.token == token; });
+    std::vector<StreamFlow> ended;
+    for (const auto &[key, flow] : m_byKey) {
+        if (!flow->open || flow->ended || !matches(*flow)) {
+            continue;
+        }
+        ended.push_back(*flow);
+        flow->ended = true;
+        flow->finished = true;
+        setAwaiting(*flow, false);
+        m_idle.splice(m_idle.end(), flow->recent ? m_recent : m_idle, flow);
+        setRecent(*flow, false);
+    }
+    return ended;
 }
 
 void FlowTracker::checkOverdue(TimePoint now, const std::function<void(std::uint32_t token)> &report)
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -24,7 +24,9 @@
     bool open = false; /**< the client has sent something after its opening packet */
     bool awaiting = false; /**< the client has sent data that no answer followed yet */
     bool finished = false; /**< the client sends nothing more */
+    bool ended = false; /**< its client was told that the server no longer serves it */
     bool recent = true; /**< seen within the time in which flows count as load */
+    TimePoint openSince {}; /**< when this instance first saw a packet of the open flow; only if it is open */
     TimePoint lastSeen {};
     TimePoint sentAt {}; /**< of the opening packet, or of the first data that is not answered yet */
     TimePoint repeatedAt {}; /**< when the oldest unanswered packet was sent last */
@@ -85,8 +87,11 @@
     /** Forgets a flow. */
     void remove(Endpoint client, Endpoint service);
 
-    /** Forgets the flows of a server that has ended. @return the flows that are open, whose clients have to be told */
-    std::vector<StreamFlow> takeFlowsOf(std::uint32_t token);
+    /**
+     * Ends the open flows that @p matches accepts: they no longer count as load, but are remembered, because their clients may still
+     * send. @return those that were not ended before, whose clients have to be told
+     */
+    std::vector<StreamFlow> endIf(const std::function<bool(const StreamFlow &)> &matches);
 
     /** Forgets the flows that @p matches accepts. @return those of them that are open */
     std::vector<StreamFlow> takeIf(const std::function<bool(const StreamFlow &)> &matches);
--- a/src/stream/peerdirectory.cpp
+++ b/src/stream/peerdirectory.cpp
@@ -56,10 +56,12 @@
         return true;
     }
     Known &known = found->second;
-    if (!isNewer(record, known.record)) {
+    const bool wasAlive = now < known.deadline;
+    // The time of day may have been set back before a restart, so that a later incarnation claims an earlier start.
+    const bool isOtherIncarnation = !wasAlive && record.startedAt != known.record.startedAt;
+    if (!isNewer(record, known.record) && !isOtherIncarnation) {
         return false;
     }
-    const bool wasAlive = now < known.deadline;
     known.record = record;
     known.deadline = now + lapseTime;
     return !wasAlive;
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -1,5 +1,8 @@
 #include "stream/serverevidence.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Samphirepitch
 {
 
@@ -44,6 +47,7 @@
     }
     State &state = found->second;
     state.failures = 0;
+    state.repeated = false;
     state.wantsProbe = false;
     state.suspectedUntil = now;
 }
@@ -53,6 +57,7 @@
     const Standing before = standing(token, now);
     State &state = m_states[token];
     state.suspectedUntil = now + suspicionTime;
+    state.repeated = true;
     state.wantsProbe = true;
     return standing(token, now) != before;
 }
@@ -62,7 +67,14 @@
     m_states[token].wantsProbe = true;
 }
 
-bool ServerEvidence::connected(std::uint32_t token, ConnectResult result, TimePoint now)
+void ServerEvidence::recheck(std::uint32_t token)
+{
+    State &state = m_states[token];
+    state.wantsProbe = true;
+    state.nextProbe = std::min(state.nextProbe, state.lastProbe + probeInterval);
+}
+
+bool ServerEvidence::connected(std::uint32_t token, ConnectResult result, TimePoint begun, TimePoint now)
 {
     const Standing before = standing(token, now);
     State &state = m_states[token];
@@ -71,6 +83,10 @@
         state.nextProbe = now + probeInterval;
         return false;
     }
+    state.failures = result == ConnectResult::Unanswered ? state.failures + 1 : 0;
+    if (result == ConnectResult::Refused || state.failures >= failuresUntilSilent) {
+        state.failedConnection = std::max(state.failedConnection, begun);
+    }
     if (state.isGone) {
         const TimePoint accepted = state.acceptedAt == TimePoint() ? now : state.acceptedAt;
         state.acceptedAt = result == ConnectResult::Accepted ? accepted : TimePoint();
@@ -79,8 +95,7 @@
         return false;
     }
     state.isGone = result == ConnectResult::Refused;
-    state.goneSince = now;
-    state.failures = result == ConnectResult::Unanswered ? state.failures + 1 : 0;
+    state.isReported = state.isReported && result != ConnectResult::Accepted;
     state.wantsProbe = result != ConnectResult::Accepted;
     if (result == ConnectResult::Accepted) {
         state.nextProbe = now + probeInterval;
@@ -108,14 +123,23 @@
 bool ServerEvidence::ended(std::uint32_t token, TimePoint now)
 {
     State &state = m_states[token];
-    const bool isNew = !state.isGone;
-    if (isNew) {
-        state.goneSince = now;
+    if (state.endProvenAt == TimePoint()) {
+        state.endProvenAt = now;
     }
-    state.isGone = true;
     state.wantsProbe = false;
-    state.nextProbe = now;
-    return isNew;
+    return !std::exchange(state.isGone, true);
+}
+
+bool ServerEvidence::reportedEnded(std::uint32_t token)
+{
+    State &state = m_states[token];
+    return !std::exchange(state.isReported, true) && !state.isGone;
+}
+
+bool ServerEvidence::isReportedEnded(std::uint32_t token) const
+{
+    const auto found = m_states.find(token);
+    return found != m_states.end() && found->second.isReported;
 }
 
 std::vector<std::uint32_t> ServerEvidence::takeDueProbes(TimePoint now)
@@ -124,6 +148,7 @@
     for (auto &[token, state] : m_states) {
         if (state.wantsProbe && now >= state.nextProbe) {
             state.wantsProbe = false;
+            state.lastProbe = now;
             state.nextProbe = now + probeInterval;
             due.push_back(token);
         }
@@ -142,15 +167,23 @@
         return Standing::Gone;
     }
     if (state.failures > 0) {
-        return state.failures < failuresUntilSilent ? Standing::Unreachable : Standing::Silent;
+        // A server whose queue of connections is full drops them as well, but acknowledges what clients send.
+        const bool isWitnessed = state.repeated || state.isReported;
+        return state.failures >= failuresUntilSilent && isWitnessed ? Standing::Silent : Standing::Unreachable;
     }
-    return now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
+    return state.isReported || now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
+}
+
+TimePoint ServerEvidence::endProvenAt(std::uint32_t token) const
+{
+    const auto found = m_states.find(token);
+    return found == m_states.end() ? TimePoint() : found->second.endProvenAt;
 }
 
-TimePoint ServerEvidence::goneSince(std::uint32_t token) const
+TimePoint ServerEvidence::failedConnection(std::uint32_t token) const
 {
     const auto found = m_states.find(token);
-    return found == m_states.end() || !found->second.isGone ? TimePoint() : found->second.goneSince;
+    return found == m_states.end() ? TimePoint() : found->second.failedConnection;
 }
 
 void ServerEvidence::forget(std::uint32_t token)
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -15,9 +15,9 @@
 /** What an instance holds a backend server for. */
 enum class Standing {
     Trusted,
-    Suspected, /**< Packets to it were not answered; it gets no new flows for a while. */
+    Suspected, /**< Packets to it were not answered, or another instance found it ended; new flows avoid it. */
     Unreachable, /**< A connection to it could not be made in time; that may be a lost packet. */
-    Silent, /**< Two connections in a row could not be made and nothing was answered: it has ended or is behind a cut. */
+    Silent, /**< Two connections in a row could not be made and clients repeat in vain: it has ended or is behind a cut. */
     Gone, /**< It has ended: its host refused a connection, its address went to another server, or it left. */
 };
 
@@ -67,8 +67,11 @@
     /** An answer of the server takes long; asks for a connection without suspecting it. */
     void overdue(std::uint32_t token);
 
-    /** Takes the result of a connection. @return whether the standing changed */
-    bool connected(std::uint32_t token, ConnectResult result, TimePoint now);
+    /** A packet of a flow passes whose server is silent or gone by a connection made before; asks for the next one soon. */
+    void recheck(std::uint32_t token);
+
+    /** Takes the result of a connection that was begun at @p begun. @return whether the standing changed */
+    bool connected(std::uint32_t token, ConnectResult result, TimePoint begun, TimePoint now);
 
     /**
      * Trusts servers again that were gone and accept connections, if discovery still lists the same incarnation.
@@ -78,16 +81,28 @@
      */
     std::vector<std::uint32_t> takeReturned(TimePoint confirmed, const std::function<bool(std::uint32_t)> &isListed);
 
-    /** The server has ended for certain. @return whether that is new */
+    /** The list of servers proves that the server has ended. @return whether that is new */
     bool ended(std::uint32_t token, TimePoint now);
 
+    /** Another instance found that the server has ended. @return whether that is new */
+    bool reportedEnded(std::uint32_t token);
+
+    /** Returns whether another instance found that the server has ended, and no connection of this one showed otherwise. */
+    bool isReportedEnded(std::uint32_t token) const;
+
     /** Returns the servers that a connection should be made to now, and counts them as asked. */
     std::vector<std::uint32_t> takeDueProbes(TimePoint now);
 
     Standing standing(std::uint32_t token, TimePoint now) const;
 
-    /** Returns when a server became gone; the beginning of the clock if it is not. */
-    TimePoint goneSince(std::uint32_t token) const;
+    /** Returns when the list of servers proved the end of a server; the beginning of the clock if it did not. */
+    TimePoint endProvenAt(std::uint32_t token) const;
+
+    /**
+     * Returns when the last connection was begun that showed that a server is gone or silent; the beginning of the clock if none did. An
+     * incarnation that opened a flow before that no longer serves it.
+     */
+    TimePoint failedConnection(std::uint32_t token) const;
 
     /** Forgets what is known of the server, which makes it a trusted one. */
     void forget(std::uint32_t token);
@@ -95,9 +110,13 @@
 private:
     struct State {
         bool isGone = false;
-        TimePoint goneSince {};
+        bool isReported = false; // as ended, by another instance
+        TimePoint endProvenAt {}; // by the list of servers
+        TimePoint failedConnection {};
         std::uint32_t failures = 0; // connections in a row that were not made in time
+        bool repeated = false; // a client had to send again since the last answer
         bool wantsProbe = false;
+        TimePoint lastProbe {};
         TimePoint acceptedAt {}; // when a server that was gone accepted a connection
         TimePoint suspectedUntil {};
         TimePoint nextProbe {};
--- a/src/stream/streamplane.cpp
+++ b/src/stream/streamplane.cpp
@@ -169,9 +169,10 @@
 {
     ++m_runningProbes;
     ++m_probes;
-    const ConnectResult result = co_await m_probe.connect(target.address, m_clock.now() + connectTimeout);
+    const TimePoint begun = m_clock.now();
+    const ConnectResult result = co_await m_probe.connect(target.address, begun + connectTimeout);
     --m_runningProbes;
-    m_router.probed(target.token, result);
+    m_router.probed(target.token, result, begun);
     sendResets();
 }
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -53,6 +53,10 @@
     if (flow == nullptr) {
         return place(packet, route, false);
     }
+    if (flow->ended) {
+        m_flows.remove(packet.client, packet.service); // the client uses the port again
+        return place(packet, route, false);
+    }
     if (!flow->open) {
         return place(packet, route, true);
     }
@@ -107,15 +111,8 @@
         return drop(packet, StreamOutcome::UnknownToken);
     }
     token = record->token;
-    const Standing standing = m_evidence.standing(token, m_clock.now());
-    // The request can't reach its server; the client may repeat it, and does so at once after a reset.
-    if (standing == Standing::Silent && route.idempotent && packet.length > 0) {
-        m_flows.remove(packet.client, packet.service);
-        return refuse(packet, StreamOutcome::ServerSilent);
-    }
-    if (isCertainlyGone(token)) {
-        m_flows.remove(packet.client, packet.service);
-        return refuse(packet, StreamOutcome::ServerGone);
+    if (const auto reason = reasonToEnd(packet, route, token)) {
+        return refuse(packet, *reason);
     }
     if (packet.resets) {
         m_flows.remove(packet.client, packet.service);
@@ -125,6 +122,24 @@
     return forward(*record, StreamOutcome::Known);
 }
 
+std::optional<StreamOutcome> StreamRouter::reasonToEnd(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const
+{
+    const Standing standing = m_evidence.standing(token, m_clock.now());
+    if (standing != Standing::Silent && standing != Standing::Gone) {
+        return std::nullopt;
+    }
+    const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+    const bool hasFailed = flow != nullptr && flow->open && flow->token == token && failedSince(*flow);
+    if (standing == Standing::Gone && (hasFailed || isEndProven(token))) {
+        return StreamOutcome::ServerGone;
+    }
+    // The request can't reach its server; the client may repeat it, and does so at once after a reset.
+    if (standing == Standing::Silent && hasFailed && route.idempotent && packet.length > 0) {
+        return StreamOutcome::ServerSilent;
+    }
+    return std::nullopt;
+}
+
 StreamDecision StreamRouter::refuse(const StreamPacket &packet, StreamOutcome outcome)
 {
     // A reset is never answered by another one.
@@ -193,6 +208,10 @@
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
     const TimePoint placedAt = flow == nullptr ? now : flow->sentAt;
     const PacketEvidence evidence = m_flows.packet(packet, token, now);
+    const Standing standing = m_evidence.standing(token, now);
+    if (standing == Standing::Silent || standing == Standing::Gone || m_evidence.isReportedEnded(token)) {
+        m_evidence.recheck(token); // the next connection decides about this flow
+    }
     if (evidence.openedNow) {
         m_observer.flowOpened(now - placedAt);
     }
@@ -203,6 +222,7 @@
         m_evidence.progress(token, now);
     } else if (evidence.repeated && m_evidence.unanswered(token, now)) {
         recordStanding(*m_directory.findToken(token), "data_repeated");
+        endSilent(token);
     }
 }
 
@@ -325,7 +345,7 @@
         }
         // A draining server may have closed its listener and still hold flows, so that a connection proves nothing.
         const bool mayEnd = record->server.phase == ServerPhase::Ready;
-        const bool isOver = !record->listed && m_evidence.standing(token, m_clock.now()) == Standing::Gone;
+        const bool isOver = !record->listed && m_evidence.endProvenAt(token) != TimePoint();
         if (mayEnd && !isOver) {
             targets.push_back({ token, record->server.id, record->server.address });
         }
@@ -333,52 +353,70 @@
     return targets;
 }
 
-void StreamRouter::probed(std::uint32_t token, ConnectResult result)
+void StreamRouter::probed(std::uint32_t token, ConnectResult result, TimePoint begun)
 {
     const DirectoryRecord *const record = m_directory.findToken(token);
     if (record == nullptr || record->token != token) {
         m_evidence.forget(token); // it expired, or started again, while the connection was made
         return;
     }
-    if (result == ConnectResult::Refused && end(*record, "connection_refused")) {
-        m_ended.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
+    const bool changed = m_evidence.connected(token, result, begun, m_clock.now());
+    if (changed) {
+        recordStanding(*record, connectResultName(result));
     }
-    if (!m_evidence.connected(token, result, m_clock.now())) {
-        return;
+    if (result == ConnectResult::Refused) {
+        if (changed && !m_evidence.isReportedEnded(token)) {
+            m_ended.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
+        }
+        resetAll(m_flows.endIf([this, token](const StreamFlow &flow) { return flow.token == token && failedSince(flow); }),
+            StreamOutcome::ServerGone);
     }
-    recordStanding(*record, connectResultName(result));
-    if (m_evidence.standing(token, m_clock.now()) == Standing::Silent) {
-        resetAll(m_flows.takeIf([this, token](const StreamFlow &flow) { return flow.token == token && mayRepeat(flow); }),
-            StreamOutcome::ServerSilent);
+    endSilent(token);
+}
+
+void StreamRouter::endSilent(std::uint32_t token)
+{
+    if (m_evidence.standing(token, m_clock.now()) != Standing::Silent) {
+        return;
     }
+    resetAll(m_flows.endIf([this, token](const StreamFlow &flow) { return flow.token == token && failedSince(flow) && mayRepeat(flow); }),
+        StreamOutcome::ServerSilent);
 }
 
 void StreamRouter::serverEnded(const EndedServer &ended)
 {
     const DirectoryRecord *const record = m_directory.findId(ended.id);
     if (record != nullptr && static_cast<std::uint64_t>(record->server.startedAt) == ended.startedAt) {
-        end(*record, "another_instance");
+        if (!m_evidence.reportedEnded(record->token)) {
+            return;
+        }
+        recordStanding(*record, "another_instance");
+        if (m_flows.flowsOf(record->token).recent > 0) {
+            m_evidence.recheck(record->token);
+        }
     }
 }
 
-bool StreamRouter::end(const DirectoryRecord &record, std::string_view proof)
+void StreamRouter::end(const DirectoryRecord &record, std::string_view proof)
 {
-    if (!m_evidence.ended(record.token, m_clock.now())) {
-        return false;
+    if (m_evidence.ended(record.token, m_clock.now())) {
+        recordStanding(record, proof);
     }
-    recordStanding(record, proof);
-    resetAll(m_flows.takeFlowsOf(record.token), StreamOutcome::ServerGone);
-    return true;
+    resetAll(m_flows.endIf([&record](const StreamFlow &flow) { return flow.token == record.token; }), StreamOutcome::ServerGone);
 }
 
-bool StreamRouter::isCertainlyGone(std::uint32_t token) const
+bool StreamRouter::isEndProven(std::uint32_t token) const
 {
     const TimePoint now = m_clock.now();
-    if (m_evidence.standing(token, now) != Standing::Gone) {
-        return false;
-    }
+    const TimePoint provenAt = m_evidence.endProvenAt(token);
     const bool isViewConfirmed = now <= m_serversAge.confirmed() + confirmationGap;
-    return isViewConfirmed || now < m_evidence.goneSince(token) + freshProofTime;
+    return provenAt != TimePoint() && (isViewConfirmed || now < provenAt + freshProofTime);
+}
+
+bool StreamRouter::failedSince(const StreamFlow &flow) const
+{
+    // Another instance may have opened a later flow at the next incarnation of the server without having heard of it.
+    return flow.openSince < m_evidence.failedConnection(flow.token);
 }
 
 bool StreamRouter::mayRepeat(const StreamFlow &flow) const
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -40,7 +40,7 @@
 
 /** A server that a connection should be made to. */
 struct ProbeTarget {
-    std::uint32_t token = 0;
+    std::uint32_t token = 0; /**< of the incarnation that is looked into */
     std::string id;
     Endpoint address;
 };
@@ -67,7 +67,7 @@
      */
     static constexpr std::chrono::milliseconds removalProofTime { 2500 };
     /**
-     * The proof that a server ended holds for this long by itself; afterwards only with a confirmed list of servers, because the server
+     * What the list of servers proves holds for this long by itself; afterwards only as long as the list is confirmed, because the server
      * may have started again under its id: a process takes about as long to start and to take flows.
      */
     static constexpr std::chrono::milliseconds freshProofTime { 1500 };
@@ -120,10 +120,10 @@
     /** Returns the servers that a connection should be made to now, and counts them as asked. */
     std::vector<ProbeTarget> takeDueProbes();
 
-    /** Takes the result of a connection. */
-    void probed(std::uint32_t token, ConnectResult result);
+    /** Takes the result of a connection that was begun at @p begun. */
+    void probed(std::uint32_t token, ConnectResult result, TimePoint begun);
 
-    /** Another instance found proof that an incarnation of a server ended. */
+    /** Another instance found that an incarnation of a server ended; this instance looks for itself before it resets flows. */
     void serverEnded(const EndedServer &ended);
 
     /** Looks into late answers and forgets what has expired; to be called every few tens of milliseconds. */
@@ -153,9 +153,12 @@
     const DirectoryRecord *choose(const std::string &service, std::uint32_t excludedToken);
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
-    bool end(const DirectoryRecord &record, std::string_view proof);
-    bool isCertainlyGone(std::uint32_t token) const;
+    void end(const DirectoryRecord &record, std::string_view proof);
+    void endSilent(std::uint32_t token);
+    bool isEndProven(std::uint32_t token) const;
+    bool failedSince(const StreamFlow &flow) const;
     bool mayRepeat(const StreamFlow &flow) const;
+    std::optional<StreamOutcome> reasonToEnd(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void checkRemoved();
     void checkReturned();
--- a/tests/stream/connectprobetests.cpp
+++ b/tests/stream/connectprobetests.cpp
@@ -45,3 +45,14 @@
     CHECK(TcpConnectProbe::unanswered(deadline, deadline + milliseconds(5)) == ConnectResult::Unanswered);
     CHECK(TcpConnectProbe::unanswered(deadline, deadline + milliseconds(60)) == ConnectResult::Inconclusive);
 }
+
+TEST_CASE("a fault of the instance itself says nothing about the server", "[stream][connectprobe]")
+{
+    // Two of them in a row would make a server silent, and its open flows would be reset.
+    CHECK(TcpConnectProbe::resultOf({}) == ConnectResult::Accepted);
+    CHECK(TcpConnectProbe::resultOf(asio::error::connection_refused) == ConnectResult::Refused);
+    CHECK(TcpConnectProbe::resultOf(asio::error::timed_out) == ConnectResult::Unanswered);
+    CHECK(TcpConnectProbe::resultOf(asio::error::host_unreachable) == ConnectResult::Unanswered);
+    CHECK(TcpConnectProbe::resultOf(asio::error::no_descriptors) == ConnectResult::Inconclusive);
+    CHECK(TcpConnectProbe::resultOf(asio::error::no_buffer_space) == ConnectResult::Inconclusive);
+}
--- a/tests/stream/peerdirectorytests.cpp
+++ b/tests/stream/peerdirectorytests.cpp
@@ -156,3 +156,19 @@
     }
     CHECK(seen.size() == 9);
 }
+
+TEST_CASE("an instance that restarts after its time of day was set back is heard again", "[stream][peerdirectory]")
+{
+    // Its records would be taken for old ones for a minute, and it would get no news from the tree.
+    PeerDirectory directory(record(0));
+    directory.merge(record(1, 7), start);
+    PeerRecord restarted = record(1, 1);
+    restarted.startedAt = 500;
+    CHECK_FALSE(directory.merge(restarted, start + milliseconds(100)));
+    const TimePoint later = start + PeerDirectory::lapseTime;
+    CHECK(directory.merge(restarted, later));
+    CHECK(directory.order(later).size() == 2);
+    restarted.heartbeat = 2;
+    CHECK_FALSE(directory.merge(restarted, later + milliseconds(500)));
+    CHECK(directory.aliveCount(later + PeerDirectory::lapseTime) == 2);
+}
--- a/tests/stream/routerfixture.cpp
+++ b/tests/stream/routerfixture.cpp
@@ -73,6 +73,12 @@
         { .client = from, .service = service, .token = token, .length = length, .sequence = sequence, .acknowledgement = acknowledgement });
 }
 
+void RouterFixture::connected(std::uint32_t token, ConnectResult result)
+{
+    pass(std::chrono::milliseconds(1));
+    router.probed(token, result, clock.now());
+}
+
 void RouterFixture::pass(std::chrono::milliseconds time)
 {
     clock.advance(time);
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -77,6 +77,9 @@
     StreamDecision send(
         std::uint32_t token, std::uint32_t sequence, std::uint16_t length, std::uint32_t acknowledgement, Endpoint from = client);
 
+    /** Takes the result of a connection to a server, which is begun and ends one millisecond after the last packet. */
+    void connected(std::uint32_t token, ConnectResult result);
+
     /** Moves the clock. */
     void pass(std::chrono::milliseconds time);
 
