Harm what instances tell each other in the soak

Change: a proxy for datagrams and connections stands before each instance. Instances learn it by the new setting peer.announced_address, which also serves instances behind a translated address. The faults of links come from a random stream of their own, so that the regression seeds keep the schedules with which they failed.

Ruled out: a proxy for each pair of instances (source addresses of loopback connections do not name the sender).

One new test of the exchange.

--- a/soak/loopbackproxy.cpp
+++ b/soak/loopbackproxy.cpp
@@ -16,23 +16,71 @@
 {
 
 using asio::ip::tcp;
+using asio::ip::udp;
 
 constexpr std::chrono::milliseconds delay { 300 };
 constexpr std::size_t bufferSize = 16 * 1024; // bytes
 
 } // namespace
 
-LoopbackProxy::LoopbackProxy(asio::any_io_executor executor, Endpoint target)
+LoopbackProxy::LoopbackProxy(asio::any_io_executor executor, Endpoint address, Endpoint target)
     : m_executor(std::move(executor))
     , m_target(target)
-    , m_acceptor(m_executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_acceptor(m_executor, tcp::endpoint(asio::ip::address_v4(address.address()), address.port()))
+    , m_datagrams(m_executor)
 {
     asio::co_spawn(m_executor, accept(), asio::detached);
 }
 
 Endpoint LoopbackProxy::address() const
 {
-    return { 0x7f000001, m_acceptor.local_endpoint().port() };
+    const tcp::endpoint local = m_acceptor.local_endpoint();
+    return { local.address().to_v4().to_uint(), local.port() };
+}
+
+void LoopbackProxy::passDatagrams()
+{
+    const tcp::endpoint local = m_acceptor.local_endpoint();
+    m_datagrams = udp::socket(m_executor, udp::endpoint(local.address(), local.port()));
+    m_datagrams.non_blocking(true);
+    asio::co_spawn(m_executor, receive(), asio::detached);
+}
+
+asio::awaitable<void> LoopbackProxy::receive()
+{
+    std::array<char, bufferSize> buffer {};
+    while (true) {
+        udp::endpoint from;
+        std::error_code error;
+        const std::size_t size
+            = co_await m_datagrams.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+        // An error tells of an earlier datagram whose receiver is not running.
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            continue;
+        }
+        if (m_mode == Mode::Pass) {
+            send(std::string(buffer.data(), size));
+        } else if (m_mode == Mode::Delay) {
+            asio::co_spawn(m_executor, sendLater(std::string(buffer.data(), size)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> LoopbackProxy::sendLater(std::string datagram)
+{
+    asio::steady_timer timer(m_executor, delay);
+    std::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    send(datagram);
+}
+
+void LoopbackProxy::send(const std::string &datagram)
+{
+    std::error_code ignored; // as any lost datagram
+    m_datagrams.send_to(asio::buffer(datagram), { asio::ip::address_v4(m_target.address()), m_target.port() }, 0, ignored);
 }
 
 void LoopbackProxy::setMode(Mode mode)
@@ -70,15 +118,15 @@
 
 asio::awaitable<void> LoopbackProxy::connect(Socket client)
 {
-    auto store = std::make_shared<tcp::socket>(m_executor);
+    auto target = std::make_shared<tcp::socket>(m_executor);
     std::error_code error;
-    co_await store->async_connect(
+    co_await target->async_connect(
         { asio::ip::address_v4(m_target.address()), m_target.port() }, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return;
     }
-    asio::co_spawn(m_executor, relay(client, store, false), asio::detached);
-    asio::co_spawn(m_executor, relay(store, client, true), asio::detached);
+    asio::co_spawn(m_executor, relay(client, target, false), asio::detached);
+    asio::co_spawn(m_executor, relay(target, client, true), asio::detached);
 }
 
 asio::awaitable<void> LoopbackProxy::relay(Socket from, Socket to, bool answers)
--- a/soak/loopbackproxy.h
+++ b/soak/loopbackproxy.h
@@ -5,18 +5,20 @@
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 
 #include <memory>
 #include <set>
+#include <string>
 
 namespace Samphirepitch::Soak
 {
 
-/** Stands between one instance and the store, and harms the connections that pass. */
+/** Stands before the store or an instance, and harms what passes to it. */
 class LoopbackProxy
 {
 public:
-    /** What happens to the bytes. */
+    /** What happens to the bytes. Datagrams pass, arrive later, or are lost, and have no answers. */
     enum class Mode {
         Pass,
         Delay, /**< both ways arrive later */
@@ -25,8 +27,11 @@
         Reset, /**< connections are reset */
     };
 
-    /** Listens at a free port of the loopback address for connections to @p target. */
-    LoopbackProxy(asio::any_io_executor executor, Endpoint target);
+    /** Listens at @p address, whose port may be 0, for connections to @p target. */
+    LoopbackProxy(asio::any_io_executor executor, Endpoint address, Endpoint target);
+
+    /** Passes on the datagrams of the same address as well. */
+    void passDatagrams();
 
     Endpoint address() const;
 
@@ -37,6 +42,9 @@
     using Socket = std::shared_ptr<asio::ip::tcp::socket>;
 
     asio::awaitable<void> accept();
+    asio::awaitable<void> receive();
+    asio::awaitable<void> sendLater(std::string datagram);
+    void send(const std::string &datagram);
     asio::awaitable<void> connect(Socket client);
     asio::awaitable<void> relay(Socket from, Socket to, bool answers);
     void reset(const Socket &socket);
@@ -44,6 +52,7 @@
     asio::any_io_executor m_executor;
     Endpoint m_target;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::udp::socket m_datagrams;
     std::set<Socket> m_sockets;
     Mode m_mode = Mode::Pass;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -7,6 +7,7 @@
 DEFINE_uint64(seed, 1, "seed of the schedule");
 DEFINE_uint32(instances, 6, "instances, each a process");
 DEFINE_uint32(network, 0, "0 to 31: runs side by side need networks of their own");
+DEFINE_bool(peer_links, false, "also harm what instances tell each other; the rest of the schedule stays the same");
 DEFINE_string(program, "", "samphirepitchd");
 DEFINE_string(folder, "", "folder for settings and logs of the instances");
 DEFINE_bool(schedule, false, "print the schedule in any case");
@@ -23,6 +24,7 @@
     plan.program = FLAGS_program;
     plan.folder = FLAGS_folder;
     plan.network = FLAGS_network;
+    plan.peerLinks = FLAGS_peer_links;
     SoakRun run(plan);
     const std::vector<std::string> violations = run.play();
     if (FLAGS_schedule || !violations.empty()) {
@@ -33,7 +35,7 @@
     for (const std::string &violation : violations) {
         std::cout << "  BROKEN: " << violation << '\n';
     }
-    std::cout << "soak: seed=" << FLAGS_seed << (violations.empty() ? " held" : " red") << " served=" << run.servedCount()
-              << " failed=" << run.failedCount() << '\n';
+    std::cout << "soak: seed=" << FLAGS_seed << (plan.peerLinks ? "+links" : "") << (violations.empty() ? " held" : " red")
+              << " served=" << run.servedCount() << " failed=" << run.failedCount() << '\n';
     return violations.empty() ? 0 : 1;
 }
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -33,6 +33,7 @@
 constexpr std::uint32_t serverGroup = 2;
 constexpr std::uint32_t clientGroup = 3;
 constexpr std::uint32_t routeGroup = 4;
+constexpr std::uint32_t announcedGroup = 5;
 
 constexpr std::uint32_t clientHosts = 6;
 constexpr std::uint32_t usersPerRoute = 2; // of each client host
@@ -45,6 +46,8 @@
 constexpr milliseconds drainSlack { 7000 }; // while instances may be harmed; the rule counts them 4 s later
 constexpr milliseconds stopTime { 6000 }; // between SIGTERM and SIGKILL
 constexpr std::uint64_t faultSpacing = 700; // milliseconds; at most, so that faults overlap
+constexpr std::uint64_t linkFaultSpacing = 3000; // milliseconds; as above, for the links between instances
+constexpr std::uint64_t linkStream = 1; // keeps faults of links from changing the rest of a seed's schedule
 constexpr double leastServedAtEnd = 0.9; // of the requests in the last seconds, when nothing is harmed any more
 
 std::string hex(std::uint64_t value)
@@ -56,19 +59,25 @@
 
 } // namespace
 
-/** One instance, its way to the store, and whether the fabric sends it packets. */
+/** One instance, its ways to the store and from other instances, and whether the fabric sends it packets. */
 struct SoakRun::Node {
-    Node(const asio::any_io_executor &executor, Endpoint store, std::string program, const std::string &folder, std::uint32_t index)
+    Node(const asio::any_io_executor &executor, Endpoint store, Endpoint announced, Endpoint peerAddress, const SoakPlan &plan,
+        std::uint32_t index)
         : number(index)
-        , settings(folder + "/entry-" + std::to_string(index) + ".toml")
-        , proxy(executor, store)
-        , process(std::move(program), settings, folder + "/entry-" + std::to_string(index) + ".log")
+        , settings(plan.folder + "/entry-" + std::to_string(index) + ".toml")
+        , peer(peerAddress)
+        , proxy(executor, Endpoint(0x7f000001, 0), store)
+        , peerProxy(executor, announced, peerAddress)
+        , process(plan.program, settings, plan.folder + "/entry-" + std::to_string(index) + ".log")
     {
+        peerProxy.passDatagrams();
     }
 
     std::uint32_t number;
     std::string settings;
-    LoopbackProxy proxy;
+    Endpoint peer;
+    LoopbackProxy proxy; // to the store
+    LoopbackProxy peerProxy; // from other instances
     InstanceProcess process;
     Endpoint data;
     Endpoint health;
@@ -125,7 +134,8 @@
 void SoakRun::createInstances()
 {
     for (std::uint32_t number = 1; number <= m_plan.instances; ++number) {
-        auto node = std::make_unique<Node>(m_context.get_executor(), m_store.address(), m_plan.program, m_plan.folder, number);
+        auto node = std::make_unique<Node>(m_context.get_executor(), m_store.address(), address(announcedGroup, number, peerPort),
+            address(instanceGroup, number, peerPort), m_plan, number);
         node->data = address(instanceGroup, number, dataPort);
         node->health = address(instanceGroup, number, healthPort);
         writeSettings(*node);
@@ -140,9 +150,9 @@
 {
     std::ofstream file(node.settings);
     file << "deployment = \"soak\"\n[instance]\nid = \"entry-" << node.number << "\"\nfailure_domain = \"d"
-         << node.number % m_plan.failureDomains << "\"\n[peer]\naddress = \"" << address(instanceGroup, node.number, peerPort).toString()
-         << "\"\nseeds = [\"" << address(instanceGroup, 1, peerPort).toString() << "\", \""
-         << address(instanceGroup, 2, peerPort).toString() << "\"]\n[data]\npackets = \"stream\"\naddress = \"" << node.data.toString()
+         << node.number % m_plan.failureDomains << "\"\n[peer]\naddress = \"" << node.peer.toString() << "\"\nannounced_address = \""
+         << node.peerProxy.address().toString() << "\"\nseeds = [\"" << address(announcedGroup, 1, peerPort).toString() << "\", \""
+         << address(announcedGroup, 2, peerPort).toString() << "\"]\n[data]\npackets = \"stream\"\naddress = \"" << node.data.toString()
          << "\"\n[platform]\naddress = \"" << node.proxy.address().toString() << "\"\n[health]\naddress = \"" << node.health.toString()
          << "\"\n[stop]\ntimeout_ms = 4000\nlinger_ms = 2500\n[events]\nrate = 200\n";
 }
@@ -222,11 +232,15 @@
         }
         at += milliseconds(m_random.below(faultSpacing));
     }
+    if (m_plan.peerLinks) {
+        planPeerFaults();
+    }
     // Everything is whole again for the calm time.
     plan(m_plan.faultTime, "all faults end", [this] {
         m_store.setBusy(false);
         for (const auto &node : m_nodes) {
             node->proxy.setMode(LoopbackProxy::Mode::Pass);
+            node->peerProxy.setMode(LoopbackProxy::Mode::Pass);
         }
     });
 }
@@ -319,6 +333,35 @@
     plan(at + time, "connections of " + whose + " to the store pass", [set] { set(LoopbackProxy::Mode::Pass); });
 }
 
+void SoakRun::planPeerFaults()
+{
+    SeededRandom random(mix64(m_plan.seed, linkStream));
+    milliseconds at(random.below(linkFaultSpacing));
+    while (at < m_plan.faultTime) {
+        planPeerFault(at, random);
+        at += milliseconds(random.below(linkFaultSpacing));
+    }
+}
+
+void SoakRun::planPeerFault(milliseconds at, RandomSource &random)
+{
+    constexpr std::array modes { LoopbackProxy::Mode::Delay, LoopbackProxy::Mode::Swallow, LoopbackProxy::Mode::Silent,
+        LoopbackProxy::Mode::Reset };
+    const LoopbackProxy::Mode mode = modes[random.below(modes.size())];
+    const milliseconds time(500 + random.below(4000));
+    // News to some instances are harmed and those that they send pass, so that the cut is one way.
+    const std::size_t first = random.below(m_nodes.size());
+    const std::size_t count = 1 + random.below(m_nodes.size());
+    const auto set = [this, first, count](LoopbackProxy::Mode to) {
+        for (std::size_t index = 0; index < count; ++index) {
+            m_nodes[(first + index) % m_nodes.size()]->peerProxy.setMode(to);
+        }
+    };
+    const std::string whose = std::to_string(count) + " instances from entry-" + std::to_string(m_nodes[first]->number);
+    plan(at, "news to " + whose + ": mode " + std::to_string(static_cast<int>(mode)), [set, mode] { set(mode); });
+    plan(at + time, "news to " + whose + " pass", [set] { set(LoopbackProxy::Mode::Pass); });
+}
+
 void SoakRun::planServerFault(milliseconds at)
 {
     const std::uint64_t drawn = m_random.next();
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -26,6 +26,7 @@
     std::uint32_t serversPerService = 6;
     std::chrono::milliseconds faultTime { 9000 }; /**< in which faults begin */
     std::chrono::milliseconds calmTime { 6000 }; /**< afterwards, at whose end service has to be back */
+    bool peerLinks = false; /**< whether what instances tell each other is harmed too */
     std::string program; /**< samphirepitchd */
     std::string folder; /**< for settings and logs */
     std::uint32_t network = 0; /**< 127.64.0.0 and up: runs side by side have networks of their own */
@@ -66,6 +67,8 @@
     void plan(std::chrono::milliseconds at, const std::string &what, std::function<void()> work);
     void planInstanceFault(std::chrono::milliseconds at);
     void planStoreFault(std::chrono::milliseconds at);
+    void planPeerFaults();
+    void planPeerFault(std::chrono::milliseconds at, RandomSource &random);
     void planServerFault(std::chrono::milliseconds at);
     void planChange(std::chrono::milliseconds at);
     void crashServer(std::uint64_t drawn, bool sameId);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -26,6 +26,7 @@
         bool isNewId = false;
         std::uint64_t randomSeed = 0;
         Endpoint peerAddress;
+        Endpoint peerAnnounced;
         std::vector<Endpoint> peerSeeds;
         std::string dataPackets;
         Endpoint dataAddress;
--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -69,6 +69,8 @@
             = "Whether no process ran under this id within the longest repeat window; it then answers first sends at once." }),
         keyRow<&Fields::randomSeed>(count("instance.random_seed", 0, 0, 9e15, "Seed of random delays; 0 takes a new one at each start.")),
         keyRow<&Fields::peerAddress>(address("peer.address", "TCP address for other instances and for samphirepitchctl.")),
+        keyRow<&Fields::peerAnnounced>(
+            optionalAddress("peer.announced_address", "Address at which other stream instances reach this one, if not at peer.address.")),
         keyRow<&Fields::peerSeeds>(seeds()),
         keyRow<&Fields::dataPackets>(text("data.packets", "proxy", "proxy stream",
             "Packets of flows: datagrams with a PROXY header, or segments of byte streams that carry a placement token.")),
--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -75,10 +75,10 @@
     const Settings::Fields &values = m_settings.values();
     PeerRecord self { .id = values.instanceId,
         .failureDomain = values.failureDomain,
-        .address = values.peerAddress,
+        .address = values.peerAnnounced.isUnset() ? values.peerAddress : values.peerAnnounced,
         .startedAt = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()) };
-    auto peers
-        = PeerExchange::create(m_executor, { m_clock, m_random, m_events, m_router }, values.deployment, std::move(self), values.peerSeeds);
+    auto peers = PeerExchange::create(m_executor, { m_clock, m_random, m_events, m_router },
+        { values.deployment, values.peerAddress, values.peerSeeds }, std::move(self));
     if (!peers) {
         return tl::unexpected(peers.error());
     }
--- a/src/stream/peerexchange.cpp
+++ b/src/stream/peerexchange.cpp
@@ -60,27 +60,24 @@
 
 } // namespace
 
-PeerExchange::PeerExchange(
-    asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds)
+PeerExchange::PeerExchange(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self)
     : m_executor(std::move(executor))
     , m_clock(parts.clock)
     , m_random(parts.random)
     , m_events(parts.events)
     , m_router(parts.router)
-    , m_deployment(std::move(deployment))
+    , m_place(std::move(place))
     , m_directory(std::move(self))
-    , m_seeds(std::move(seeds))
     , m_socket(m_executor)
     , m_acceptor(m_executor)
 {
-    std::erase(m_seeds, m_directory.self().address);
+    std::erase(m_place.seeds, m_directory.self().address);
+    std::erase(m_place.seeds, m_place.local);
 }
 
-Result<std::unique_ptr<PeerExchange>> PeerExchange::create(
-    asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds)
+Result<std::unique_ptr<PeerExchange>> PeerExchange::create(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self)
 {
-    std::unique_ptr<PeerExchange> exchange(
-        new PeerExchange(std::move(executor), parts, std::move(deployment), std::move(self), std::move(seeds)));
+    std::unique_ptr<PeerExchange> exchange(new PeerExchange(std::move(executor), parts, std::move(place), std::move(self)));
     if (auto bound = exchange->bind(); !bound) {
         return tl::unexpected(bound.error());
     }
@@ -89,8 +86,7 @@
 
 Result<void> PeerExchange::bind()
 {
-    const Endpoint address = m_directory.self().address;
-    const tcp::endpoint local = tcpEndpoint(address);
+    const tcp::endpoint local = tcpEndpoint(m_place.local);
     std::error_code error;
     m_acceptor.open(local.protocol(), error);
     if (!error) {
@@ -112,7 +108,7 @@
         m_socket.non_blocking(true, error);
     }
     if (error) {
-        return failure(ErrorKind::InputOutput, address.toString(), error.message());
+        return failure(ErrorKind::InputOutput, m_place.local.toString(), error.message());
     }
     m_joinDeadline = m_clock.now() + joinTime;
     return {};
@@ -120,8 +116,8 @@
 
 asio::awaitable<Result<void>> PeerExchange::gossip()
 {
-    m_joins = m_seeds.size();
-    for (const Endpoint seed : m_seeds) {
+    m_joins = m_place.seeds.size();
+    for (const Endpoint seed : m_place.seeds) {
         startPull(seed);
     }
     asio::steady_timer timer(m_executor);
@@ -165,7 +161,7 @@
 Result<PeerNews> PeerExchange::readNews(std::string_view bytes) const
 {
     Result<PeerNews> news = PeerNewsCodec::decodeNews(bytes, m_clock.now());
-    if (news && news->deployment != m_deployment) {
+    if (news && news->deployment != m_place.deployment) {
         return failure(ErrorKind::WrongDeployment, news->sender.id, "it belongs to " + news->deployment);
     }
     return news;
@@ -242,7 +238,7 @@
 
 PeerNews PeerExchange::makeNews() const
 {
-    return { .deployment = m_deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
+    return { .deployment = m_place.deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
 }
 
 void PeerExchange::send(const PeerNews &news, Endpoint to)
@@ -289,7 +285,7 @@
         send(news, target.address);
     }
     if (targets.empty()) {
-        for (const Endpoint seed : m_seeds) {
+        for (const Endpoint seed : m_place.seeds) {
             send(news, seed);
         }
     }
@@ -459,7 +455,7 @@
         co_return tl::unexpected(answer.error());
     }
     Result<PeerState> state = PeerNewsCodec::decodeState(*answer, m_clock.now());
-    if (state && state->deployment != m_deployment) {
+    if (state && state->deployment != m_place.deployment) {
         co_return failure(ErrorKind::WrongDeployment, state->sender.id, "it belongs to " + state->deployment);
     }
     co_return state;
@@ -504,7 +500,7 @@
 
 PeerState PeerExchange::makeState(const ViewMark &known) const
 {
-    PeerState state { .deployment = m_deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
+    PeerState state { .deployment = m_place.deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
     if (known.serversRevision == 0) {
         state.records = m_directory.order(m_clock.now()); // it has just started
     }
--- a/src/stream/peerexchange.h
+++ b/src/stream/peerexchange.h
@@ -40,6 +40,13 @@
         StreamRouter &router;
     };
 
+    /** Where the exchange stands among the instances. */
+    struct Place {
+        std::string deployment; /**< instances of other deployments are refused */
+        Endpoint local; /**< to bind; others may know the instance by another address */
+        std::vector<Endpoint> seeds; /**< addresses of instances that may run */
+    };
+
     /** An instance without news of the reader for this long passes over it: a call that waits 1 s, a late answer and a push. */
     static constexpr std::chrono::milliseconds distrustAfter { 1500 };
     /** An instance whose view was not confirmed for this long reads the store itself; below the 3 s in which changes must hold. */
@@ -47,13 +54,10 @@
 
     /**
      * Binds the UDP socket and the TCP listener.
-     * @param deployment instances of other deployments are refused
-     * @param self with the address to bind
-     * @param seeds addresses of instances that may run
+     * @param self what others are told, with the address at which they reach this instance
      * @return the exchange, or InputOutput if the address cannot be bound
      */
-    static Result<std::unique_ptr<PeerExchange>> create(
-        asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds);
+    static Result<std::unique_ptr<PeerExchange>> create(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self);
 
     /** Pulls the state of the seeds, then gossips until it is cancelled. */
     asio::awaitable<Result<void>> gossip();
@@ -76,7 +80,7 @@
     void writeMetrics(MetricWriter &writer) const override;
 
 private:
-    PeerExchange(asio::any_io_executor executor, Parts parts, std::string deployment, PeerRecord self, std::vector<Endpoint> seeds);
+    PeerExchange(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self);
 
     Result<void> bind();
     Result<PeerNews> readNews(std::string_view bytes) const;
@@ -103,9 +107,8 @@
     RandomSource &m_random;
     EventSink &m_events;
     StreamRouter &m_router;
-    std::string m_deployment;
+    Place m_place;
     PeerDirectory m_directory;
-    std::vector<Endpoint> m_seeds;
     asio::ip::udp::socket m_socket;
     asio::ip::tcp::acceptor m_acceptor;
     std::set<Endpoint> m_pulls; // that run
--- a/tests/stream/peerexchangetests.cpp
+++ b/tests/stream/peerexchangetests.cpp
@@ -23,13 +23,17 @@
 
 /** One instance's exchange and router, without a store. */
 struct Node {
-    Node(asio::io_context &context, const Clock &clock, std::uint32_t number, std::vector<Endpoint> seeds, std::string deployment)
+    Node(asio::io_context &context, const Clock &clock, std::uint32_t number, std::vector<Endpoint> seeds, std::string deployment,
+        Endpoint announced = {})
         : random(number + 1)
         , router({ clock, random, events, selector, times }, "a", 1000)
     {
-        PeerRecord self { .id = "entry-" + std::to_string(number), .failureDomain = "a", .address = addressOf(number), .startedAt = 1 };
-        exchange = std::move(PeerExchange::create(
-            context.get_executor(), { clock, random, events, router }, std::move(deployment), std::move(self), std::move(seeds))
+        PeerRecord self { .id = "entry-" + std::to_string(number),
+            .failureDomain = "a",
+            .address = announced.isUnset() ? addressOf(number) : announced,
+            .startedAt = 1 };
+        exchange = std::move(PeerExchange::create(context.get_executor(), { clock, random, events, router },
+            { std::move(deployment), addressOf(number), std::move(seeds) }, std::move(self))
                                  .value());
         asio::co_spawn(context, exchange->receiveNews(), asio::detached);
         asio::co_spawn(context, exchange->serveStates(), asio::detached);
@@ -157,6 +161,18 @@
     CHECK(second.router.evidence().standing(token, clock.now()) == Standing::Suspected);
 }
 
+TEST_CASE_METHOD(ExchangeFixture, "an instance behind another address is known by the one that it announces", "[stream][peerexchange]")
+{
+    // Answers instances behind a translated address: news to the address that they bind would be lost.
+    const Endpoint announced(0x7f370101, 7720);
+    Node &first = add({});
+    Node &second = nodes.emplace_back(context, clock, 1, std::vector<Endpoint> { Node::addressOf(0) }, "dewnet", announced);
+    REQUIRE(reach([&] { return first.exchange->directory().order(clock.now()).size() == 2; }));
+    const std::vector<PeerRecord> heard = first.exchange->directory().order(clock.now());
+    CHECK(std::any_of(heard.begin(), heard.end(), [&](const PeerRecord &record) { return record.address == announced; }));
+    CHECK(second.exchange->directory().self().address == announced);
+}
+
 TEST_CASE_METHOD(ExchangeFixture, "instances of other deployments are refused", "[stream][peerexchange]")
 {
     // A wrong seed must not bring another deployment's routes and servers.
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays the fault soak: soak.sh SEEDS [FIRST] [JOBS], or soak.sh FILE with a seed at the start of each line (as CI does). Each seed gives a
-# schedule of faults over real processes. Prints a line a seed and keeps the logs of those that broke a promise in run/soak/.
+# schedule of faults over real processes; with +links after it also one for what instances tell each other, as for all fresh seeds. Prints a line a seed and keeps the logs of those that broke a promise in run/soak/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 jobs="${3:-4}"
@@ -10,10 +10,10 @@
     for seed in "${known[@]}"; do
         echo "known-red: soak seed $seed"
     done
-    mapfile -t seeds < <(grep -oE '^[0-9]+' "$1" | grep -vxFf <(printf '%s\n' "${known[@]}" none))
+    mapfile -t seeds < <(grep -oE '^[0-9]+(\+links)?' "$1" | grep -vxFf <(printf '%s\n' "${known[@]}" none))
 else
     first="${2:-$(date +%s)}"
-    mapfile -t seeds < <(seq "$first" $((first + $1 - 1)))
+    mapfile -t seeds < <(seq -f '%.0f+links' "$first" $((first + $1 - 1)))
 fi
 export bin="${BUILD_DIR:-build}/bin" logs="run/soak"
 mkdir -p "$logs"
@@ -22,7 +22,8 @@
 play() {
     local seed="$1" network="$2" folder="$logs/$1"
     rm -rf "$folder"
-    if timeout 60 "$bin/samphirepitch-soak" --program "$bin/samphirepitchd" --folder "$folder" --seed "$seed" --network "$network" \
+    if timeout 60 "$bin/samphirepitch-soak" --program "$bin/samphirepitchd" --folder "$folder" --seed "${seed%+links}" \
+        --network "$network" "--peer_links=$([[ $seed == *+links ]] && echo true || echo false)" \
         >"$folder.out" 2>&1; then
         rm -rf "$folder"
         tail -n 1 "$folder.out"
