Give slow servers fewer new flows

Cause: a server that turned slow, or left part of its requests without an answer, got as many new flows as the others; open flows and unanswered requests tell little while its queue is full and its clients pause.

Change: ServerPace estimates the median answer time of each server from the client's packets, compares it with the middle server of the service, and LeastFlowsSelector counts a server twice as slow as four times as full. Estimates need six answers, forget half of a server's slowness in 4 s without answers, and an answer that is overdue counts before it comes. flow_placed names the pace. LoadModel plays long flows over simulated servers on a router without network; the selector without pace is the baseline in the same run.

What binds with slow servers are the long flows that they hold already.

Errors that a server answers at once can't be seen in packets of clients.

--- a/src/stream/leastflowsselector.cpp
+++ b/src/stream/leastflowsselector.cpp
@@ -1,5 +1,6 @@
 #include "stream/leastflowsselector.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Samphirepitch
@@ -12,9 +13,8 @@
 {
     // The flow to be placed counts, so that empty servers differ by their slots.
     double cost = (candidate.flows + candidate.awaiting + 1.0) / candidate.slots;
-    if (candidate.cold) {
-        cost *= LeastFlowsSelector::coldFactor;
-    }
+    // What makes a server slow after its start shows in its answers as well.
+    cost *= std::max(candidate.pace * candidate.pace, candidate.cold ? LeastFlowsSelector::coldFactor : 1.0);
     return candidate.local ? cost : cost * LeastFlowsSelector::remoteFactor + LeastFlowsSelector::remoteFlows;
 }
 
--- a/src/stream/leastflowsselector.h
+++ b/src/stream/leastflowsselector.h
@@ -8,7 +8,8 @@
 /**
  * Takes the server with the fewest flows a slot. A long flow loads its server for many requests, so that open flows tell more
  * about the load to come than the requests of this moment. Answers the pattern of long flows over servers with few slots, where
- * a domain may be cut off: servers of the own domain are preferred as long as they are not much fuller than others.
+ * a domain may be cut off: servers of the own domain are preferred as long as they are not much fuller than others. A server that takes
+ * twice as long to answer counts as four times as full: its slots do half of the work, and each answer is late by itself.
  */
 class LeastFlowsSelector : public ServerSelector
 {
--- /dev/null
+++ b/src/stream/serverpace.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/**
+ * How long backend servers take to answer, as this instance sees it, and how they compare with others of their service. Answers the
+ * pattern of servers that turn slow or leave requests without an answer while their health check stays good: they get fewer new flows
+ * than others, but some, which show when they are as fast as the others again.
+ */
+class ServerPace
+{
+public:
+    /** How much one answer moves the estimate: 10 answers in a row that are too slow raise it to 4 times its value. */
+    static constexpr double step = 0.15;
+    /** An estimate of fewer answers says nothing: the first one may be one of the few long ones. */
+    static constexpr std::uint32_t leastAnswers = 6;
+    /** Without answers, half of what makes a server slow is forgotten in this time, so that it gets flows that show whether it still is.
+     * A long flow sends about 1.2 requests a second. */
+    static constexpr std::chrono::seconds halfLife { 4 };
+    /** An estimate that no answer confirmed for longer is void. */
+    static constexpr std::chrono::seconds memory { 20 };
+    /** Servers up to this many times slower than the middle one are taken as alike: estimates of equal servers differ by a quarter. */
+    static constexpr double tolerance = 1.4;
+    /** The most that a server counts as slower, so that a few answers show its return. */
+    static constexpr double slowest = 8;
+
+    /** A server answered after @p time. */
+    void answered(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now);
+
+    /** A server has not answered within @p time yet. */
+    void late(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now);
+
+    /** Forgets a server. */
+    void forget(std::uint32_t token);
+
+    /** Returns the middle of a server's answer times, or nothing if too little is known. */
+    std::optional<double> milliseconds(std::uint32_t token, TimePoint now) const;
+
+    /**
+     * Compares the servers of a service.
+     * @return for each token how many times as long as alike ones it takes to answer; 1 if it is alike or unknown
+     */
+    std::vector<double> compare(const std::vector<std::uint32_t> &tokens, TimePoint now) const;
+
+private:
+    struct Estimate {
+        double milliseconds = 0; // the median, found by steps up and down
+        std::uint32_t answers = 0;
+        TimePoint last {};
+    };
+
+    double kept(std::uint32_t token, TimePoint now) const;
+    Estimate &fresh(std::uint32_t token, double first, TimePoint now);
+
+    std::unordered_map<std::uint32_t, Estimate> m_estimates;
+};
+
+} // namespace Samphirepitch
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -1,6 +1,7 @@
 #include "stream/streamrouter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -81,18 +82,20 @@
         m_evidence.overdue(earlier);
     }
     const std::string &service = targetService(route);
-    const DirectoryRecord *const record = choose(service, earlier);
-    if (record == nullptr) {
+    const std::optional<Choice> choice = choose(service, earlier);
+    if (!choice) {
         m_flows.remove(packet.client, packet.service);
         return refuse(packet, StreamOutcome::NoServer);
     }
-    const ServerFlows load = m_flows.flowsOf(record->token);
+    const DirectoryRecord *const record = choice->record;
     m_flows.opening(packet, record->token, m_clock.now());
     recordFlow(EventSeverity::Info, isCopy ? "flow_placed_again" : "flow_placed", packet,
         { { "route", route.name }, { "service_name", service }, { "server", record->server.id },
             { "address", record->server.address.toString() }, { "domain", record->server.failureDomain },
-            { "standing", std::string(standingName(m_evidence.standing(record->token, m_clock.now()))) }, { "flows", number(load.recent) },
-            { "awaiting", number(load.awaiting) }, { "candidates", number(m_directory.listed(service).size()) } });
+            { "standing", std::string(standingName(m_evidence.standing(record->token, m_clock.now()))) },
+            { "flows", number(choice->candidate.flows) }, { "awaiting", number(choice->candidate.awaiting) },
+            { "pace_percent", number(std::lround(choice->candidate.pace * 100)) },
+            { "candidates", number(m_directory.listed(service).size()) } });
     return forward(*record, isCopy ? StreamOutcome::PlacedAgain : StreamOutcome::Placed);
 }
 
@@ -179,27 +182,41 @@
     return route.targets.back().service;
 }
 
-const DirectoryRecord *StreamRouter::choose(const std::string &service, std::uint32_t excludedToken)
+std::optional<StreamRouter::Choice> StreamRouter::choose(const std::string &service, std::uint32_t excludedToken)
 {
-    const TimePoint now = m_clock.now();
-    std::vector<StreamCandidate> candidates;
-    std::vector<const DirectoryRecord *> records;
+    std::vector<Choice> choices;
     for (const DirectoryRecord *const record : m_directory.listed(service)) {
-        const Standing standing = m_evidence.standing(record->token, now);
-        if (record->server.phase != ServerPhase::Ready || record->shadowed || standing == Standing::Gone) {
-            continue;
-        }
-        const ServerFlows load = m_flows.flowsOf(record->token);
-        candidates.push_back({ .flows = load.recent,
-            .awaiting = load.awaiting,
-            .slots = record->server.slots,
-            .cold = now < record->server.coldUntil,
-            .local = record->server.failureDomain == m_failureDomain,
-            .doubtful = standing != Standing::Trusted || record->token == excludedToken });
-        records.push_back(record);
+        addCandidate(*record, record->token == excludedToken, choices);
+    }
+    std::vector<std::uint32_t> tokens;
+    for (const Choice &choice : choices) {
+        tokens.push_back(choice.record->token);
+    }
+    const std::vector<double> paces = m_pace.compare(tokens, m_clock.now());
+    std::vector<StreamCandidate> candidates;
+    for (std::size_t index = 0; index < choices.size(); ++index) {
+        choices[index].candidate.pace = paces[index];
+        candidates.push_back(choices[index].candidate);
     }
     const auto chosen = m_selector.choose(candidates, m_random);
-    return chosen ? records[*chosen] : nullptr;
+    return chosen ? std::optional(choices[*chosen]) : std::nullopt;
+}
+
+void StreamRouter::addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const
+{
+    const TimePoint now = m_clock.now();
+    const Standing standing = m_evidence.standing(record.token, now);
+    if (record.server.phase != ServerPhase::Ready || record.shadowed || standing == Standing::Gone) {
+        return;
+    }
+    const ServerFlows load = m_flows.flowsOf(record.token);
+    choices.push_back({ &record,
+        { .flows = load.recent,
+            .awaiting = load.awaiting,
+            .slots = record.server.slots,
+            .cold = now < record.server.coldUntil,
+            .local = record.server.failureDomain == m_failureDomain,
+            .doubtful = isDoubtful || standing != Standing::Trusted } });
 }
 
 void StreamRouter::takeEvidence(const StreamPacket &packet, std::uint32_t token)
@@ -217,6 +234,7 @@
     }
     if (evidence.answerTime) {
         m_observer.answered(*evidence.answerTime);
+        m_pace.answered(token, *evidence.answerTime, now);
     }
     if (evidence.answered) {
         m_evidence.progress(token, now);
@@ -325,6 +343,7 @@
             break;
         case DirectoryChange::Kind::Restarted:
             m_evidence.forget(change.formerToken);
+            m_pace.forget(change.formerToken);
             break;
         case DirectoryChange::Kind::Added:
             m_evidence.forget(record.token);
@@ -439,7 +458,10 @@
 void StreamRouter::tick()
 {
     const TimePoint now = m_clock.now();
-    m_flows.checkOverdue(now, [this](std::uint32_t token) { m_evidence.overdue(token); });
+    m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
+        m_evidence.overdue(token);
+        m_pace.late(token, FlowTracker::overdueTime, now);
+    });
     if (now < m_nextExpiry) {
         return;
     }
@@ -450,6 +472,7 @@
     checkReturned();
     for (const std::uint32_t token : m_directory.expire(now)) {
         m_evidence.forget(token);
+        m_pace.forget(token);
     }
 }
 
@@ -511,6 +534,11 @@
     return m_evidence;
 }
 
+const ServerPace &StreamRouter::pace() const
+{
+    return m_pace;
+}
+
 void StreamRouter::recordFlow(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields)
 {
     const TimePoint now = m_clock.now();
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -9,6 +9,7 @@
 #include "stream/peernews.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverevidence.h"
+#include "stream/serverpace.h"
 #include "stream/serverselector.h"
 #include "stream/streamconfiguration.h"
 #include "stream/streamcounters.h"
@@ -139,6 +140,7 @@
     const ServerDirectory &directory() const;
     const FlowTracker &flows() const;
     const ServerEvidence &evidence() const;
+    const ServerPace &pace() const;
 
     void writeMetrics(MetricWriter &writer) const override;
 
@@ -150,7 +152,14 @@
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     const std::string &targetService(const StreamRoute &route);
-    const DirectoryRecord *choose(const std::string &service, std::uint32_t excludedToken);
+    /** The server of a new flow, and how it compared. */
+    struct Choice {
+        const DirectoryRecord *record = nullptr;
+        StreamCandidate candidate;
+    };
+
+    std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken);
+    void addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const;
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
     void end(const DirectoryRecord &record, std::string_view proof);
@@ -173,6 +182,7 @@
     std::string m_failureDomain;
     ServerDirectory m_directory;
     ServerEvidence m_evidence;
+    ServerPace m_pace;
     FlowTracker m_flows;
     StreamConfiguration m_configuration;
     ViewAge m_configurationAge;
--- /dev/null
+++ b/tests/stream/loadmodel.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "stream/routerfixture.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace Samphirepitch::Tests
+{
+
+/** How one simulated backend server behaves. */
+struct ModelServer {
+    double slowness = 1; /**< how many times as long its work takes */
+    double unanswered = 0; /**< part of the requests that it never answers */
+};
+
+/** What clients saw in a run. */
+struct ModelOutcome {
+    std::size_t requests = 0;
+    std::size_t late = 0; /**< answered after the aim */
+    std::size_t failed = 0; /**< not answered before the client gave up */
+
+    double lateShare() const;
+    double failedShare() const;
+};
+
+/**
+ * Long flows of clients over backend servers with two slots and a queue, placed by a router on simulated time. Each flow sends some
+ * requests with pauses between them; a client that gets no answer in time gives up and opens its next flow.
+ */
+class LoadModel
+{
+public:
+    /** @param selector of the router, which has to outlive the model */
+    LoadModel(const ServerSelector &selector, std::vector<ModelServer> servers, std::size_t users, std::uint64_t seed);
+
+    /** Runs for @p time, and counts the requests that end in its last @p counted. */
+    ModelOutcome run(std::chrono::milliseconds time, std::chrono::milliseconds counted);
+
+private:
+    struct Job {
+        std::size_t user = 0;
+        std::uint64_t request = 0;
+        std::chrono::nanoseconds work {};
+    };
+
+    struct Server {
+        ModelServer kind;
+        std::size_t busy = 0;
+        std::deque<Job> queue;
+    };
+
+    struct User {
+        Endpoint client;
+        std::uint32_t token = 0;
+        std::uint32_t sequence = 100;
+        std::uint32_t acknowledgement = 1;
+        std::uint64_t request = 0; // number of the one under way
+        TimePoint sentAt {};
+        bool waiting = false;
+    };
+
+    struct Event {
+        TimePoint at {};
+        std::uint64_t order = 0;
+        std::function<void()> work;
+
+        friend bool operator>(const Event &left, const Event &right)
+        {
+            return std::pair(left.at, left.order) > std::pair(right.at, right.order);
+        }
+    };
+
+    void after(std::chrono::nanoseconds time, std::function<void()> work);
+    std::chrono::nanoseconds drawn(std::chrono::nanoseconds mean);
+    void openFlow(std::size_t user);
+    void sendRequest(std::size_t user);
+    void arrive(std::uint32_t token, Job job);
+    void work(std::uint32_t token, Job job);
+    void finish(std::uint32_t token, const Job &job);
+    void answer(const Job &job);
+    void giveUp(std::size_t user, std::uint64_t request);
+    void pauseThenGoOn(std::size_t user);
+    void count(bool answered, std::chrono::nanoseconds time);
+    void tick();
+
+    ManualClock m_clock;
+    SeededRandom m_random;
+    EventCollector m_events;
+    TimeCollector m_times;
+    StreamRouter m_router;
+    std::map<std::uint32_t, Server> m_servers; // by token
+    std::vector<User> m_users;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_queue;
+    std::uint64_t m_order = 0;
+    std::uint16_t m_nextPort = 1;
+    TimePoint m_countFrom {};
+    ModelOutcome m_outcome;
+};
+
+} // namespace Samphirepitch::Tests
