Keep servers whose entries lapsed with the store as candidates

Change: when more servers of a service are missing than listed, the missing ones stay candidates for the 2.5 s in which entries return; servers that were draining do not. A single missing server, which more likely ended, is taken only if no other is there.

Ruled out: holding flows back until entries return (a refusal must be at once); trusting the list (all flows to the few servers that report first).

The new test gives refusals and one server without the change.

An instance that starts just after the outage still knows only the listed ones.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -116,10 +116,20 @@
 }
 
 const std::vector<const DirectoryRecord *> &ServerDirectory::listed(const std::string &service) const
+{
+    return serversOf(m_byService, service);
+}
+
+const std::vector<const DirectoryRecord *> &ServerDirectory::unlisted(const std::string &service) const
+{
+    return serversOf(m_unlisted, service);
+}
+
+const std::vector<const DirectoryRecord *> &ServerDirectory::serversOf(const Services &services, const std::string &service)
 {
     static const std::vector<const DirectoryRecord *> none;
-    const auto found = m_byService.find(service);
-    return found == m_byService.end() ? none : found->second;
+    const auto found = services.find(service);
+    return found == services.end() ? none : found->second;
 }
 
 std::vector<const DirectoryRecord *> ServerDirectory::all() const
@@ -246,13 +256,13 @@
 {
     m_byToken.clear();
     m_byService.clear();
+    m_unlisted.clear();
     // Of two servers with one token, every instance takes the one with the smaller id, because the map is sorted by id.
     for (auto &[id, record] : m_records) {
         const auto [holder, isFirst] = m_byToken.try_emplace(record->token, record.get());
         record->shadowed = !isFirst;
-        if (record->listed) {
-            m_byService[record->server.service].push_back(record.get());
-        }
+        Services &services = record->listed ? m_byService : m_unlisted;
+        services[record->server.service].push_back(record.get());
     }
     for (const auto &[id, record] : m_records) {
         for (const std::uint32_t token : record->formerTokens) {
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -93,6 +93,9 @@
     /** Returns the listed servers of a service. */
     const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
 
+    /** Returns the servers of a service that are remembered and no longer listed. */
+    const std::vector<const DirectoryRecord *> &unlisted(const std::string &service) const;
+
     /** Returns all listed servers. */
     std::vector<const DirectoryRecord *> all() const;
 
@@ -123,7 +126,12 @@
     Records m_records;
     std::multimap<Endpoint, DirectoryRecord *> m_byAddress; // all records; an address may pass from one server to the next
     std::unordered_map<std::uint32_t, const DirectoryRecord *> m_byToken;
-    std::map<std::string, std::vector<const DirectoryRecord *>> m_byService;
+    using Services = std::map<std::string, std::vector<const DirectoryRecord *>>;
+
+    static const std::vector<const DirectoryRecord *> &serversOf(const Services &services, const std::string &service);
+
+    Services m_byService; // the listed ones
+    Services m_unlisted;
     std::uint64_t m_revision = 0;
     std::uint64_t m_forgotten = 0; // the highest revision of a removal that is no longer known
 };
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -188,6 +188,12 @@
     for (const DirectoryRecord *const record : m_directory.listed(service)) {
         addCandidate(*record, record->token == excludedToken, choices);
     }
+    // If more servers are missing than listed, their entries lapsed while the store was away, and most of them live.
+    const std::vector<const DirectoryRecord *> missing = lapsed(service);
+    const bool isMassLapse = missing.size() > choices.size();
+    for (const DirectoryRecord *const record : missing) {
+        addCandidate(*record, !isMassLapse || record->token == excludedToken, choices);
+    }
     std::vector<std::uint32_t> tokens;
     for (const Choice &choice : choices) {
         tokens.push_back(choice.record->token);
@@ -219,6 +225,17 @@
             .doubtful = isDoubtful || standing != Standing::Trusted } });
 }
 
+std::vector<const DirectoryRecord *> StreamRouter::lapsed(const std::string &service) const
+{
+    std::vector<const DirectoryRecord *> missing;
+    for (const DirectoryRecord *const record : m_directory.unlisted(service)) {
+        if (record->server.phase == ServerPhase::Ready && m_clock.now() < std::max(record->unlistedAt, m_gapEnd) + removalProofTime) {
+            missing.push_back(record);
+        }
+    }
+    return missing;
+}
+
 void StreamRouter::takeEvidence(const StreamPacket &packet, std::uint32_t token)
 {
     const TimePoint now = m_clock.now();
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -160,6 +160,7 @@
 
     std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken);
     void addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const;
+    std::vector<const DirectoryRecord *> lapsed(const std::string &service) const;
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
     void end(const DirectoryRecord &record, std::string_view proof);
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -484,3 +484,59 @@
     REQUIRE(times.answers.size() == 1);
     CHECK(times.answers.front() == milliseconds(30));
 }
+
+TEST_CASE_METHOD(RouterFixture, "servers whose entries lapsed while the store was away still take flows until they had time to return",
+    "[stream][router]")
+{
+    // Answers the pattern of a store that is away for seconds and forgets all that reported there: its first list is nearly empty, and
+    // refusing would fail all clients, or send them all to the few servers that reported first.
+    makeReady({ server(1), server(2), server(3), server(4) });
+    StreamServer leaving = server(4);
+    leaving.phase = ServerPhase::Draining;
+    leaving.revision = 11;
+    router.serverListed(leaving);
+    pass(milliseconds(9000));
+    std::set<std::string> ids;
+    const auto placeSome = [this, &ids](std::uint16_t first) {
+        ids.clear();
+        for (std::uint16_t port = first; port < first + 30; ++port) {
+            if (const StreamDecision decision = open(Endpoint(0x64400009, port)); decision.server != nullptr) {
+                ids.insert(decision.server->id);
+            }
+            router.takeDueProbes();
+        }
+    };
+    SECTION("all entries are missing")
+    {
+        router.serversListed({}, {}, 20, clock.now());
+        placeSome(1);
+        CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
+        pass(milliseconds(2600));
+        CHECK(open(Endpoint(0x64400009, 900)).outcome == StreamOutcome::NoServer);
+    }
+    SECTION("one server has reported")
+    {
+        StreamServer back = server(1);
+        back.revision = 19;
+        router.serversListed({ back }, {}, 20, clock.now());
+        placeSome(1);
+        CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
+        pass(milliseconds(2600));
+        placeSome(100);
+        CHECK(ids == std::set<std::string> { "i-1" });
+    }
+    SECTION("one entry is missing, which is more likely a server that ended")
+    {
+        StreamServer second = server(2);
+        router.serversListed({ server(1), second }, {}, 20, clock.now());
+        placeSome(1);
+        CHECK(ids == std::set<std::string> { "i-1", "i-2" });
+    }
+    SECTION("a server that refuses connections is not taken")
+    {
+        router.serversListed({}, {}, 20, clock.now());
+        connected(ServerDirectory::tokenOf(server(2)), ConnectResult::Refused);
+        placeSome(1);
+        CHECK(ids == std::set<std::string> { "i-1", "i-3" });
+    }
+}
