Count late answers in the pace of servers, and show what decided

Cause: a server that leaves four in ten requests without an answer and serves the rest as fast as others has a median that is hardly higher, so it got nearly as many new flows. A change of the pace, which decides where flows go, was not logged as a change of belief, and the ages of the views were gauges, which miss what was true at a decision.

Change: ServerPace also keeps the share of requests that are not answered within FlowTracker::overdueTime and compares it with the middle server. server_pace is logged when a server turns slow and when it recovers; samphirepitch_servers_slow counts them. Two histograms take the ages of both views at each placement.

Ruled out: reading answers (they go past the instances); resetting flows of slow servers (their server lives).

On servers that are slow or mute the long flows that they hold already bind.

--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -19,6 +19,10 @@
 StreamLatency::StreamLatency(Metrics &metrics)
     : m_opening(metrics.addHistogram("samphirepitch_flow_opening_seconds", "From the first packet of a flow to the client's next one."))
     , m_answer(metrics.addHistogram("samphirepitch_server_answer_seconds", "From a request to the acknowledgement of its first answer."))
+    , m_serversAge(
+          metrics.addHistogram("samphirepitch_placement_servers_age_seconds", "Age of the list of servers when a flow was placed."))
+    , m_configurationAge(
+          metrics.addHistogram("samphirepitch_placement_configuration_age_seconds", "Age of the configuration when a flow was placed."))
 {
 }
 
@@ -32,6 +36,12 @@
     m_answer.record(time);
 }
 
+void StreamLatency::viewsUsed(std::chrono::nanoseconds servers, std::chrono::nanoseconds configuration)
+{
+    m_serversAge.record(servers);
+    m_configurationAge.record(configuration);
+}
+
 Result<std::unique_ptr<StreamInstance>> StreamInstance::create(
     asio::any_io_executor executor, const Clock &clock, const Settings &settings, StreamEnvironment environment)
 {
--- a/src/daemon/streaminstance.h
+++ b/src/daemon/streaminstance.h
@@ -16,7 +16,7 @@
 namespace Samphirepitch
 {
 
-/** Counts the times of stream flows in histograms. */
+/** Counts the times of stream flows and the ages of the views that placed them in histograms. */
 class StreamLatency : public StreamObserver
 {
 public:
@@ -25,10 +25,13 @@
 
     void flowOpened(std::chrono::nanoseconds time) override;
     void answered(std::chrono::nanoseconds time) override;
+    void viewsUsed(std::chrono::nanoseconds servers, std::chrono::nanoseconds configuration) override;
 
 private:
     LatencyHistogram &m_opening;
     LatencyHistogram &m_answer;
+    LatencyHistogram &m_serversAge;
+    LatencyHistogram &m_configurationAge;
 };
 
 /** What an instance for stream flows speaks to the world around it. */
--- a/src/stream/serverpace.cpp
+++ b/src/stream/serverpace.cpp
@@ -1,5 +1,7 @@
 #include "stream/serverpace.h"
 
+#include "stream/flowtracker.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,6 +19,13 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+double middleOf(std::vector<double> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace
 
 void ServerPace::answered(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now)
@@ -24,17 +33,21 @@
     const double taken = toMilliseconds(time);
     Estimate &estimate = fresh(token, taken, now);
     estimate.milliseconds *= taken > estimate.milliseconds ? 1 + step : 1 / (1 + step);
+    if (time < FlowTracker::overdueTime) { // later ones were counted when they became late
+        estimate.lateShare -= estimate.lateShare * shareStep;
+    }
     ++estimate.answers;
 }
 
-void ServerPace::late(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now)
+void ServerPace::late(std::uint32_t token, TimePoint now)
 {
-    const double waited = toMilliseconds(time);
+    const double waited = toMilliseconds(FlowTracker::overdueTime);
     Estimate &estimate = fresh(token, waited, now);
     if (estimate.milliseconds < waited) {
         estimate.milliseconds *= 1 + step;
-        ++estimate.answers;
     }
+    estimate.lateShare += (1 - estimate.lateShare) * shareStep;
+    ++estimate.answers;
 }
 
 void ServerPace::forget(std::uint32_t token)
@@ -43,49 +56,64 @@
 }
 
 std::optional<double> ServerPace::milliseconds(std::uint32_t token, TimePoint now) const
+{
+    const Estimate *const estimate = find(token, now);
+    return estimate == nullptr ? std::nullopt : std::optional(estimate->milliseconds);
+}
+
+const ServerPace::Estimate *ServerPace::find(std::uint32_t token, TimePoint now) const
 {
     const auto found = m_estimates.find(token);
-    if (found == m_estimates.end() || found->second.answers < leastAnswers || found->second.last + memory <= now) {
-        return std::nullopt;
-    }
-    return found->second.milliseconds;
+    const bool isKnown = found != m_estimates.end() && found->second.answers >= leastAnswers && now < found->second.last + memory;
+    return isKnown ? &found->second : nullptr;
 }
 
 std::vector<double> ServerPace::compare(const std::vector<std::uint32_t> &tokens, TimePoint now) const
 {
     std::vector<double> paces(tokens.size(), 1);
-    std::vector<double> known;
-    for (std::size_t index = 0; index < tokens.size(); ++index) {
-        if (const auto time = milliseconds(tokens[index], now)) {
-            paces[index] = *time;
-            known.push_back(*time);
-        } else {
-            paces[index] = 0;
+    std::vector<const Estimate *> estimates;
+    std::vector<double> times;
+    std::vector<double> shares;
+    for (const std::uint32_t token : tokens) {
+        const Estimate *const estimate = find(token, now);
+        estimates.push_back(estimate);
+        if (estimate != nullptr) {
+            times.push_back(estimate->milliseconds);
+            shares.push_back(estimate->lateShare);
         }
     }
-    if (known.size() < leastServers) {
-        return std::vector<double>(tokens.size(), 1);
+    if (times.size() < leastServers) {
+        return paces;
     }
-    const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
-    std::nth_element(known.begin(), middle, known.end());
+    const double middleTime = middleOf(times);
+    const double middleShare = middleOf(shares);
     for (std::size_t index = 0; index < tokens.size(); ++index) {
-        const double excess = std::clamp(paces[index] / *middle / tolerance, 1.0, slowest) - 1;
-        paces[index] = excess > 0 ? 1 + excess * kept(tokens[index], now) : 1;
+        if (estimates[index] != nullptr) {
+            paces[index] += (slowness(*estimates[index], middleTime, middleShare) - 1) * kept(*estimates[index], now);
+        }
     }
     return paces;
 }
 
-double ServerPace::kept(std::uint32_t token, TimePoint now) const
+double ServerPace::slowness(const Estimate &estimate, double middleTime, double middleShare)
+{
+    const double byTime = estimate.milliseconds / middleTime / tolerance;
+    const double byShare = 1 + (estimate.lateShare - middleShare - shareTolerance) * shareWeight;
+    return std::clamp(std::max(byTime, byShare), 1.0, slowest);
+}
+
+double ServerPace::kept(const Estimate &estimate, TimePoint now)
 {
-    const std::chrono::duration<double> age = now - m_estimates.at(token).last;
+    const std::chrono::duration<double> age = now - estimate.last;
     return std::exp2(-age / std::chrono::duration<double>(halfLife));
 }
 
 ServerPace::Estimate &ServerPace::fresh(std::uint32_t token, double first, TimePoint now)
 {
-    Estimate &estimate = m_estimates.try_emplace(token, Estimate { first, 0, now }).first->second;
+    const Estimate initial { .milliseconds = first, .last = now };
+    Estimate &estimate = m_estimates.try_emplace(token, initial).first->second;
     if (estimate.last + memory <= now) {
-        estimate = { first, 0, now };
+        estimate = initial;
     }
     estimate.last = now;
     return estimate;
--- a/src/stream/serverpace.h
+++ b/src/stream/serverpace.h
@@ -30,14 +30,21 @@
     static constexpr std::chrono::seconds memory { 20 };
     /** Servers up to this many times slower than the middle one are taken as alike: estimates of equal servers differ by a quarter. */
     static constexpr double tolerance = 1.4;
+    /** How much one request moves the share of late answers. */
+    static constexpr double shareStep = 0.1;
+    /** A share of late answers this much above that of the middle server says nothing: twice what equal servers differ by. */
+    static constexpr double shareTolerance = 0.15;
+    /** How much slower a server counts for a share of late answers: one that leaves four in ten without an answer counts as 4 times slower.
+     */
+    static constexpr double shareWeight = 12;
     /** The most that a server counts as slower, so that a few answers show its return. */
     static constexpr double slowest = 8;
 
     /** A server answered after @p time. */
     void answered(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now);
 
-    /** A server has not answered within @p time yet. */
-    void late(std::uint32_t token, std::chrono::nanoseconds time, TimePoint now);
+    /** A server has not answered a request within FlowTracker::overdueTime; called once a request. */
+    void late(std::uint32_t token, TimePoint now);
 
     /** Forgets a server. */
     void forget(std::uint32_t token);
@@ -54,11 +61,14 @@
 private:
     struct Estimate {
         double milliseconds = 0; // the median, found by steps up and down
+        double lateShare = 0; // of the last requests
         std::uint32_t answers = 0;
         TimePoint last {};
     };
 
-    double kept(std::uint32_t token, TimePoint now) const;
+    const Estimate *find(std::uint32_t token, TimePoint now) const;
+    static double slowness(const Estimate &estimate, double middleTime, double middleShare);
+    static double kept(const Estimate &estimate, TimePoint now);
     Estimate &fresh(std::uint32_t token, double first, TimePoint now);
 
     std::unordered_map<std::uint32_t, Estimate> m_estimates;
--- a/src/stream/streamobserver.h
+++ b/src/stream/streamobserver.h
@@ -5,7 +5,7 @@
 namespace Samphirepitch
 {
 
-/** Takes the times that clients' packets show. */
+/** Takes the times that clients' packets show, and the ages of what decided about them. */
 class StreamObserver
 {
 public:
@@ -16,6 +16,9 @@
 
     /** The first bytes of an answer were acknowledged this long after the request. */
     virtual void answered(std::chrono::nanoseconds time) = 0;
+
+    /** A flow was placed with views of these ages. */
+    virtual void viewsUsed(std::chrono::nanoseconds servers, std::chrono::nanoseconds configuration) = 0;
 };
 
 } // namespace Samphirepitch
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -89,6 +89,7 @@
     }
     const DirectoryRecord *const record = choice->record;
     m_flows.opening(packet, record->token, m_clock.now());
+    m_observer.viewsUsed(m_serversAge.age(m_clock.now()), m_configurationAge.age(m_clock.now()));
     recordFlow(EventSeverity::Info, isCopy ? "flow_placed_again" : "flow_placed", packet,
         { { "route", route.name }, { "service_name", service }, { "server", record->server.id },
             { "address", record->server.address.toString() }, { "domain", record->server.failureDomain },
@@ -202,6 +203,7 @@
     std::vector<StreamCandidate> candidates;
     for (std::size_t index = 0; index < choices.size(); ++index) {
         choices[index].candidate.pace = paces[index];
+        recordPace(choices[index]);
         candidates.push_back(choices[index].candidate);
     }
     const auto chosen = m_selector.choose(candidates, m_random);
@@ -225,6 +227,22 @@
             .doubtful = isDoubtful || standing != Standing::Trusted } });
 }
 
+void StreamRouter::recordPace(const Choice &choice)
+{
+    const double pace = choice.candidate.pace;
+    const DirectoryRecord &record = *choice.record;
+    const bool turnsSlow = pace >= slowPace && m_slow.insert(record.token).second;
+    const bool recovers = pace < alikePace && m_slow.erase(record.token) > 0;
+    if (!turnsSlow && !recovers) {
+        return;
+    }
+    const auto answerTime = m_pace.milliseconds(record.token, m_clock.now());
+    m_events.record(turnsSlow ? EventSeverity::Warning : EventSeverity::Info, "server_pace",
+        { { "server", record.server.id }, { "pace", turnsSlow ? "slow" : "alike" }, { "pace_percent", number(std::lround(pace * 100)) },
+            { "answer_ms", answerTime ? number(std::lround(*answerTime)) : "unknown" }, { "domain", record.server.failureDomain },
+            { "flows", number(choice.candidate.flows) }, { "awaiting", number(choice.candidate.awaiting) } });
+}
+
 std::vector<const DirectoryRecord *> StreamRouter::lapsed(const std::string &service) const
 {
     std::vector<const DirectoryRecord *> missing;
@@ -361,6 +379,7 @@
         case DirectoryChange::Kind::Restarted:
             m_evidence.forget(change.formerToken);
             m_pace.forget(change.formerToken);
+            m_slow.erase(change.formerToken);
             break;
         case DirectoryChange::Kind::Added:
             m_evidence.forget(record.token);
@@ -477,7 +496,7 @@
     const TimePoint now = m_clock.now();
     m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
         m_evidence.overdue(token);
-        m_pace.late(token, FlowTracker::overdueTime, now);
+        m_pace.late(token, now);
     });
     if (now < m_nextExpiry) {
         return;
@@ -490,6 +509,7 @@
     for (const std::uint32_t token : m_directory.expire(now)) {
         m_evidence.forget(token);
         m_pace.forget(token);
+        m_slow.erase(token);
     }
 }
 
@@ -590,6 +610,8 @@
     writer.gauge("samphirepitch_configuration_version", "Version in force.", {}, static_cast<double>(m_configuration.version));
     writer.gauge("samphirepitch_configuration_age_seconds", "Since the configuration was confirmed.", {}, m_configurationAge.seconds(now));
     writer.gauge("samphirepitch_servers_age_seconds", "Since the list of servers was confirmed.", {}, m_serversAge.seconds(now));
+    writer.gauge(
+        "samphirepitch_servers_slow", "Backend servers that answer much later than others.", {}, static_cast<double>(m_slow.size()));
     writer.gauge(
         "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
 }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 namespace Samphirepitch
@@ -72,6 +73,9 @@
      * may have started again under its id: a process takes about as long to start and to take flows.
      */
     static constexpr std::chrono::milliseconds freshProofTime { 1500 };
+    /** Servers at least this many times slower than others are logged as slow, until they are slower by less than the second figure. */
+    static constexpr double slowPace = 2;
+    static constexpr double alikePace = 1.2;
     /** A list of servers that was not confirmed for longer has a gap, in which entries may have lapsed: two calls to the store. */
     static constexpr std::chrono::milliseconds confirmationGap { 3000 };
 
@@ -160,6 +164,7 @@
 
     std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken);
     void addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const;
+    void recordPace(const Choice &choice);
     std::vector<const DirectoryRecord *> lapsed(const std::string &service) const;
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
@@ -192,6 +197,7 @@
     std::vector<StreamReset> m_resets;
     std::vector<std::uint32_t> m_removed; // tokens of unlisted servers that are not known to have ended
     std::vector<EndedServer> m_ended;
+    std::unordered_set<std::uint32_t> m_slow; // servers that were logged as slow
     std::uint64_t m_configurationChecked = 0;
     TimePoint m_gapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
--- a/src/stream/viewage.h
+++ b/src/stream/viewage.h
@@ -24,6 +24,12 @@
         return m_confirmed;
     }
 
+    /** Returns the age; that of the clock if the view was never complete. */
+    std::chrono::nanoseconds age(TimePoint now) const
+    {
+        return now - m_confirmed;
+    }
+
     /** Returns the age in milliseconds for logs, or "never". */
     std::string text(TimePoint now) const
     {
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -46,6 +46,12 @@
         answers.push_back(time);
     }
 
+    void viewsUsed(std::chrono::nanoseconds servers, std::chrono::nanoseconds configuration) override
+    {
+        viewAges.emplace_back(servers, configuration);
+    }
+
+    std::vector<std::pair<std::chrono::nanoseconds, std::chrono::nanoseconds>> viewAges; // of servers and configuration
     std::vector<std::chrono::nanoseconds> openings;
     std::vector<std::chrono::nanoseconds> answers;
 };
@@ -83,6 +89,7 @@
     /** Moves the clock. */
     void pass(std::chrono::milliseconds time);
 
+    std::uint32_t sent = 0; // requests of tests that send several
     ManualClock clock;
     SeededRandom random { 20261204 };
     EventCollector events;
--- a/tests/stream/serverpacetests.cpp
+++ b/tests/stream/serverpacetests.cpp
@@ -119,7 +119,7 @@
 {
     answerAll(10, milliseconds(30));
     for (int round = 0; round < 50; ++round) {
-        pace.late(1, milliseconds(90), now);
+        pace.late(1, now);
     }
     CHECK(pace.milliseconds(1, now).value() >= 90);
     CHECK(pace.milliseconds(1, now).value() < 90 * (1 + ServerPace::step));
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -470,6 +470,46 @@
     CHECK(tiles < 140);
 }
 
+TEST_CASE_METHOD(RouterFixture, "the ages of the views that place a flow are reported", "[stream][router]")
+{
+    // An old view explains flows at servers that have left; a gauge only shows the age at the moment of the scrape.
+    makeReady({ server(1) });
+    router.configurationConfirmed(10, clock.now());
+    pass(milliseconds(400));
+    router.serversConfirmed(clock.now());
+    pass(milliseconds(300));
+    open();
+    REQUIRE(times.viewAges.size() == 1);
+    CHECK(times.viewAges.front().first == milliseconds(300));
+    CHECK(times.viewAges.front().second == milliseconds(700));
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server that turns slow and recovers is logged once each", "[stream][router]")
+{
+    makeReady({ server(1), server(2), server(3), server(4) });
+    const auto answer = [this](std::uint64_t number, milliseconds time, int times) {
+        const Endpoint from(0x64400020, static_cast<std::uint16_t>(number));
+        const std::uint32_t token = ServerDirectory::tokenOf(server(number));
+        for (int round = 0; round < times; ++round) {
+            ++sent;
+            send(token, 1000 * sent, 900, 500 * sent, from);
+            pass(time);
+            send(token, 1000 * sent + 900, 0, 500 * sent + 400, from);
+        }
+    };
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        answer(number, milliseconds(number == 1 ? 400 : 30), 20);
+    }
+    open(Endpoint(0x64400009, 1));
+    open(Endpoint(0x64400009, 2));
+    CHECK(events.count("server_pace") == 1);
+    CHECK(events.last("server_pace").find("server=i-1 pace=slow") != std::string::npos);
+    answer(1, milliseconds(30), 40);
+    open(Endpoint(0x64400009, 3));
+    CHECK(events.count("server_pace") == 2);
+    CHECK(events.last("server_pace").find("server=i-1 pace=alike") != std::string::npos);
+}
+
 TEST_CASE_METHOD(RouterFixture, "opening and answer times are reported", "[stream][router]")
 {
     makeReady({ server(1) });
