Split placement and the transfer of states from the router and the exchange

Change: FlowPlacement finds the server of a new flow (candidates, lapsed entries, pace, weights of targets); PeerStateTransfer carries states over connections and reports requests that get none, also those above its limit and failed accepts, which were silent. The time in which lapsed entries return is a constant of the directory, since two classes use it. No decision changes.

--- /dev/null
+++ b/src/stream/flowplacement.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/eventsink.h"
+#include "core/random.h"
+#include "stream/flowtracker.h"
+#include "stream/serverdirectory.h"
+#include "stream/serverevidence.h"
+#include "stream/serverpace.h"
+#include "stream/serverselector.h"
+#include "stream/streamconfiguration.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** Finds the backend server of a new flow: who may take it, and what is known of each, for a selector to choose from. */
+class FlowPlacement
+{
+public:
+    /** What the placement looks at; everything outlives it. */
+    struct Parts {
+        const Clock &clock;
+        RandomSource &random;
+        EventSink &events;
+        const ServerSelector &selector;
+        const ServerDirectory &directory;
+        const ServerEvidence &evidence;
+        const ServerPace &pace;
+        const FlowTracker &flows;
+    };
+
+    /** The server of a new flow, and how it compared. */
+    struct Choice {
+        const DirectoryRecord *record = nullptr;
+        StreamCandidate candidate;
+    };
+
+    /** Servers at least this many times slower than others are logged as slow, until they are slower by less than the second figure. */
+    static constexpr double slowPace = 2;
+    static constexpr double alikePace = 1.2;
+
+    /** @param failureDomain of this instance; its servers are preferred */
+    FlowPlacement(Parts parts, std::string failureDomain);
+
+    /** Returns the service of a new flow, drawn by the weights of the route's targets. */
+    const std::string &targetService(const StreamRoute &route);
+
+    /**
+     * Chooses a server.
+     * @param excludedToken of a server that did not answer this client; taken only if no other is there
+     * @param gapEnd when the list of servers was confirmed again after a gap
+     * @return nothing if no server can take the flow
+     */
+    std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken, TimePoint gapEnd);
+
+    /** Forgets a server. */
+    void forget(std::uint32_t token);
+
+    /** Returns how many servers are logged as slow. */
+    std::size_t slowCount() const;
+
+private:
+    void addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const;
+    std::vector<const DirectoryRecord *> lapsed(const std::string &service, TimePoint gapEnd) const;
+    void recordPace(const Choice &choice);
+
+    Parts m_parts;
+    std::string m_failureDomain;
+    std::unordered_set<std::uint32_t> m_slow; // servers that were logged as slow
+};
+
+} // namespace Samphirepitch
--- a/src/stream/peerexchange.cpp
+++ b/src/stream/peerexchange.cpp
@@ -1,9 +1,5 @@
 #include "stream/peerexchange.h"
 
-#include "objectstore/internal/socketdeadline.h"
-#include "peer/framecodec.h"
-#include "peer/internal/framestream.h"
-#include "peer/internal/tcpendpoint.h"
 #include "stream/streamrouter.h"
 
 #include <asio/co_spawn.hpp>
@@ -11,7 +7,6 @@
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
-#include <asio/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -23,7 +18,6 @@
 namespace
 {
 
-using asio::ip::tcp;
 using asio::ip::udp;
 using std::chrono::milliseconds;
 
@@ -51,11 +45,6 @@
 constexpr milliseconds startStep { 10 };
 constexpr milliseconds longestStart { 2000 };
 
-// A state of some ten KB takes a few round trips; a peer behind a cut never answers.
-constexpr milliseconds pullTimeout { 400 };
-
-constexpr std::size_t maxServed = 512; // connections at once; each holds a descriptor and a state
-constexpr std::size_t maxRequest = 4096; // bytes of the news that a pull begins with
 constexpr std::size_t maxDatagram = 2048; // bytes; more than any news
 
 } // namespace
@@ -69,7 +58,7 @@
     , m_place(std::move(place))
     , m_directory(std::move(self))
     , m_socket(m_executor)
-    , m_acceptor(m_executor)
+    , m_states(m_executor, m_clock, m_place.deployment, *this)
 {
     std::erase(m_place.seeds, m_directory.self().address);
     std::erase(m_place.seeds, m_place.local);
@@ -86,23 +75,13 @@
 
 Result<void> PeerExchange::bind()
 {
-    const tcp::endpoint local = tcpEndpoint(m_place.local);
-    std::error_code error;
-    m_acceptor.open(local.protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(local, error);
-    }
-    if (!error) {
-        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
-    }
-    if (!error) {
-        m_socket.open(udp::v4(), error);
+    if (auto bound = m_states.bind(m_place.local); !bound) {
+        return bound;
     }
+    std::error_code error;
+    m_socket.open(udp::v4(), error);
     if (!error) {
-        m_socket.bind({ local.address(), local.port() }, error);
+        m_socket.bind({ asio::ip::address_v4(m_place.local.address()), m_place.local.port() }, error);
     }
     if (!error) {
         m_socket.non_blocking(true, error);
@@ -149,7 +128,7 @@
             co_return failure(ErrorKind::InputOutput, "peer", error.message());
         }
         ++m_newsReceived;
-        const Result<PeerNews> news = readNews({ buffer.data(), size });
+        const Result<PeerNews> news = m_states.readNews({ buffer.data(), size });
         if (news) {
             take(*news);
         } else {
@@ -158,15 +137,6 @@
     }
 }
 
-Result<PeerNews> PeerExchange::readNews(std::string_view bytes) const
-{
-    Result<PeerNews> news = PeerNewsCodec::decodeNews(bytes, m_clock.now());
-    if (news && news->deployment != m_place.deployment) {
-        return failure(ErrorKind::WrongDeployment, news->sender.id, "it belongs to " + news->deployment);
-    }
-    return news;
-}
-
 void PeerExchange::refuse(std::string_view event, const std::string &peer, const Error &error)
 {
     ++m_newsRefused;
@@ -390,7 +360,7 @@
 {
     ++m_pullCount;
     const ViewMark before = m_router.viewMark();
-    Result<PeerState> state = co_await fetchState(peer);
+    Result<PeerState> state = co_await m_states.fetch(peer, makeNews());
     m_pulls.erase(peer);
     m_joins -= m_joins > 0 ? 1 : 0;
     if (!state) {
@@ -433,69 +403,20 @@
     m_router.serversListed(servers, {}, state.view.serversRevision, state.view.serversConfirmed);
 }
 
-asio::awaitable<Result<PeerState>> PeerExchange::fetchState(Endpoint peer)
+asio::awaitable<Result<void>> PeerExchange::serveStates()
 {
-    tcp::socket socket(m_executor);
-    const SocketDeadline limit(socket, pullTimeout);
-    std::error_code error;
-    co_await socket.async_connect(tcpEndpoint(peer), asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
-    }
-    const Result<std::string> request = FrameCodec::encode(PeerNewsCodec::encode(makeNews(), m_clock.now()));
-    if (!request) {
-        co_return tl::unexpected(request.error());
-    }
-    co_await asio::async_write(socket, asio::buffer(*request), asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
-    }
-    const Result<std::string> answer = co_await readFrame(socket, FrameCodec::maxBody);
-    if (!answer) {
-        co_return tl::unexpected(answer.error());
-    }
-    Result<PeerState> state = PeerNewsCodec::decodeState(*answer, m_clock.now());
-    if (state && state->deployment != m_place.deployment) {
-        co_return failure(ErrorKind::WrongDeployment, state->sender.id, "it belongs to " + state->deployment);
-    }
-    co_return state;
+    return m_states.serve();
 }
 
-asio::awaitable<Result<void>> PeerExchange::serveStates()
+PeerState PeerExchange::stateFor(const PeerNews &request)
 {
-    while (true) {
-        std::error_code error;
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            asio::steady_timer pause(m_executor, tickInterval); // such as "too many open files"
-            co_await pause.async_wait(asio::use_awaitable);
-        } else if (m_served < maxServed) {
-            ++m_served;
-            asio::co_spawn(m_executor, serveState(std::move(socket)), asio::detached);
-        }
-    }
+    merge(request.sender);
+    return makeState(request.view);
 }
 
-asio::awaitable<void> PeerExchange::serveState(tcp::socket socket)
+void PeerExchange::requestFailed(std::string_view event, const std::string &peer, const Error &error)
 {
-    const SocketDeadline limit(socket, pullTimeout);
-    const Result<std::string> request = co_await readFrame(socket, maxRequest);
-    const Result<PeerNews> news = request ? readNews(*request) : tl::unexpected(request.error());
-    if (news) {
-        merge(news->sender);
-        const Result<std::string> answer = FrameCodec::encode(PeerNewsCodec::encode(makeState(news->view), m_clock.now()));
-        std::error_code error;
-        if (answer) {
-            co_await asio::async_write(socket, asio::buffer(*answer), asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (!answer || error) {
-            m_events.record(EventSeverity::Warning, "peer_state_unsent",
-                { { "peer", news->sender.id }, { "error", answer ? error.message() : answer.error().describe() } });
-        }
-    } else {
-        refuse("peer_request_refused", "unknown", news.error());
-    }
-    --m_served;
+    refuse(event, peer, error);
 }
 
 PeerState PeerExchange::makeState(const ViewMark &known) const
--- a/src/stream/peerexchange.h
+++ b/src/stream/peerexchange.h
@@ -8,6 +8,7 @@
 #include "stream/discoveryfollower.h"
 #include "stream/peerdirectory.h"
 #include "stream/peernews.h"
+#include "stream/peerstatetransfer.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
@@ -29,7 +30,7 @@
  * from the reader, and by gossip that repairs what was lost. An instance that finds itself behind pulls a whole state
  * over a connection, as does one that starts; thus an instance serves within a round trip, also while the store is away.
  */
-class PeerExchange : public ReadingDuty, public MetricSource
+class PeerExchange : public ReadingDuty, public PeerStateSource, public MetricSource
 {
 public:
     /** What the exchange needs; everything outlives it. */
@@ -75,6 +76,9 @@
     void configurationRead() override;
     void storeReachable(bool reachable) override;
 
+    PeerState stateFor(const PeerNews &request) override;
+    void requestFailed(std::string_view event, const std::string &peer, const Error &error) override;
+
     const PeerDirectory &directory() const;
 
     void writeMetrics(MetricWriter &writer) const override;
@@ -83,7 +87,6 @@
     PeerExchange(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self);
 
     Result<void> bind();
-    Result<PeerNews> readNews(std::string_view bytes) const;
     void refuse(std::string_view event, const std::string &peer, const Error &error);
     void take(const PeerNews &news);
     bool takeView(const PeerNews &news);
@@ -98,8 +101,6 @@
     void startPull(Endpoint peer);
     asio::awaitable<void> pull(Endpoint peer);
     void takeServers(const PeerState &state, std::uint64_t known);
-    asio::awaitable<Result<PeerState>> fetchState(Endpoint peer);
-    asio::awaitable<void> serveState(asio::ip::tcp::socket socket);
     PeerState makeState(const ViewMark &known) const;
 
     asio::any_io_executor m_executor;
@@ -110,14 +111,13 @@
     Place m_place;
     PeerDirectory m_directory;
     asio::ip::udp::socket m_socket;
-    asio::ip::tcp::acceptor m_acceptor;
+    PeerStateTransfer m_states;
     std::set<Endpoint> m_pulls; // that run
     std::size_t m_joins = 0; // pulls from seeds that have not ended
     TimePoint m_joinDeadline {};
     TimePoint m_nextBeat {};
     TimePoint m_lastPush {};
     TimePoint m_nextDistrust {};
-    std::size_t m_served = 0; // connections that run
     bool m_wasReader = false;
     std::uint64_t m_newsSent = 0;
     std::uint64_t m_newsReceived = 0;
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -55,6 +55,11 @@
 public:
     /** How long an unlisted server is remembered; no flow is older. Platform bound max_flow_s. */
     static constexpr std::chrono::seconds retention { 60 };
+    /**
+     * A missing entry is proof of its server's end only after this time without trouble of the store: entries that lapsed during an outage
+     * are back about 2 s after it.
+     */
+    static constexpr std::chrono::milliseconds returnTime { 2500 };
 
     /**
      * Returns the placement token of an incarnation; the same on every instance. It depends on the start time, because an instance
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <utility>
 
 namespace Samphirepitch
@@ -26,12 +25,11 @@
 
 StreamRouter::StreamRouter(Parts parts, std::string failureDomain, std::size_t maxFlows)
     : m_clock(parts.clock)
-    , m_random(parts.random)
     , m_events(parts.events)
-    , m_selector(parts.selector)
     , m_observer(parts.observer)
-    , m_failureDomain(std::move(failureDomain))
     , m_flows(maxFlows)
+    , m_placement(
+          { parts.clock, parts.random, parts.events, parts.selector, m_directory, m_evidence, m_pace, m_flows }, std::move(failureDomain))
 {
 }
 
@@ -81,8 +79,8 @@
         earlier = *unopened;
         m_evidence.overdue(earlier);
     }
-    const std::string &service = targetService(route);
-    const std::optional<Choice> choice = choose(service, earlier);
+    const std::string &service = m_placement.targetService(route);
+    const std::optional<FlowPlacement::Choice> choice = m_placement.choose(service, earlier, m_gapEnd);
     if (!choice) {
         m_flows.remove(packet.client, packet.service);
         return refuse(packet, StreamOutcome::NoServer);
@@ -169,91 +167,6 @@
     return { .action = StreamDecision::Action::Forward, .outcome = outcome, .server = &record.server, .token = record.token };
 }
 
-const std::string &StreamRouter::targetService(const StreamRoute &route)
-{
-    const auto total = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
-        [](std::uint64_t sum, const RouteTarget &target) { return sum + target.weight; });
-    std::uint64_t drawn = route.targets.size() > 1 ? m_random.below(std::max<std::uint64_t>(total, 1)) : 0;
-    for (const RouteTarget &target : route.targets) {
-        if (drawn < target.weight) {
-            return target.service;
-        }
-        drawn -= target.weight;
-    }
-    return route.targets.back().service;
-}
-
-std::optional<StreamRouter::Choice> StreamRouter::choose(const std::string &service, std::uint32_t excludedToken)
-{
-    std::vector<Choice> choices;
-    for (const DirectoryRecord *const record : m_directory.listed(service)) {
-        addCandidate(*record, record->token == excludedToken, choices);
-    }
-    // If more servers are missing than listed, their entries lapsed while the store was away, and most of them live.
-    const std::vector<const DirectoryRecord *> missing = lapsed(service);
-    const bool isMassLapse = missing.size() > choices.size();
-    for (const DirectoryRecord *const record : missing) {
-        addCandidate(*record, !isMassLapse || record->token == excludedToken, choices);
-    }
-    std::vector<std::uint32_t> tokens;
-    for (const Choice &choice : choices) {
-        tokens.push_back(choice.record->token);
-    }
-    const std::vector<double> paces = m_pace.compare(tokens, m_clock.now());
-    std::vector<StreamCandidate> candidates;
-    for (std::size_t index = 0; index < choices.size(); ++index) {
-        choices[index].candidate.pace = paces[index];
-        recordPace(choices[index]);
-        candidates.push_back(choices[index].candidate);
-    }
-    const auto chosen = m_selector.choose(candidates, m_random);
-    return chosen ? std::optional(choices[*chosen]) : std::nullopt;
-}
-
-void StreamRouter::addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const
-{
-    const TimePoint now = m_clock.now();
-    const Standing standing = m_evidence.standing(record.token, now);
-    if (record.server.phase != ServerPhase::Ready || record.shadowed || standing == Standing::Gone) {
-        return;
-    }
-    const ServerFlows load = m_flows.flowsOf(record.token);
-    choices.push_back({ &record,
-        { .flows = load.recent,
-            .awaiting = load.awaiting,
-            .slots = record.server.slots,
-            .cold = now < record.server.coldUntil,
-            .local = record.server.failureDomain == m_failureDomain,
-            .doubtful = isDoubtful || standing != Standing::Trusted } });
-}
-
-void StreamRouter::recordPace(const Choice &choice)
-{
-    const double pace = choice.candidate.pace;
-    const DirectoryRecord &record = *choice.record;
-    const bool turnsSlow = pace >= slowPace && m_slow.insert(record.token).second;
-    const bool recovers = pace < alikePace && m_slow.erase(record.token) > 0;
-    if (!turnsSlow && !recovers) {
-        return;
-    }
-    const auto answerTime = m_pace.milliseconds(record.token, m_clock.now());
-    m_events.record(turnsSlow ? EventSeverity::Warning : EventSeverity::Info, "server_pace",
-        { { "server", record.server.id }, { "pace", turnsSlow ? "slow" : "alike" }, { "pace_percent", number(std::lround(pace * 100)) },
-            { "answer_ms", answerTime ? number(std::lround(*answerTime)) : "unknown" }, { "domain", record.server.failureDomain },
-            { "flows", number(choice.candidate.flows) }, { "awaiting", number(choice.candidate.awaiting) } });
-}
-
-std::vector<const DirectoryRecord *> StreamRouter::lapsed(const std::string &service) const
-{
-    std::vector<const DirectoryRecord *> missing;
-    for (const DirectoryRecord *const record : m_directory.unlisted(service)) {
-        if (record->server.phase == ServerPhase::Ready && m_clock.now() < std::max(record->unlistedAt, m_gapEnd) + removalProofTime) {
-            missing.push_back(record);
-        }
-    }
-    return missing;
-}
-
 void StreamRouter::takeEvidence(const StreamPacket &packet, std::uint32_t token)
 {
     const TimePoint now = m_clock.now();
@@ -379,7 +292,7 @@
         case DirectoryChange::Kind::Restarted:
             m_evidence.forget(change.formerToken);
             m_pace.forget(change.formerToken);
-            m_slow.erase(change.formerToken);
+            m_placement.forget(change.formerToken);
             break;
         case DirectoryChange::Kind::Added:
             m_evidence.forget(record.token);
@@ -509,7 +422,7 @@
     for (const std::uint32_t token : m_directory.expire(now)) {
         m_evidence.forget(token);
         m_pace.forget(token);
-        m_slow.erase(token);
+        m_placement.forget(token);
     }
 }
 
@@ -522,7 +435,7 @@
             return true;
         }
         const TimePoint confirmed = m_serversAge.confirmed();
-        if (now > confirmed + confirmationGap || confirmed < std::max(record->unlistedAt, m_gapEnd) + removalProofTime) {
+        if (now > confirmed + confirmationGap || confirmed < std::max(record->unlistedAt, m_gapEnd) + ServerDirectory::returnTime) {
             return false;
         }
         end(*record, "entry_removed");
@@ -610,8 +523,8 @@
     writer.gauge("samphirepitch_configuration_version", "Version in force.", {}, static_cast<double>(m_configuration.version));
     writer.gauge("samphirepitch_configuration_age_seconds", "Since the configuration was confirmed.", {}, m_configurationAge.seconds(now));
     writer.gauge("samphirepitch_servers_age_seconds", "Since the list of servers was confirmed.", {}, m_serversAge.seconds(now));
-    writer.gauge(
-        "samphirepitch_servers_slow", "Backend servers that answer much later than others.", {}, static_cast<double>(m_slow.size()));
+    writer.gauge("samphirepitch_servers_slow", "Backend servers that answer much later than others.", {},
+        static_cast<double>(m_placement.slowCount()));
     writer.gauge(
         "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
 }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -5,12 +5,11 @@
 #include "core/metricsource.h"
 #include "core/random.h"
 #include "stream/discovery.h"
+#include "stream/flowplacement.h"
 #include "stream/flowtracker.h"
 #include "stream/peernews.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverevidence.h"
-#include "stream/serverpace.h"
-#include "stream/serverselector.h"
 #include "stream/streamconfiguration.h"
 #include "stream/streamcounters.h"
 #include "stream/streamobserver.h"
@@ -19,7 +18,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 namespace Samphirepitch
@@ -63,19 +61,11 @@
         StreamObserver &observer;
     };
 
-    /**
-     * An entry that discovery no longer lists is proof of the server's end only after this time without trouble of the store:
-     * entries that lapsed during an outage are back about 2 s after it.
-     */
-    static constexpr std::chrono::milliseconds removalProofTime { 2500 };
     /**
      * What the list of servers proves holds for this long by itself; afterwards only as long as the list is confirmed, because the server
      * may have started again under its id: a process takes about as long to start and to take flows.
      */
     static constexpr std::chrono::milliseconds freshProofTime { 1500 };
-    /** Servers at least this many times slower than others are logged as slow, until they are slower by less than the second figure. */
-    static constexpr double slowPace = 2;
-    static constexpr double alikePace = 1.2;
     /** A list of servers that was not confirmed for longer has a gap, in which entries may have lapsed: two calls to the store. */
     static constexpr std::chrono::milliseconds confirmationGap { 3000 };
 
@@ -155,17 +145,6 @@
     StreamDecision refuse(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
-    const std::string &targetService(const StreamRoute &route);
-    /** The server of a new flow, and how it compared. */
-    struct Choice {
-        const DirectoryRecord *record = nullptr;
-        StreamCandidate candidate;
-    };
-
-    std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken);
-    void addCandidate(const DirectoryRecord &record, bool isDoubtful, std::vector<Choice> &choices) const;
-    void recordPace(const Choice &choice);
-    std::vector<const DirectoryRecord *> lapsed(const std::string &service) const;
     void takeEvidence(const StreamPacket &packet, std::uint32_t token);
     void take(const DirectoryChanges &changes);
     void end(const DirectoryRecord &record, std::string_view proof);
@@ -181,15 +160,13 @@
     void recordStanding(const DirectoryRecord &record, std::string_view evidence);
 
     const Clock &m_clock;
-    RandomSource &m_random;
     EventSink &m_events;
-    const ServerSelector &m_selector;
     StreamObserver &m_observer;
-    std::string m_failureDomain;
     ServerDirectory m_directory;
     ServerEvidence m_evidence;
     ServerPace m_pace;
     FlowTracker m_flows;
+    FlowPlacement m_placement;
     StreamConfiguration m_configuration;
     ViewAge m_configurationAge;
     ViewAge m_serversAge;
@@ -197,7 +174,6 @@
     std::vector<StreamReset> m_resets;
     std::vector<std::uint32_t> m_removed; // tokens of unlisted servers that are not known to have ended
     std::vector<EndedServer> m_ended;
-    std::unordered_set<std::uint32_t> m_slow; // servers that were logged as slow
     std::uint64_t m_configurationChecked = 0;
     TimePoint m_gapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
