--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -330,7 +330,7 @@
     }
     const bool changed = m_evidence.connected(token, result, begun, m_clock.now());
     if (changed) {
-        recordStanding(*record, connectResultName(result));
+        recordStanding(*record, result == ConnectResult::Refused ? "connection_refused" : connectResultName(result));
     }
     if (result == ConnectResult::Refused) {
         if (changed && !m_evidence.isReportedEnded(token)) {
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -161,6 +161,7 @@
     send(token, 101, 900, 55);
     REQUIRE(router.takeDueProbes().size() == 1);
     connected(token, ConnectResult::Refused);
+    CHECK(events.last("server_standing").find("standing=gone evidence=connection_refused") != std::string::npos);
     const std::vector<StreamReset> resets = router.takeResets();
     REQUIRE(resets.size() == 2);
     for (const StreamReset &reset : resets) {
