Open listeners in one place, and look servers up once for each packet

The sequence that opens a listener stood in PeerServer, HttpServer and, new, PeerStateTransfer; each packet of a known flow looked its server up three times in the evidence; four accessors of ServerEvidence repeated one search; and PeerExchange::requestFailed only called refuse.

Change: openListener serves all three; ServerEvidence::packetPassed holds the condition that the router spelled out, with one search; a private find and isSilent serve the accessors; PeerStateSource::refuse is what the exchange already had. No decision changes, and all tests keep their assertions.

Looked at and left: merging the two branches for new and ended flows in routeOpening (it would cost each new flow another search); the wire forms in peernews.cpp (alike in shape, each of another type); the two reads of the configuration in storediscovery.cpp (the loop differs).

--- a/src/objectstore/httpserver.cpp
+++ b/src/objectstore/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "objectstore/internal/httpstream.h"
 #include "objectstore/internal/socketdeadline.h"
+#include "objectstore/internal/tcplistener.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -48,18 +49,7 @@
 
     std::error_code open(Endpoint address)
     {
-        const asio::ip::tcp::endpoint target(asio::ip::address_v4(address.address()), address.port());
-        std::error_code error;
-        m_acceptor.open(target.protocol(), error);
-        if (!error) {
-            m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-        }
-        if (!error) {
-            m_acceptor.bind(target, error);
-        }
-        if (!error) {
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-        }
+        std::error_code error = openListener(m_acceptor, address);
         if (!error) {
             const auto bound = m_acceptor.local_endpoint(error);
             m_address = Endpoint(address.address(), bound.port());
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -1,6 +1,7 @@
 #include "peer/peerserver.h"
 
 #include "core/eventsink.h"
+#include "objectstore/internal/tcplistener.h"
 #include "peer/internal/tcpendpoint.h"
 #include "peer/linkcounters.h"
 #include "peer/linkhandler.h"
@@ -29,20 +30,8 @@
 
 Result<std::unique_ptr<PeerServer>> PeerServer::create(const asio::any_io_executor &executor, Endpoint address, const LinkContext &context)
 {
-    const tcp::endpoint endpoint = tcpEndpoint(address);
     tcp::acceptor acceptor(executor);
-    asio::error_code error;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(tcp::acceptor::max_listen_connections, error);
-    }
-    if (error) {
+    if (const std::error_code error = openListener(acceptor, address)) {
         return failure(ErrorKind::InputOutput, address.toString(), error.message());
     }
     return std::unique_ptr<PeerServer>(new PeerServer(std::move(acceptor), context));
--- a/src/stream/peerexchange.cpp
+++ b/src/stream/peerexchange.cpp
@@ -418,11 +418,6 @@
     return makeState(request.view);
 }
 
-void PeerExchange::requestFailed(std::string_view event, const std::string &peer, const Error &error)
-{
-    refuse(event, peer, error);
-}
-
 PeerState PeerExchange::makeState(const ViewMark &known) const
 {
     PeerState state { .deployment = m_place.deployment, .sender = m_directory.self(), .view = m_router.viewMark() };
--- a/src/stream/peerexchange.h
+++ b/src/stream/peerexchange.h
@@ -77,7 +77,7 @@
     void storeReachable(bool reachable) override;
 
     PeerState stateFor(const PeerNews &request) override;
-    void requestFailed(std::string_view event, const std::string &peer, const Error &error) override;
+    void refuse(std::string_view event, const std::string &peer, const Error &error) override;
 
     const PeerDirectory &directory() const;
 
@@ -87,7 +87,6 @@
     PeerExchange(asio::any_io_executor executor, Parts parts, Place place, PeerRecord self);
 
     Result<void> bind();
-    void refuse(std::string_view event, const std::string &peer, const Error &error);
     void take(const PeerNews &news);
     bool takeView(const PeerNews &news);
     bool merge(const PeerRecord &record);
--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -1,6 +1,7 @@
 #include "stream/peerstatetransfer.h"
 
 #include "objectstore/internal/socketdeadline.h"
+#include "objectstore/internal/tcplistener.h"
 #include "peer/framecodec.h"
 #include "peer/internal/framestream.h"
 #include "peer/internal/tcpendpoint.h"
@@ -45,19 +46,7 @@
 
 Result<void> PeerStateTransfer::bind(Endpoint address)
 {
-    const tcp::endpoint local = tcpEndpoint(address);
-    std::error_code error;
-    m_acceptor.open(local.protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(local, error);
-    }
-    if (!error) {
-        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
-    }
-    if (error) {
+    if (const std::error_code error = openListener(m_acceptor, address)) {
         return failure(ErrorKind::InputOutput, address.toString(), error.message());
     }
     return {};
@@ -98,14 +87,14 @@
         tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             // Such as too many open files.
-            m_source.requestFailed("peer_request_refused", "unknown", Error(ErrorKind::InputOutput, "accept", error.message()));
+            m_source.refuse("peer_request_refused", "unknown", Error(ErrorKind::InputOutput, "accept", error.message()));
             asio::steady_timer pause(m_executor, acceptPause);
             co_await pause.async_wait(asio::use_awaitable);
         } else if (m_served < maxServed) {
             ++m_served;
             asio::co_spawn(m_executor, answer(std::move(socket)), asio::detached);
         } else {
-            m_source.requestFailed("peer_request_refused", "unknown", Error(ErrorKind::RateLimited, "states", "too many are sent now"));
+            m_source.refuse("peer_request_refused", "unknown", Error(ErrorKind::RateLimited, "states", "too many are sent now"));
         }
     }
 }
@@ -122,12 +111,12 @@
             co_await asio::async_write(socket, asio::buffer(*answer), asio::redirect_error(asio::use_awaitable, error));
         }
         if (!answer) {
-            m_source.requestFailed("peer_state_unsent", news->sender.id, answer.error());
+            m_source.refuse("peer_state_unsent", news->sender.id, answer.error());
         } else if (error) {
-            m_source.requestFailed("peer_state_unsent", news->sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
+            m_source.refuse("peer_state_unsent", news->sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
         }
     } else {
-        m_source.requestFailed("peer_request_refused", "unknown", news.error());
+        m_source.refuse("peer_request_refused", "unknown", news.error());
     }
     --m_served;
 }
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -23,8 +23,8 @@
     /** Returns what the sender of @p request lacks. */
     virtual PeerState stateFor(const PeerNews &request) = 0;
 
-    /** A request could not be read or answered. */
-    virtual void requestFailed(std::string_view event, const std::string &peer, const Error &error) = 0;
+    /** Reports a request that could not be read or answered. */
+    virtual void refuse(std::string_view event, const std::string &peer, const Error &error) = 0;
 };
 
 /** Carries states between instances over connections: one request and one answer each. */
--- a/src/stream/serverevidence.cpp
+++ b/src/stream/serverevidence.cpp
@@ -69,11 +69,23 @@
 
 void ServerEvidence::recheck(std::uint32_t token)
 {
-    State &state = m_states[token];
+    recheck(m_states[token]);
+}
+
+void ServerEvidence::recheck(State &state)
+{
     state.wantsProbe = true;
     state.nextProbe = std::min(state.nextProbe, state.lastProbe + probeInterval);
 }
 
+void ServerEvidence::packetPassed(std::uint32_t token)
+{
+    const auto found = m_states.find(token);
+    if (found != m_states.end() && (found->second.isGone || found->second.isReported || isSilent(found->second))) {
+        recheck(found->second);
+    }
+}
+
 bool ServerEvidence::connected(std::uint32_t token, ConnectResult result, TimePoint begun, TimePoint now)
 {
     const Standing before = standing(token, now);
@@ -138,8 +150,8 @@
 
 bool ServerEvidence::isReportedEnded(std::uint32_t token) const
 {
-    const auto found = m_states.find(token);
-    return found != m_states.end() && found->second.isReported;
+    const State *const state = find(token);
+    return state != nullptr && state->isReported;
 }
 
 std::vector<std::uint32_t> ServerEvidence::takeDueProbes(TimePoint now, std::size_t most)
@@ -158,32 +170,42 @@
 
 Standing ServerEvidence::standing(std::uint32_t token, TimePoint now) const
 {
-    const auto found = m_states.find(token);
-    if (found == m_states.end()) {
+    const State *const state = find(token);
+    if (state == nullptr) {
         return Standing::Trusted;
     }
-    const State &state = found->second;
-    if (state.isGone) {
+    if (state->isGone) {
         return Standing::Gone;
     }
-    if (state.failures > 0) {
-        // A server whose queue of connections is full drops them as well, but acknowledges what clients send.
-        const bool isWitnessed = state.repeated || state.isReported;
-        return state.failures >= failuresUntilSilent && isWitnessed ? Standing::Silent : Standing::Unreachable;
+    if (state->failures > 0) {
+        return isSilent(*state) ? Standing::Silent : Standing::Unreachable;
     }
-    return state.isReported || now < state.suspectedUntil ? Standing::Suspected : Standing::Trusted;
+    return state->isReported || now < state->suspectedUntil ? Standing::Suspected : Standing::Trusted;
+}
+
+bool ServerEvidence::isSilent(const State &state)
+{
+    // A server whose queue of connections is full drops them as well, but acknowledges what clients send.
+    const bool isWitnessed = state.repeated || state.isReported;
+    return state.failures >= failuresUntilSilent && isWitnessed;
 }
 
 TimePoint ServerEvidence::endProvenAt(std::uint32_t token) const
 {
-    const auto found = m_states.find(token);
-    return found == m_states.end() ? TimePoint() : found->second.endProvenAt;
+    const State *const state = find(token);
+    return state == nullptr ? TimePoint() : state->endProvenAt;
 }
 
 TimePoint ServerEvidence::failedConnection(std::uint32_t token) const
+{
+    const State *const state = find(token);
+    return state == nullptr ? TimePoint() : state->failedConnection;
+}
+
+const ServerEvidence::State *ServerEvidence::find(std::uint32_t token) const
 {
     const auto found = m_states.find(token);
-    return found == m_states.end() ? TimePoint() : found->second.failedConnection;
+    return found == m_states.end() ? nullptr : &found->second;
 }
 
 void ServerEvidence::forget(std::uint32_t token)
--- a/src/stream/serverevidence.h
+++ b/src/stream/serverevidence.h
@@ -68,9 +68,12 @@
     /** An answer of the server takes long; asks for a connection without suspecting it. */
     void overdue(std::uint32_t token);
 
-    /** A packet of a flow passes whose server is silent or gone by a connection made before; asks for the next one soon. */
+    /** Asks for the next connection soon, at the probe interval and not at that of rechecks. */
     void recheck(std::uint32_t token);
 
+    /** A packet of an open flow goes to the server; asks for a connection if the server is silent, gone, or reported to have ended. */
+    void packetPassed(std::uint32_t token);
+
     /** Takes the result of a connection that was begun at @p begun. @return whether the standing changed */
     bool connected(std::uint32_t token, ConnectResult result, TimePoint begun, TimePoint now);
 
@@ -123,6 +126,10 @@
         TimePoint nextProbe {};
     };
 
+    const State *find(std::uint32_t token) const;
+    static bool isSilent(const State &state);
+    void recheck(State &state);
+
     // Only servers that something is known of; a trusted server usually has no entry.
     std::unordered_map<std::uint32_t, State> m_states;
 };
--- a/src/stream/serverpace.h
+++ b/src/stream/serverpace.h
@@ -34,8 +34,7 @@
     static constexpr double shareStep = 0.1;
     /** A share of late answers this much above that of the middle server says nothing: twice what equal servers differ by. */
     static constexpr double shareTolerance = 0.15;
-    /** How much slower a server counts for a share of late answers: one that leaves four in ten without an answer counts as 4 times slower.
-     */
+    /** How much slower a share of late answers makes a server: one that leaves four in ten without an answer counts as 4 times slower. */
     static constexpr double shareWeight = 12;
     /** The most that a server counts as slower, so that a few answers show its return. */
     static constexpr double slowest = 8;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -173,10 +173,7 @@
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
     const TimePoint placedAt = flow == nullptr ? now : flow->sentAt;
     const PacketEvidence evidence = m_flows.packet(packet, token, now);
-    const Standing standing = m_evidence.standing(token, now);
-    if (standing == Standing::Silent || standing == Standing::Gone || m_evidence.isReportedEnded(token)) {
-        m_evidence.recheck(token); // the next connection decides about this flow
-    }
+    m_evidence.packetPassed(token); // the next connection decides about this flow
     if (evidence.openedNow) {
         m_observer.flowOpened(now - placedAt);
     }
@@ -354,14 +351,13 @@
 void StreamRouter::serverEnded(const EndedServer &ended)
 {
     const DirectoryRecord *const record = m_directory.findId(ended.id);
-    if (record != nullptr && static_cast<std::uint64_t>(record->server.startedAt) == ended.startedAt) {
-        if (!m_evidence.reportedEnded(record->token)) {
-            return;
-        }
-        recordStanding(*record, "another_instance");
-        if (m_flows.flowsOf(record->token).recent > 0) {
-            m_evidence.recheck(record->token);
-        }
+    const bool isSame = record != nullptr && static_cast<std::uint64_t>(record->server.startedAt) == ended.startedAt;
+    if (!isSame || !m_evidence.reportedEnded(record->token)) {
+        return;
+    }
+    recordStanding(*record, "another_instance");
+    if (m_flows.flowsOf(record->token).recent > 0) {
+        m_evidence.recheck(record->token);
     }
 }
 
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -31,7 +31,7 @@
         return { .deployment = "dewnet", .sender = { .id = "entry-1" }, .view = { .serversRevision = 7 } };
     }
 
-    void requestFailed(std::string_view event, const std::string &, const Error &error) override
+    void refuse(std::string_view event, const std::string &, const Error &error) override
     {
         failures.push_back(std::string(event) + ' ' + std::string(errorKindName(error.kind())));
     }
