Log the evidence behind resets and the flows whose server changes

An operator who saw a reset of an open flow could not tell from the log which server it concerned, whether a failed probe or the list of servers had proven its end, how old that evidence was, or how long the instance had known the flow. flow_reset now has these fields, for resets that answer a packet as well. flow_server_changed and its counter show packets of an open flow whose token names another server than the packet before. No decision is changed.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -150,7 +150,12 @@
         return drop(packet, outcome);
     }
     m_counters.count(outcome);
-    logFlowEvent(EventSeverity::Warning, "flow_reset", packet, { { "reason", std::string(streamOutcomeName(outcome)) } });
+    std::vector<EventField> fields { { "reason", std::string(streamOutcomeName(outcome)) } };
+    if (!packet.opens) {
+        const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+        appendResetEvidence(packet.token, flow != nullptr && flow->open ? flow->openSince : TimePoint(), fields);
+    }
+    logFlowEvent(EventSeverity::Warning, "flow_reset", packet, std::move(fields));
     return { .action = StreamDecision::Action::Reset, .outcome = outcome };
 }
 
@@ -172,6 +177,11 @@
 {
     const TimePoint now = m_clock.now();
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
+    if (flow != nullptr && flow->open && m_directory.findToken(flow->token) != m_directory.findToken(token)) {
+        ++m_serverChanges;
+        logFlowEvent(
+            EventSeverity::Warning, "flow_server_changed", packet, { { "before", number(flow->token) }, { "token", number(token) } });
+    }
     const TimePoint placedAt = flow == nullptr ? now : flow->sentAt;
     const PacketObservation observation = m_flows.recordPacket(packet, token, now);
     m_failureDetector.recordForwardedPacket(token); // the next probe decides whether this flow is reset
@@ -396,12 +406,30 @@
     for (const StreamFlow &flow : flows) {
         m_counters.count(outcome);
         m_resets.push_back({ flow.client, flow.service, flow.acknowledged });
-        logFlowEvent(EventSeverity::Warning, "flow_reset", { .client = flow.client, .service = flow.service },
-            { { "reason", std::string(streamOutcomeName(outcome)) }, { "token", number(flow.token) },
-                { "awaiting", flow.awaitingResponse ? "yes" : "no" } });
+        std::vector<EventField> fields { { "reason", std::string(streamOutcomeName(outcome)) },
+            { "awaiting", flow.awaitingResponse ? "yes" : "no" } };
+        appendResetEvidence(flow.token, flow.openSince, fields);
+        logFlowEvent(EventSeverity::Warning, "flow_reset", { .client = flow.client, .service = flow.service }, std::move(fields));
     }
 }
 
+void StreamRouter::appendResetEvidence(std::uint32_t token, TimePoint openSince, std::vector<EventField> &fields) const
+{
+    const TimePoint now = m_clock.now();
+    const auto age = [now](TimePoint time) {
+        return time == TimePoint()
+            ? std::string("none")
+            : number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count()));
+    };
+    const DirectoryRecord *const record = m_directory.findToken(token);
+    fields.push_back({ "token", number(token) });
+    fields.push_back({ "server", record == nullptr ? "unknown" : record->server.id });
+    fields.push_back({ "standing", std::string(serverStatusName(m_failureDetector.status(token, now))) });
+    fields.push_back({ "failed_probe_age_ms", age(m_failureDetector.lastFailedProbe(token)) });
+    fields.push_back({ "end_proven_age_ms", age(m_failureDetector.endProvenAt(token)) });
+    fields.push_back({ "open_ms", age(openSince) });
+}
+
 void StreamRouter::tick()
 {
     const TimePoint now = m_clock.now();
@@ -519,6 +547,8 @@
         writer.counter("samphirepitch_stream_packets_total", "Packets of stream flows, and resets of open flows, by outcome.",
             { { "outcome", streamOutcomeName(outcome) } }, m_counters.of(outcome));
     }
+    writer.counter("samphirepitch_flow_server_changes_total",
+        "Packets of open flows whose token names another server than the packet before.", {}, m_serverChanges);
     writer.gauge("samphirepitch_stream_flows", "Flows that this instance tracks.", {}, static_cast<double>(m_flows.size()));
     writer.gauge(
         "samphirepitch_configuration_version", "Version of the configuration in force.", {}, static_cast<double>(m_configuration.version));
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -169,6 +169,7 @@
     bool mayRetry(const StreamFlow &flow) const;
     std::optional<StreamOutcome> resetReason(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
+    void appendResetEvidence(std::uint32_t token, TimePoint openSince, std::vector<EventField> &fields) const;
     void confirmRemovals();
     void confirmRecoveries();
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
@@ -190,6 +191,7 @@
     std::vector<std::uint32_t> m_unconfirmedRemovals; // tokens of unlisted servers whose end is not proven
     std::vector<EndedServer> m_endedServers;
     std::uint64_t m_configurationCheckedRevision = 0;
+    std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
     TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
 };
