Count probe timeouts as silence only while another server answers

Callers saw open flows reset although their servers served. The instance took the state of its own link for that of the servers.

A timeout now counts towards silence only if another server answered a probe that was started later. That probe was queued behind the first one on the instance's own link and handled by the same process, so neither of them was the reason for the timeout. A suspected server is probed together with a trusted one, so that the comparison exists when a server is really lost. Without an answer from anyone the server is unreachable: new flows avoid it, and its open flows are kept.

The test "an instance whose probes all time out keeps the open flows of its servers" failed before: "1 == 0" for the action, reset instead of forward.

Tests of silence now record the answer of another server with each timeout; without it the status is unreachable, which a new test states. A repeated opening packet leads to two probes instead of one, that of the suspected and that of a trusted server.

--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -47,6 +47,7 @@
     }
     State &state = found->second;
     state.consecutiveTimeouts = 0;
+    state.comparedTimeouts = 0;
     state.retransmitted = false;
     state.probeRequested = false;
     state.suspectedUntil = now;
@@ -95,8 +96,15 @@
         state.nextProbe = now + minProbeInterval;
         return false;
     }
-    state.consecutiveTimeouts = result == ConnectResult::Unanswered ? state.consecutiveTimeouts + 1 : 0;
-    if (result == ConnectResult::Refused || state.consecutiveTimeouts >= timeoutsUntilSilent) {
+    if (result == ConnectResult::Unanswered) {
+        ++state.consecutiveTimeouts;
+        state.comparedTimeouts += m_lastAnsweredProbe >= probeStart ? 1 : 0;
+    } else {
+        state.consecutiveTimeouts = 0;
+        state.comparedTimeouts = 0;
+        m_lastAnsweredProbe = std::max(m_lastAnsweredProbe, probeStart);
+    }
+    if (result == ConnectResult::Refused || state.comparedTimeouts >= timeoutsUntilSilent) {
         state.lastFailedProbe = std::max(state.lastFailedProbe, probeStart);
     }
     if (state.isGone) {
@@ -168,6 +176,12 @@
     return due;
 }
 
+bool ServerFailureDetector::needsComparison(std::uint32_t token) const
+{
+    const State *const state = find(token);
+    return state != nullptr && !state->isGone && (state->retransmitted || state->consecutiveTimeouts > 0);
+}
+
 ServerStatus ServerFailureDetector::status(std::uint32_t token, TimePoint now) const
 {
     const State *const state = find(token);
@@ -187,7 +201,7 @@
 {
     // A server whose listen queue is full drops connections too, but it still acknowledges the packets of clients.
     const bool isCorroborated = state.retransmitted || state.endReported;
-    return state.consecutiveTimeouts >= timeoutsUntilSilent && isCorroborated;
+    return state.comparedTimeouts >= timeoutsUntilSilent && isCorroborated;
 }
 
 TimePoint ServerFailureDetector::endProvenAt(std::uint32_t token) const
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -18,7 +18,7 @@
     Trusted,
     Suspected, /**< Packets to it got no response, or another instance reports that it has ended. New flows avoid it. */
     Unreachable, /**< Probes timed out, which may be due to a lost packet or a full listen queue. */
-    Silent, /**< Consecutive probes timed out and clients retransmit, or its end was reported: it has ended or the network to it is down. */
+    Silent, /**< Its probes timed out while others were answered, and clients retransmit or its end was reported. */
     Gone, /**< It has ended: its host refused a connection, its address belongs to another server, or its entry was removed. */
 };
 
@@ -39,6 +39,10 @@
 /**
  * Detects failed backend servers. The packets of clients show within one or two round trips that a server doesn't respond, long before
  * discovery removes its entry. New flows avoid a suspected server, but it counts as gone only on proof, such as a refused connection.
+ *
+ * A probe also times out if the link or the processor of this instance is overloaded, which delays the packets of clients as well. A
+ * timeout therefore counts towards silence only if another server answered a probe that was started later: that probe was queued behind the
+ * first one on the link of this instance, so the link and the processor were not the reason.
  */
 class ServerFailureDetector
 {
@@ -52,8 +56,8 @@
     /** Time from the first probe that timed out to the next one, which decides whether the server is silent. */
     static constexpr std::chrono::milliseconds secondProbeDelay { 50 };
     /**
-     * Consecutive probe timeouts that make a server silent, if also a client retransmits or its end was reported. A single probe may fail
-     * because of a lost packet.
+     * Probe timeouts without a response in between that make a server silent, if also a client retransmits or its end was reported. A
+     * single probe may fail because of a lost packet.
      */
     static constexpr std::uint32_t timeoutsUntilSilent = 2;
     /**
@@ -100,14 +104,17 @@
     /** Returns up to @p maxCount servers whose probes are due and marks these probes as started. The other probes stay due. */
     std::vector<std::uint32_t> takeDueProbes(TimePoint now, std::size_t maxCount = std::numeric_limits<std::size_t>::max());
 
+    /** Returns whether a server seems not to respond, so that its probe should be compared with that of another server. */
+    bool needsComparison(std::uint32_t token) const;
+
     ServerStatus status(std::uint32_t token, TimePoint now) const;
 
     /** Returns when the list of servers first proved the end of a server, or TimePoint() if it didn't. */
     TimePoint endProvenAt(std::uint32_t token) const;
 
     /**
-     * Returns the start of the last probe that was refused, or that timed out as the second one in a row or later; TimePoint() if there is
-     * none. If the server is gone or silent, a flow that was opened before that is no longer served.
+     * Returns the start of the last probe that was refused, or that timed out and brought the timeouts that count to timeoutsUntilSilent or
+     * more; TimePoint() if there is none. If the server is gone or silent, a flow that was opened before that is no longer served.
      */
     TimePoint lastFailedProbe(std::uint32_t token) const;
 
@@ -121,6 +128,7 @@
         TimePoint endProvenAt {}; // when the list of servers proved the end
         TimePoint lastFailedProbe {};
         std::uint32_t consecutiveTimeouts = 0; // probes in a row that timed out
+        std::uint32_t comparedTimeouts = 0; // those of them during which another server answered
         bool retransmitted = false; // whether a client has retransmitted since the last response
         bool probeRequested = false;
         TimePoint lastProbe {};
@@ -133,6 +141,7 @@
     static bool isSilent(const State &state);
     void expediteProbe(State &state);
 
+    TimePoint m_lastAnsweredProbe {}; // the latest start of a probe that any server has answered
     // By token. A trusted server usually has no entry.
     std::unordered_map<std::uint32_t, State> m_states;
 };
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -16,6 +16,9 @@
 // Used until a configuration sets another value.
 constexpr std::chrono::seconds defaultIdleTimeout { 15 };
 
+// Servers that are checked to find a trusted one, so that the search costs the same for any number of servers.
+constexpr std::size_t maxReferenceChecks = 64;
+
 std::string number(std::uint64_t value)
 {
     return std::to_string(value);
@@ -27,6 +30,8 @@
     : m_clock(dependencies.clock)
     , m_events(dependencies.events)
     , m_observer(dependencies.observer)
+    , m_random(dependencies.random)
+    , m_failureDomain(failureDomain)
     , m_flows(maxFlows)
     , m_placement({ dependencies.clock, dependencies.random, dependencies.events, dependencies.selector, m_directory, m_failureDetector,
                       m_latencyTracker, m_flows },
@@ -326,9 +331,33 @@
             targets.push_back({ token, record->server.id, record->server.address });
         }
     }
+    // The other server's probe is started last; see ServerFailureDetector.
+    const auto suspected = std::find_if(
+        targets.begin(), targets.end(), [this](const ProbeTarget &target) { return m_failureDetector.needsComparison(target.token); });
+    if (suspected != targets.end() && targets.size() < maxCount) {
+        if (const DirectoryRecord *const reference = findReferenceServer(*suspected)) {
+            targets.push_back({ reference->token, reference->server.id, reference->server.address });
+        }
+    }
     return targets;
 }
 
+const DirectoryRecord *StreamRouter::findReferenceServer(const ProbeTarget &suspected)
+{
+    const std::string &service = m_directory.findToken(suspected.token)->server.service;
+    for (const auto *const servers : { &m_directory.listedIn(m_failureDomain, service), &m_directory.listed(service) }) {
+        const std::size_t first = servers->empty() ? 0 : m_random.below(servers->size());
+        for (std::size_t index = 0; index < std::min(servers->size(), maxReferenceChecks); ++index) {
+            const DirectoryRecord *const record = (*servers)[(first + index) % servers->size()];
+            const bool isTrusted = m_failureDetector.status(record->token, m_clock.now()) == ServerStatus::Trusted;
+            if (isTrusted && record->server.phase == ServerPhase::Ready && !record->tokenTaken && record->token != suspected.token) {
+                return record;
+            }
+        }
+    }
+    return nullptr;
+}
+
 void StreamRouter::recordProbeResult(std::uint32_t token, ConnectResult result, TimePoint probeStart)
 {
     const DirectoryRecord *const record = m_directory.findToken(token);
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -124,7 +124,10 @@
     /** Returns the servers whose end this instance has detected since the last call. */
     std::vector<EndedServer> takeEndedServers();
 
-    /** Returns up to @p maxCount servers whose probes are due and marks these probes as started. The other probes stay due. */
+    /**
+     * Returns up to @p maxCount servers whose probes are due and marks these probes as started. The other probes stay due. If one of the
+     * servers is suspected, a trusted server follows whose answer shows that the link of this instance works.
+     */
     std::vector<ProbeTarget> takeDueProbes(std::size_t maxCount = std::numeric_limits<std::size_t>::max());
 
     /** Records the result of a probe that was started at @p probeStart, and resets the flows of a server that has failed. */
@@ -164,6 +167,7 @@
     void applyChanges(const DirectoryChanges &changes);
     void endServer(const DirectoryRecord &record, std::string_view proof);
     void resetFlowsOfSilentServer(std::uint32_t token);
+    const DirectoryRecord *findReferenceServer(const ProbeTarget &suspected);
     bool isEndProven(std::uint32_t token) const;
     bool hasServerFailedSince(const StreamFlow &flow) const;
     bool mayRetry(const StreamFlow &flow) const;
@@ -178,6 +182,8 @@
     const Clock &m_clock;
     EventSink &m_events;
     StreamObserver &m_observer;
+    RandomSource &m_random;
+    std::string m_failureDomain;
     ServerDirectory m_directory;
     ServerFailureDetector m_failureDetector;
     ServerLatencyTracker m_latencyTracker;
--- a/tests/stream/routerfixture.cpp
+++ b/tests/stream/routerfixture.cpp
@@ -80,6 +80,12 @@
     router.recordProbeResult(token, result, clock.now());
 }
 
+void RouterFixture::timeOutProbe(std::uint32_t token, std::uint32_t answeringToken)
+{
+    finishProbe(answeringToken, ConnectResult::Accepted);
+    router.recordProbeResult(token, ConnectResult::Unanswered, clock.now());
+}
+
 void RouterFixture::advanceClock(std::chrono::milliseconds time)
 {
     clock.advance(time);
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -86,6 +86,9 @@
     /** Advances the clock by 1 ms, then records the result of a probe that starts and ends at that time. */
     void finishProbe(std::uint32_t token, ConnectResult result);
 
+    /** Advances the clock by 1 ms, then records that a probe of one server timed out while a probe of another one was answered. */
+    void timeOutProbe(std::uint32_t token, std::uint32_t answeringToken);
+
     void advanceClock(std::chrono::milliseconds time);
 
     std::uint32_t requestCount = 0; // for tests that send several requests
