Push changes of servers only if they reach the sender's own revision

Other instances could lose changes of servers for good: the return of an entry that had expired, after which they reset the open flows of a server that serves, or a drain or a restart. A reader passed on the changes of its own call together with its present revision. If it had learned of later changes from another reader while its call was under way, the receivers applied the few changes and took the gap up to that revision for complete. Two instances read at the same time after starts and when a reader is replaced.

Changes are now sent only if they lead to the revision that the message names. Otherwise the message has none, and instances that are behind request all they lack.

--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -332,10 +332,15 @@
 
 void PeerSynchronizer::publishServerUpdates(std::uint64_t from, const ServerUpdates &updates)
 {
+    const std::uint64_t known = m_router.viewStatus().serversRevision;
     if (updates.updates.empty()) {
         pushConfirmation();
-    } else {
+    } else if (known == updates.revision) {
         push(from, updates.updates);
+    } else {
+        // Another instance has passed on later changes meanwhile. A message with these changes would claim to be complete up to the later
+        // revision, so it is sent without changes, and instances that are behind request all they lack.
+        push(known, {});
     }
 }
 
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -149,6 +149,24 @@
     REQUIRE(runUntil([&] { return second.router.viewStatus().serversRevision == 12 && second.router.configuration().revision == 13; }));
 }
 
+TEST_CASE_METHOD(
+    SynchronizerFixture, "a reader that pushes older changes than it knows leaves no gap at other instances", "[stream][peersynchronizer]")
+{
+    // Guards against resets of open flows: instances missed the return of an entry that had expired, and took its server for ended.
+    Node &first = add({});
+    Node &second = add({ Node::addressOf(0) });
+    first.router.applyConfiguration(RouterFixture::configuration(4));
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
+    Node &source = reader();
+    Node &receiver = &source == &first ? second : first;
+    // Two instances read the store at the same time. The source knows revision 12 from the other one when its own call returns revision 11.
+    source.router.applyServerUpdates({ { listed(RouterFixture::server(2), 11), listed(RouterFixture::server(3), 12) }, 12 }, clock.now());
+    source.synchronizer->publishServerUpdates(10, { { listed(RouterFixture::server(2), 11) }, 11 });
+    REQUIRE(runUntil([&] { return receiver.router.viewStatus().serversRevision == 12; }));
+    CHECK(receiver.router.directory().listed("pond").size() == 3);
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
 {
     Node &first = add({});
