Send large states to one instance at a time and let them finish

The cause is a limit of 400 ms for a whole transfer, while all instances fetched the state from the few that had it, each from several at once.

A transfer may now take 400 ms for each part and 3 s in all. An instance sends large states one at a time; who has to wait longer than 300 ms asks another instance. An instance fetches one state at a time. A send buffer of 32 KB bounds what a transfer queues before the packets of clients.

--- a/src/objectstore/internal/socketdeadline.cpp
+++ b/src/objectstore/internal/socketdeadline.cpp
@@ -8,7 +8,19 @@
     , m_timer(socket.get_executor())
 {
     m_state->socket = &socket;
-    m_timer.expires_after(remaining);
+    arm(remaining);
+}
+
+void SocketDeadline::extend(std::chrono::nanoseconds remaining)
+{
+    if (!m_state->expired) {
+        arm(remaining);
+    }
+}
+
+void SocketDeadline::arm(std::chrono::nanoseconds remaining)
+{
+    m_timer.expires_after(remaining); // cancels the previous wait
     m_timer.async_wait([state = m_state](const std::error_code &error) {
         if (error || state->socket == nullptr) {
             return;
--- a/src/objectstore/internal/socketdeadline.h
+++ b/src/objectstore/internal/socketdeadline.h
@@ -22,6 +22,9 @@
     SocketDeadline(const SocketDeadline &) = delete;
     SocketDeadline &operator=(const SocketDeadline &) = delete;
 
+    /** Replaces the deadline. @param remaining time until the new deadline */
+    void extend(std::chrono::nanoseconds remaining);
+
     /** Returns whether the deadline passed and closed the socket. */
     bool expired() const;
 
@@ -31,6 +34,8 @@
         bool expired = false;
     };
 
+    void arm(std::chrono::nanoseconds remaining);
+
     // Shared with the timer handler, which may already be queued when this object is destroyed.
     std::shared_ptr<State> m_state;
     asio::steady_timer m_timer;
--- a/src/peer/internal/framestream.cpp
+++ b/src/peer/internal/framestream.cpp
@@ -15,12 +15,12 @@
 namespace
 {
 
-constexpr std::size_t chunkSize = 64 * 1024; // bytes; memory is allocated as data arrives, not by the length that the header claims
+constexpr std::size_t chunkSize = 16 * 1024; // bytes; memory is allocated as data arrives, not by the length that the header claims
 constexpr auto token = asio::experimental::as_tuple(asio::use_awaitable);
 
 } // namespace
 
-asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit)
+asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit, std::function<void()> onProgress)
 {
     FrameCodec::Header header {};
     const auto [headerError, headerSize] = co_await asio::async_read(socket, asio::buffer(header), token);
@@ -40,6 +40,9 @@
         if (error) {
             co_return failure(ErrorKind::Unavailable, "connection", error.message());
         }
+        if (onProgress) {
+            onProgress();
+        }
     }
     co_return body;
 }
--- a/src/peer/internal/framestream.h
+++ b/src/peer/internal/framestream.h
@@ -5,6 +5,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <functional>
 #include <string>
 
 namespace Samphirepitch
@@ -14,8 +15,9 @@
  * Reads one frame.
  * @param socket a connected socket
  * @param limit maximum size of the body in bytes
+ * @param onProgress called whenever a part of the frame has arrived; may be empty
  * @return the body, Malformed if it is empty, TooLarge if it is above @p limit, or Unavailable if the connection ended
  */
-asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit);
+asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit, std::function<void()> onProgress = {});
 
 } // namespace Samphirepitch
--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -13,6 +13,8 @@
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Samphirepitch
@@ -24,17 +26,74 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-// A state of some tens of KB takes a few round trips. A peer behind a network partition never answers.
-constexpr milliseconds transferTimeout { 400 };
+// Longest time without progress. A peer behind a network partition never answers. A state itself may take longer: a configuration of
+// thousands of routes has some hundreds of KB, which take some hundreds of milliseconds on a link of 10 Mbit/s.
+constexpr milliseconds progressTimeout { 400 };
+
+// Bounds the time for which a peer that reads or writes slowly holds a connection. A configuration must be in force after 3 s.
+constexpr milliseconds transferTimeout { 3000 };
+
+// A state above smallStateSize is sent to one peer at a time. Several at once would delay the packets of clients on a slow link by as many
+// times the transfer time, and would all arrive late.
+constexpr std::size_t smallStateSize = 16 * 1024; // bytes
+constexpr milliseconds sendCheckInterval { 5 };
+
+// Time that a request waits for others to be served. Afterwards it is closed, and its sender asks another instance that has the state by
+// then.
+constexpr milliseconds sendQueueTimeout { 300 };
 
 // Delay after a failed accept. File descriptors become free as connections end, which takes at most the transfer timeout.
 constexpr milliseconds acceptRetryDelay { 50 };
 
+constexpr std::size_t writeChunkSize = 16 * 1024; // bytes
+
+// Bounds what a transfer queues on the link of this instance before the packets of clients.
+constexpr int sendBufferSize = 32 * 1024; // bytes
+
 constexpr std::size_t maxConnections = 512; // accepted connections at once; each uses a file descriptor and the memory of a state
 constexpr std::size_t maxRequestSize = 4096; // bytes of the encoded message of a request
 
 } // namespace
 
+/** Limits a transfer in time: each part may take progressTimeout, and all parts together transferTimeout. */
+class TransferDeadline
+{
+public:
+    TransferDeadline(tcp::socket &socket, const Clock &clock)
+        : m_clock(clock)
+        , m_end(clock.now() + transferTimeout)
+        , m_limit(socket, progressTimeout)
+    {
+    }
+
+    void recordProgress()
+    {
+        m_limit.extend(std::min<std::chrono::nanoseconds>(progressTimeout, m_end - m_clock.now()));
+    }
+
+private:
+    const Clock &m_clock;
+    TimePoint m_end;
+    SocketDeadline m_limit;
+};
+
+namespace
+{
+
+asio::awaitable<std::error_code> writeParts(tcp::socket &socket, std::string_view bytes, TransferDeadline &deadline)
+{
+    std::error_code error;
+    while (!bytes.empty() && !error) {
+        const std::string_view part = bytes.substr(0, writeChunkSize);
+        co_await asio::async_write(socket, asio::buffer(part), asio::redirect_error(asio::use_awaitable, error));
+        bytes.remove_prefix(part.size());
+        deadline.recordProgress();
+    }
+    co_return error;
+}
+
+} // namespace
+
 PeerStateTransfer::PeerStateTransfer(asio::any_io_executor executor, const Clock &clock, std::string deployment, PeerStateSource &source)
     : m_executor(std::move(executor))
     , m_clock(clock)
@@ -55,7 +114,7 @@
 asio::awaitable<Result<PeerState>> PeerStateTransfer::fetch(Endpoint peer, GossipMessage request)
 {
     tcp::socket socket(m_executor);
-    const SocketDeadline limit(socket, transferTimeout);
+    TransferDeadline deadline(socket, m_clock);
     std::error_code error;
     co_await socket.async_connect(tcpEndpoint(peer), asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -69,7 +128,8 @@
     if (error) {
         co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
     }
-    const Result<std::string> response = co_await readFrame(socket, FrameCodec::maxBody);
+    std::function<void()> onProgress = [&deadline] { deadline.recordProgress(); };
+    const Result<std::string> response = co_await readFrame(socket, FrameCodec::maxBody, onProgress);
     if (!response) {
         co_return tl::unexpected(response.error());
     }
@@ -102,26 +162,62 @@
 
 asio::awaitable<void> PeerStateTransfer::serveConnection(tcp::socket socket)
 {
-    const SocketDeadline limit(socket, transferTimeout);
+    std::error_code ignored; // with another buffer size, only the delay of other packets differs
+    socket.set_option(asio::socket_base::send_buffer_size(sendBufferSize), ignored);
+    TransferDeadline deadline(socket, m_clock);
     const Result<std::string> request = co_await readFrame(socket, maxRequestSize);
     const Result<GossipMessage> message = request ? readMessage(*request) : tl::unexpected(request.error());
     if (message) {
-        const Result<std::string> response = FrameCodec::encode(GossipCodec::encode(m_source.stateFor(*message), m_clock.now()));
-        std::error_code error;
-        if (response) {
-            co_await asio::async_write(socket, asio::buffer(*response), asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (!response) {
-            m_source.reportFailure("peer_state_unsent", message->sender.id, response.error());
-        } else if (error) {
-            m_source.reportFailure("peer_state_unsent", message->sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
-        }
+        co_await sendState(socket, *message, deadline);
     } else {
         m_source.reportFailure("peer_request_refused", "unknown", message.error());
     }
     --m_activeConnections;
 }
 
+asio::awaitable<void> PeerStateTransfer::sendState(tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline)
+{
+    Result<std::string> response = encodeStateFor(request);
+    if (response && response->size() > smallStateSize && m_isSendingLargeState) {
+        response->clear(); // many requests may wait at once
+        const bool isFree = co_await awaitSendSlot();
+        if (!isFree) {
+            m_source.reportFailure(
+                "peer_state_unsent", request.sender.id, Error(ErrorKind::RateLimited, "state", "other instances are being served"));
+            co_return;
+        }
+        response = encodeStateFor(request);
+    }
+    if (!response) {
+        m_source.reportFailure("peer_state_unsent", request.sender.id, response.error());
+        co_return;
+    }
+    const bool isLarge = response->size() > smallStateSize;
+    m_isSendingLargeState = m_isSendingLargeState || isLarge;
+    deadline.recordProgress();
+    const std::error_code error = co_await writeParts(socket, *response, deadline);
+    m_isSendingLargeState = m_isSendingLargeState && !isLarge;
+    if (error) {
+        m_source.reportFailure("peer_state_unsent", request.sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
+    }
+}
+
+Result<std::string> PeerStateTransfer::encodeStateFor(const GossipMessage &request)
+{
+    return FrameCodec::encode(GossipCodec::encode(m_source.stateFor(request), m_clock.now()));
+}
+
+asio::awaitable<bool> PeerStateTransfer::awaitSendSlot()
+{
+    const TimePoint queueDeadline = m_clock.now() + sendQueueTimeout;
+    asio::steady_timer timer(m_executor);
+    while (m_isSendingLargeState && m_clock.now() < queueDeadline) {
+        timer.expires_after(sendCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return !m_isSendingLargeState;
+}
+
 Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes) const
 {
     Result<GossipMessage> message = GossipCodec::decodeMessage(bytes, m_clock.now());
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -14,6 +14,8 @@
 namespace Samphirepitch
 {
 
+class TransferDeadline;
+
 /** Provides the states that other instances request, and records failed requests. */
 class PeerStateSource
 {
@@ -31,7 +33,10 @@
     virtual void reportFailure(std::string_view event, const std::string &peer, const Error &error) = 0;
 };
 
-/** Transfers states between instances over TCP. Each connection carries one request and one response. */
+/**
+ * Transfers states between instances over TCP. Each connection carries one request and one response. Large states are sent one at a time:
+ * if many instances request one at once, each gets it in a short time, and the next ones can get it from those.
+ */
 class PeerStateTransfer
 {
 public:
@@ -66,6 +71,9 @@
 
 private:
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
+    asio::awaitable<void> sendState(asio::ip::tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline);
+    Result<std::string> encodeStateFor(const GossipMessage &request);
+    asio::awaitable<bool> awaitSendSlot();
 
     asio::any_io_executor m_executor;
     const Clock &m_clock;
@@ -73,6 +81,7 @@
     PeerStateSource &m_source;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_activeConnections = 0; // accepted connections that are still open
+    bool m_isSendingLargeState = false;
 };
 
 } // namespace Samphirepitch
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -365,6 +365,11 @@
 
 void PeerSynchronizer::startPull(Endpoint peer)
 {
+    // Several pulls at once would fetch the same state. While one is running, other messages of newer instances keep arriving.
+    const bool isStarting = m_pendingSeedPulls > 0;
+    if (!isStarting && !m_activePulls.empty()) {
+        return;
+    }
     if (m_activePulls.insert(peer).second) {
         asio::co_spawn(m_executor, pull(peer), asio::detached);
     }
