Forget a retransmission once the server answers a probe

An open flow of a running server could be reset because of a packet that was lost long before. One retransmission corroborates that a server is silent, and only a response to a client that this instance sees cleared it. A client whose opening packet was lost opens its flow at another server and never clears it, so that two timeouts seconds later were enough.

An answered probe now clears it as well. Proven by reading; the test failed before with "3 == 2", silent instead of unreachable.

--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -102,6 +102,7 @@
     } else {
         state.consecutiveTimeouts = 0;
         state.comparedTimeouts = 0;
+        state.retransmitted = false;
         m_lastAnsweredProbe = std::max(m_lastAnsweredProbe, probeStart);
     }
     if (result == ConnectResult::Refused || state.comparedTimeouts >= timeoutsUntilSilent) {
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -129,7 +129,7 @@
         TimePoint lastFailedProbe {};
         std::uint32_t consecutiveTimeouts = 0; // probes in a row that timed out
         std::uint32_t comparedTimeouts = 0; // those of them during which another server answered
-        bool retransmitted = false; // whether a client has retransmitted since the last response
+        bool retransmitted = false; // whether a client has retransmitted since the last response or answered probe
         bool probeRequested = false;
         TimePoint lastProbe {};
         TimePoint acceptedAt {}; // when a server that was gone accepted a connection again
--- a/tests/stream/serverfailuredetectortests.cpp
+++ b/tests/stream/serverfailuredetectortests.cpp
@@ -134,6 +134,17 @@
     CHECK(detector.lastFailedProbe(server) == TimePoint());
 }
 
+TEST_CASE("a retransmission before an answered probe connection doesn't corroborate later timeouts", "[stream][failuredetector]")
+{
+    // Guards against resets of open flows of a running server because of one packet that was lost long ago.
+    ServerFailureDetector detector;
+    detector.recordRetransmission(server, start);
+    detector.recordProbeResult(server, ConnectResult::Accepted, start + milliseconds(5), start + milliseconds(8));
+    recordComparedTimeout(detector, start + milliseconds(10000));
+    recordComparedTimeout(detector, start + milliseconds(10170));
+    CHECK(detector.status(server, start + milliseconds(10170)) == ServerStatus::Unreachable);
+}
+
 TEST_CASE("a server that another instance reports is suspected until a probe connection of this instance is accepted",
     "[stream][failuredetector]")
 {
