Discard the probe timeouts of a server that begins to drain

An idle open flow of a draining server could be reset because of probes from before it drained. A draining server is not probed, so that no answer ended its timeouts, and one lost packet of any client completed the evidence for silence.

The timeouts are discarded when the server begins to drain. Proven by reading; the test "timeouts from before a server drained don't make it silent later" failed before: resets were due and the status was silent.

--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -141,6 +141,15 @@
     return recovered;
 }
 
+void ServerFailureDetector::recordDraining(std::uint32_t token)
+{
+    const auto found = m_states.find(token);
+    if (found != m_states.end()) {
+        found->second.consecutiveTimeouts = 0;
+        found->second.comparedTimeouts = 0;
+    }
+}
+
 bool ServerFailureDetector::recordProvenEnd(std::uint32_t token, TimePoint now)
 {
     State &state = m_states[token];
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -92,6 +92,9 @@
      */
     std::vector<std::uint32_t> takeRecovered(TimePoint confirmed, const std::function<bool(std::uint32_t)> &isListed);
 
+    /** Discards the timeouts of a server that has begun to drain: its probes end, so that no answer would clear them. */
+    void recordDraining(std::uint32_t token);
+
     /** Records that the list of servers proves the end of a server. @return whether it was not gone before */
     bool recordProvenEnd(std::uint32_t token, TimePoint now);
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -311,6 +311,9 @@
             m_failureDetector.forget(record.token);
             break;
         case DirectoryChange::Kind::Changed:
+            if (record.server.phase == ServerPhase::Draining) {
+                m_failureDetector.recordDraining(record.token);
+            }
             break;
         }
     }
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -363,6 +363,27 @@
     CHECK(router.takeDueProbes().empty());
 }
 
+TEST_CASE_METHOD(RouterFixture, "timeouts from before a server drained don't make it silent later", "[stream][router]")
+{
+    // Guards against resets of idle flows: a draining server isn't probed, so that no answer ends its timeouts.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    send(token, 101, 0, 77, Endpoint(0x64400008, 40002));
+    timeOutProbe(token, ServerDirectory::tokenOf(server(2)));
+    timeOutProbe(token, ServerDirectory::tokenOf(server(2)));
+    REQUIRE(router.takeResets().empty());
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    draining.revision = 11;
+    router.updateServer(draining);
+    advanceClock(milliseconds(8000));
+    send(token, 101, 900, 55);
+    advanceClock(milliseconds(200));
+    send(token, 101, 900, 55);
+    CHECK(router.takeResets().empty());
+    CHECK(router.failureDetector().status(token, clock.now()) != ServerStatus::Silent);
+}
+
 TEST_CASE_METHOD(RouterFixture, "flows of a server whose address belongs to another server are reset", "[stream][router]")
 {
     makeReady({ server(1) });
