Count confirmations of the server list from their arrival, not their processing

Open flows of a running server could be reset by an instance that had been stopped, suspended or without CPU time. Gossip messages and responses of the store that had waited in its sockets carry their ages as of the time of sending, and were taken as of the time of reading. A removed entry then counted as missing for the grace period although the instance had heard nothing for seconds, in which the entry may have come back, and the flows of its server were reset. A lack of news was taken for news.

tick() runs every 25 ms, so the router knows when the process stalled (event process_stalled). What is processed after a stall counts from the start of the stall, and a response without changes at the latest from the end of the wait that was asked for.

The tests failed before: the message confirmed the list 4 s after it was sent, and the late responses 500 ms and 4 s too late.

--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -117,7 +117,8 @@
     }
     recordSuccess(m_servers);
     const bool changed = !updates->updates.empty();
-    apply(*std::move(updates), from, wait.count() == 0 ? callStart : m_clock.now());
+    const TimePoint confirmedAt = confirmationTime(callStart, wait, changed);
+    apply(*std::move(updates), from, confirmedAt);
     if (changed) {
         co_await m_timer.waitUntil(m_clock.now() + batchDelay);
     }
@@ -147,7 +148,15 @@
         co_return;
     }
     recordSuccess(m_configuration);
-    apply(*std::move(read), wait.count() == 0 ? callStart : m_clock.now());
+    const TimePoint confirmedAt = confirmationTime(callStart, wait, read->configuration || read->fault);
+    apply(*std::move(read), confirmedAt);
+}
+
+TimePoint DiscoveryWatcher::confirmationTime(TimePoint callStart, milliseconds wait, bool changed) const
+{
+    // The store responds as soon as there is a change, and otherwise at the end of the wait. The response may be processed much later.
+    const TimePoint arrival = m_router.earliestArrival(callStart);
+    return changed && wait.count() > 0 ? arrival : std::min(arrival, callStart + wait);
 }
 
 void DiscoveryWatcher::apply(ServerUpdates updates, std::uint64_t from, TimePoint confirmedAt)
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -100,6 +100,7 @@
     asio::awaitable<void> awaitServerUpdates(std::chrono::milliseconds wait);
     asio::awaitable<void> readConfiguration();
     asio::awaitable<void> awaitConfigurationUpdate(std::chrono::milliseconds wait);
+    TimePoint confirmationTime(TimePoint callStart, std::chrono::milliseconds wait, bool changed) const;
     void apply(ServerUpdates updates, std::uint64_t from, TimePoint confirmedAt);
     void apply(ConfigurationRead read, TimePoint confirmedAt);
     bool storeIsReachable() const;
--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -166,7 +166,7 @@
     socket.set_option(asio::socket_base::send_buffer_size(sendBufferSize), ignored);
     TransferDeadline deadline(socket, m_clock);
     const Result<std::string> request = co_await readFrame(socket, maxRequestSize);
-    const Result<GossipMessage> message = request ? readMessage(*request) : tl::unexpected(request.error());
+    const Result<GossipMessage> message = request ? readMessage(*request, m_clock.now()) : tl::unexpected(request.error());
     if (message) {
         co_await sendState(socket, *message, deadline);
     } else {
@@ -218,9 +218,9 @@
     co_return !m_isSendingLargeState;
 }
 
-Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes) const
+Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes, TimePoint arrivedAt) const
 {
-    Result<GossipMessage> message = GossipCodec::decodeMessage(bytes, m_clock.now());
+    Result<GossipMessage> message = GossipCodec::decodeMessage(bytes, arrivedAt);
     if (message && message->deployment != m_deployment) {
         return failure(ErrorKind::WrongDeployment, message->sender.id, "the peer belongs to the deployment " + message->deployment);
     }
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -65,9 +65,10 @@
 
     /**
      * Decodes a message and checks its deployment.
+     * @param arrivedAt the time of arrival, to which the ages in the message refer
      * @return the message, Malformed, TooLarge, or WrongDeployment if the sender belongs to another deployment
      */
-    Result<GossipMessage> readMessage(std::string_view bytes) const;
+    Result<GossipMessage> readMessage(std::string_view bytes, TimePoint arrivedAt) const;
 
 private:
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -119,6 +119,7 @@
 asio::awaitable<Result<void>> PeerSynchronizer::receiveMessages()
 {
     std::array<char, maxDatagramSize> buffer {};
+    TimePoint emptyAt = m_clock.now(); // when no message was waiting
     while (true) {
         udp::endpoint from;
         std::error_code error;
@@ -132,12 +133,15 @@
             co_return failure(ErrorKind::InputOutput, "peer", error.message());
         }
         ++m_messagesReceived;
-        const Result<GossipMessage> message = m_stateTransfer.readMessage({ buffer.data(), size });
+        const Result<GossipMessage> message = m_stateTransfer.readMessage({ buffer.data(), size }, m_router.earliestArrival(emptyAt));
         if (message) {
             apply(*message);
         } else {
             reportFailure("peer_news_refused", from.address().to_string(), message.error());
         }
+        if (m_socket.available(error) == 0) {
+            emptyAt = m_clock.now();
+        }
     }
 }
 
@@ -379,6 +383,7 @@
 {
     ++m_pullCount;
     const ViewStatus before = m_router.viewStatus();
+    const TimePoint requestedAt = m_clock.now();
     Result<PeerState> state = co_await m_stateTransfer.fetch(peer, makeMessage());
     m_activePulls.erase(peer);
     m_pendingSeedPulls -= m_pendingSeedPulls > 0 ? 1 : 0;
@@ -387,6 +392,9 @@
         m_events.record(EventSeverity::Warning, "peer_pull_failed", { { "peer", peer.toString() }, { "error", state.error().describe() } });
         co_return;
     }
+    const std::chrono::nanoseconds delay = m_clock.now() - m_router.earliestArrival(requestedAt);
+    state->view.serversConfirmedAt -= delay;
+    state->view.configurationConfirmedAt -= delay;
     merge(state->sender);
     for (const PeerRecord &record : state->records) {
         merge(record);
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -256,6 +256,16 @@
     applyChanges(m_directory.remove(id, revision, m_clock.now()));
 }
 
+TimePoint StreamRouter::earliestArrival(TimePoint after) const
+{
+    const TimePoint now = m_clock.now();
+    const bool isStalled = m_lastTick != TimePoint() && now > m_lastTick + stallThreshold;
+    if (isStalled) {
+        return std::max(after, m_lastTick);
+    }
+    return m_stallEnd > after ? std::max(after, m_stallStart) : now;
+}
+
 void StreamRouter::confirmServers(TimePoint time)
 {
     if (time > m_serversAge.confirmed() + maxConfirmationGap) {
@@ -465,6 +475,14 @@
 void StreamRouter::tick()
 {
     const TimePoint now = m_clock.now();
+    if (m_lastTick != TimePoint() && now > m_lastTick + stallThreshold) {
+        m_stallStart = m_lastTick;
+        m_stallEnd = now;
+        m_events.record(EventSeverity::Warning, "process_stalled",
+            { { "stalled_ms",
+                number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastTick).count())) } });
+    }
+    m_lastTick = now;
     m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
         m_failureDetector.requestProbe(token);
         m_latencyTracker.recordOverdueResponse(token, now);
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -68,6 +68,8 @@
      * this long to start and to receive flows.
      */
     static constexpr std::chrono::milliseconds endProofLifetime { 1500 };
+    /** tick() is called every 25 ms. If it was not called for this long, the process had no CPU time, was stopped or was suspended. */
+    static constexpr std::chrono::milliseconds stallThreshold { 200 };
     /** Two calls to the store take this long. If the list of servers is unconfirmed for longer, entries may have expired in this gap. */
     static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
 
@@ -112,6 +114,13 @@
      */
     void applyServerUpdates(const ServerUpdates &updates, TimePoint confirmedAt);
 
+    /**
+     * Returns the earliest time at which a message may have arrived that is processed now. It may have waited during a stall of this
+     * process, so that what it says about other instances or the store is older than it seems.
+     * @param after a time at which it had not arrived yet
+     */
+    TimePoint earliestArrival(TimePoint after) const;
+
     /** Records that the list of servers was complete at @p time, according to the store or to an instance that has read it. */
     void confirmServers(TimePoint time);
 
@@ -200,6 +209,9 @@
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
     TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
+    TimePoint m_lastTick {}; // TimePoint() before the first one
+    TimePoint m_stallStart {}; // of the last stall
+    TimePoint m_stallEnd {};
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -39,6 +39,9 @@
     {
         lastWait = wait;
         calls.push_back("watch " + std::to_string(revision));
+        if (onWatch) {
+            onWatch();
+        }
         co_return next(updates);
     }
 
@@ -59,6 +62,7 @@
     std::deque<Result<ConfigurationRead>> reads;
     std::vector<std::string> calls;
     milliseconds lastWait { -1 };
+    std::function<void()> onWatch; // called while a call for changes of servers is under way
 
 private:
     template<typename Value>
@@ -155,6 +159,35 @@
     CHECK(router.directory().listed("pond").empty());
 }
 
+TEST_CASE_METHOD(WatcherFixture, "a response that is processed late doesn't confirm the servers at that time", "[stream][discoverywatcher]")
+{
+    // Guards against taking servers for ended whose entries came back after the store had sent the response.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    router.tick();
+    const TimePoint callStart = clock.now();
+    SECTION("a response without changes")
+    {
+        discovery.updates.push_back(ServerUpdates { {}, 10 });
+        discovery.onWatch = [this] { clock.advance(milliseconds(1500)); };
+        watchServers();
+        CHECK(router.viewStatus().serversConfirmedAt <= callStart + milliseconds(1000));
+    }
+    SECTION("a response with changes, and a stall of the process")
+    {
+        ServerUpdate update;
+        update.listed = server(2);
+        update.listed->revision = 12;
+        update.revision = 12;
+        discovery.updates.push_back(ServerUpdates { { update }, 12 });
+        discovery.onWatch = [this] {
+            clock.advance(milliseconds(4000));
+            router.tick();
+        };
+        watchServers();
+        CHECK(router.viewStatus().serversConfirmedAt == callStart);
+    }
+}
+
 TEST_CASE_METHOD(WatcherFixture, "servers are listed again without delay after the store lost the history", "[stream][discoverywatcher]")
 {
     discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, 10 });
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -167,6 +167,41 @@
     CHECK(receiver.router.directory().listed("pond").size() == 3);
 }
 
+TEST_CASE("messages that waited while the process was stopped don't confirm a view at the time of reading", "[stream][peersynchronizer]")
+{
+    // Guards against resets of open flows: after a stop, removed entries of servers that had come back meanwhile counted as confirmed.
+    asio::io_context context;
+    ManualClock clock;
+    Node node(context, clock, 0, {}, "dewnet");
+    node.router.applyConfiguration(RouterFixture::configuration(4));
+    node.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    node.router.tick();
+    for (int step = 0; step < 10; ++step) {
+        context.poll(); // the node waits for messages
+    }
+    clock.advance(milliseconds(100));
+    node.router.tick();
+    const TimePoint stoppedAt = clock.now();
+    asio::ip::udp::socket peer(context, asio::ip::udp::v4());
+    const Endpoint address = Node::addressOf(0);
+    for (std::uint64_t heartbeat = 1; heartbeat <= 3; ++heartbeat) {
+        GossipMessage message { .deployment = "dewnet",
+            .sender = { .id = "entry-9", .failureDomain = "a", .address = Node::addressOf(9), .startedAt = 1, .heartbeat = heartbeat } };
+        message.view = { .serversRevision = 10, .serversConfirmedAt = stoppedAt };
+        const std::string bytes = GossipCodec::encode(message, stoppedAt);
+        peer.send_to(asio::buffer(bytes), { asio::ip::address_v4(address.address()), address.port() });
+    }
+    clock.advance(std::chrono::seconds(4));
+    for (int step = 0; step < 1000 && node.synchronizer->directory().aliveCount(clock.now()) < 2; ++step) {
+        context.run_one_for(milliseconds(5));
+    }
+    node.router.tick();
+    for (int step = 0; step < 20; ++step) {
+        context.poll();
+    }
+    CHECK(node.router.viewStatus().serversConfirmedAt <= stoppedAt);
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
 {
     Node &first = add({});
