Read a clock that counts the time of a suspension

An instance on a machine that was suspended for seconds woke with views that seemed as fresh as before, and decided by them until its next messages: it placed flows at servers that had drained, and an old proof of a server's end still reset flows. SteadyClock read CLOCK_MONOTONIC, which stands still during a suspension, and now reads CLOCK_BOOTTIME. SteadyTimer converts the awaited time by its caller's clock, since the two differ after a suspension.

--- a/apps/samphirepitchctl/main.cpp
+++ b/apps/samphirepitchctl/main.cpp
@@ -74,7 +74,7 @@
     }
     asio::io_context context(1);
     const SteadyClock clock;
-    SteadyTimer timer;
+    SteadyTimer timer(clock);
     SeededRandom random(std::random_device {}() | static_cast<std::uint64_t>(std::random_device {}()) << 32);
     const auto platform = HttpPlatform::create(context.get_executor(), clock, *address);
     if (!platform) {
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "core/clock.h"
 
+#include <ctime>
+
 namespace Samphirepitch
 {
 
@@ -11,7 +13,10 @@
 
 TimePoint SteadyClock::now() const
 {
-    return std::chrono::steady_clock::now();
+    // std::chrono::steady_clock reads CLOCK_MONOTONIC, which stands still while the machine is suspended.
+    std::timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 WallTime SteadyClock::wallNow() const
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -20,7 +20,10 @@
 public:
     virtual ~Clock() = default;
 
-    /** Returns the current time of the monotonic clock, which must keep running while the process is stopped by a signal. */
+    /**
+     * Returns the current time of the monotonic clock, which must keep running while the process is stopped by a signal or the machine is
+     * suspended. Its zero may differ from that of std::chrono::steady_clock, by which timers of Asio run.
+     */
     virtual TimePoint now() const = 0;
 
     /** Returns the current wall time. */
--- a/src/daemon/streaminstance.h
+++ b/src/daemon/streaminstance.h
@@ -76,7 +76,7 @@
     StreamLatencyRecorder m_latency;
     LeastFlowsSelector m_selector;
     StreamRouter m_router;
-    SteadyTimer m_timer;
+    SteadyTimer m_timer { m_clock };
     std::unique_ptr<PeerSynchronizer> m_peerSynchronizer;
     std::unique_ptr<DiscoveryWatcher> m_watcher;
     TcpConnectProbe m_probe;
--- a/src/objectstore/timer.h
+++ b/src/objectstore/timer.h
@@ -17,11 +17,17 @@
     virtual asio::awaitable<void> waitUntil(TimePoint time) = 0;
 };
 
-/** A Timer that uses the steady clock of the system and the executor of the calling coroutine. */
+/** A Timer that uses timers of the system and the executor of the calling coroutine. */
 class SteadyTimer : public Timer
 {
 public:
+    /** @param clock the clock to which the awaited times refer; must outlive the timer */
+    explicit SteadyTimer(const Clock &clock);
+
     asio::awaitable<void> waitUntil(TimePoint time) override;
+
+private:
+    const Clock &m_clock;
 };
 
 } // namespace Samphirepitch
--- a/tests/system/systemdeployment.cpp
+++ b/tests/system/systemdeployment.cpp
@@ -83,7 +83,7 @@
 
 std::uint64_t SystemDeployment::publish(const std::set<std::string> &drained)
 {
-    SteadyTimer timer;
+    SteadyTimer timer(m_clock);
     SeededRandom random { seed };
     Publisher publisher(*m_client, m_clock, timer, random);
     ApplyRequest request;
