Ignore refused connections to a server that began to drain during the probe

Seen by callers: resets of open flows of a server that drains and still serves them, and reports to other instances that it has ended. Cause: only takeDueProbes() looked at the phase. A probe that was under way when the server began to drain, and closed its listener, was taken as proof of the end. Change: recordProbeResult() treats a refused connection to a server that is not ready as inconclusive. Test before the change: streamroutertests.cpp:601: FAILED: CHECK( router.takeResets().empty() ), and the same for takeEndedServers() and the next packet, which was reset. Why it works: an inconclusive result changes no status, and a draining server is not probed again.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -326,6 +326,10 @@
         m_failureDetector.forget(token); // the server expired or restarted during the probe
         return;
     }
+    // Like in takeDueProbes(): a server that has begun to drain may have closed its listener while it still has flows.
+    if (result == ConnectResult::Refused && record->server.phase != ServerPhase::Ready) {
+        result = ConnectResult::Inconclusive;
+    }
     const bool changed = m_failureDetector.recordProbeResult(token, result, probeStart, m_clock.now());
     if (changed) {
         logServerStatus(*record, result == ConnectResult::Refused ? "connection_refused" : connectResultName(result));
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -582,3 +582,25 @@
         CHECK(ids == std::set<std::string> { "i-1", "i-3" });
     }
 }
+
+TEST_CASE_METHOD(
+    RouterFixture, "a refused connection proves nothing about a server that began to drain during the probe", "[stream][router]")
+{
+    // Guards against resets of open flows: a draining server may close its listener before its flows have ended.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    advanceClock(milliseconds(100));
+    router.tick();
+    REQUIRE(router.takeDueProbes().size() == 1);
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    draining.revision = 11;
+    router.updateServer(draining);
+    finishProbe(token, ConnectResult::Refused);
+    CHECK(router.takeResets().empty());
+    CHECK(router.takeEndedServers().empty());
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    advanceClock(milliseconds(1000));
+    CHECK(router.takeDueProbes().empty());
+}
