Send copies of an opening packet that are read at once to the same server

Seen by callers: a flow whose packets reach two servers, both of which hold it open for a while, and a server that gets no new flows although it has not failed. Cause: each copy of an opening packet counted as a retransmission. Copies are read within less than a client's retransmission interval if they wait while the process has no CPU time, if they are held during a start, or if the network duplicates them. Change: a copy that is read less than FlowTracker::minRetransmissionInterval after the opening packet is forwarded to the same server, unless that server is gone. It neither casts suspicion on the server nor requests a probe. Test before the change: streamroutertests.cpp:619: FAILED: CHECK( copy.token == first ). Why it works: the time of the last placement decides, so a later copy, which a client sent for lack of a response, is still placed again.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -57,11 +57,14 @@
         m_flows.remove(packet.client, packet.service); // the client reuses the port
         return place(packet, route, false);
     }
+    const DirectoryRecord *const record = m_directory.findToken(flow->token);
     if (!flow->open) {
-        return place(packet, route, true);
+        // A client waits longer before it retransmits, so the network has duplicated the packet or this process has read it late.
+        const bool isReadAtOnce = m_clock.now() < flow->lastSentAt + FlowTracker::minRetransmissionInterval;
+        const bool mayServe = record != nullptr && m_failureDetector.status(record->token, m_clock.now()) != ServerStatus::Gone;
+        return isReadAtOnce && mayServe ? forward(*record, StreamOutcome::Known) : place(packet, route, true);
     }
     // A delayed copy of an opening packet doesn't move the flow.
-    const DirectoryRecord *const record = m_directory.findToken(flow->token);
     return record == nullptr ? drop(packet, StreamOutcome::UnknownToken) : forward(*record, StreamOutcome::Known);
 }
 
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -604,3 +604,29 @@
     advanceClock(milliseconds(1000));
     CHECK(router.takeDueProbes().empty());
 }
+
+TEST_CASE_METHOD(RouterFixture, "copies of an opening packet that are read at once go to the same server", "[stream][router]")
+{
+    // Guards against a flow whose packets reach two servers: packets wait while the process has no CPU time or holds them during a start,
+    // and the network may duplicate them.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t first = open().token;
+    advanceClock(milliseconds(5));
+    SECTION("the server has not failed")
+    {
+        const StreamDecision copy = open(client, 1);
+        CHECK(copy.action == Action::Forward);
+        CHECK(copy.token == first);
+        CHECK(router.failureDetector().status(first, clock.now()) == ServerStatus::Trusted);
+        CHECK(router.takeDueProbes().empty());
+        advanceClock(milliseconds(195));
+        const StreamDecision later = open(client, 1);
+        CHECK(later.outcome == StreamOutcome::PlacedAgain);
+        CHECK(later.token != first);
+    }
+    SECTION("the server has refused a connection")
+    {
+        finishProbe(first, ConnectResult::Refused);
+        CHECK(open(client, 1).token != first);
+    }
+}
