Drop packets of flows on a route that this instance has never known

Seen by callers: resets of open flows on a new route, from instances whose configuration is older than that of the instance that opened the flow. Cause: route() reset every packet to an address without a route, although the route may be newer than the configuration in force. Change: packets other than opening packets are dropped if the configuration in force has no route, unless an earlier configuration of this instance had it. The addresses of removed routes are kept for as long as a flow may last (ServerDirectory::retention), or until a configuration has the route again. Opening packets are still reset at once. No existing test covered other packets to such addresses. Test before the change: streamroutertests.cpp:648: FAILED: CHECK( early.action == Action::Drop ). Why it works: a removal that is known to this instance is the only proof that a flow on the address may be reset; without it the client sends the packet again, and the instance has the configuration by then.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -42,7 +42,9 @@
     }
     const StreamRoute *const route = m_configuration.find(packet.service);
     if (route == nullptr) {
-        return refuse(packet, StreamOutcome::NoRoute);
+        // The route may be newer than the configuration in force, and another instance may have opened the flow.
+        const bool mayBeOpen = !packet.opens && !m_removedRoutes.contains(packet.service);
+        return mayBeOpen ? drop(packet, StreamOutcome::NoRoute) : refuse(packet, StreamOutcome::NoRoute);
     }
     return packet.opens ? routeOpening(packet, *route) : routeSubsequent(packet, *route);
 }
@@ -204,10 +206,16 @@
     if (configuration.revision <= m_configuration.revision) {
         return false;
     }
-    const std::uint64_t previousVersion = std::exchange(m_configuration, std::move(configuration)).version;
+    const StreamConfiguration previous = std::exchange(m_configuration, std::move(configuration));
+    for (const auto &[address, route] : previous.routes) {
+        if (m_configuration.find(address) == nullptr) {
+            m_removedRoutes.insert_or_assign(address, m_clock.now() + ServerDirectory::retention);
+        }
+    }
+    std::erase_if(m_removedRoutes, [this](const auto &entry) { return m_configuration.find(entry.first) != nullptr; });
     m_configurationCheckedRevision = std::max(m_configurationCheckedRevision, m_configuration.revision);
     m_events.record(EventSeverity::Info, "configuration_in_force",
-        { { "version", number(m_configuration.version) }, { "before", number(previousVersion) },
+        { { "version", number(m_configuration.version) }, { "before", number(previous.version) },
             { "revision", number(m_configuration.revision) }, { "routes", number(m_configuration.routes.size()) } });
     resetAll(m_flows.removeMatching([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
         StreamOutcome::RouteRemoved);
@@ -422,6 +430,7 @@
     m_nextExpiry = now + expiryInterval;
     const auto idleTimeout = m_configuration.idleTimeout.count() > 0 ? m_configuration.idleTimeout : defaultIdleTimeout;
     m_flows.expire(now, idleTimeout);
+    std::erase_if(m_removedRoutes, [now](const auto &entry) { return entry.second <= now; });
     confirmRemovals();
     confirmRecoveries();
     for (const std::uint32_t token : m_directory.expire(now)) {
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -16,6 +16,7 @@
 #include "stream/viewage.h"
 
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -183,6 +184,7 @@
     FlowTracker m_flows;
     FlowPlacement m_placement;
     StreamConfiguration m_configuration;
+    std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
     ViewAge m_configurationAge;
     ViewAge m_serversAge;
     StreamCounters m_counters;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -630,3 +630,43 @@
         CHECK(open(client, 1).token != first);
     }
 }
+
+TEST_CASE_METHOD(RouterFixture, "packets of flows on a route that this instance has never known are dropped", "[stream][router]")
+{
+    // Another instance may have a newer configuration and have opened the flow, which a reset would break.
+    makeReady({ server(1) });
+    const auto sendData = [this] {
+        return router.route(
+            { .client = client, .service = unsafeService, .token = ServerDirectory::tokenOf(server(1)), .length = 900, .sequence = 101 });
+    };
+    const auto withRoute = [](std::uint64_t revision) {
+        StreamConfiguration both = configuration(revision);
+        both.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { "pond", 1 } } });
+        return both;
+    };
+    const StreamDecision early = sendData();
+    CHECK(early.action == Action::Drop);
+    CHECK(early.outcome == StreamOutcome::NoRoute);
+    CHECK(router.route({ .client = client, .service = unsafeService, .opens = true }).action == Action::Reset);
+    router.applyConfiguration(withRoute(6));
+    CHECK(sendData().action == Action::Forward);
+    router.applyConfiguration(configuration(8));
+    CHECK(router.takeResets().size() == 1);
+    CHECK(sendData().action == Action::Reset);
+    SECTION("the route returns")
+    {
+        router.applyConfiguration(withRoute(10));
+        CHECK(sendData().action == Action::Forward);
+    }
+    SECTION("later configurations don't have the route either")
+    {
+        router.applyConfiguration(configuration(10));
+        CHECK(sendData().action == Action::Reset);
+    }
+    SECTION("all flows on the removed route have ended")
+    {
+        advanceClock(ServerDirectory::retention);
+        router.tick();
+        CHECK(sendData().action == Action::Drop);
+    }
+}
