Don't end a removed server that is known to run after its removal

Seen by callers: resets of open flows of a server whose entry is missing, although it answers their requests: one that still drains after its entry was removed, or one whose entry expired and that can't reach the store. Cause: confirmRemovals() ended each server whose entry was still missing after the grace period, whatever clients or probes had shown. Change: the router keeps for each removed server the last time at which it is known to have run: the start of the last accepted probe, or the time at which a request was sent that got a response. The grace period starts again at that time. An accepted probe shows nothing if another listed server has the address. Test before the change: streamroutertests.cpp:700: FAILED: CHECK( router.takeResets().empty() ) for a draining server that answers requests, and :712 for a host that accepts connections. The sections without evidence passed before and after. Why it works: a server that has ended yields no later time of either kind, so it is ended one grace period after the last one. New flows are not affected; they avoid an unlisted server as before.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -115,6 +115,12 @@
     return found == m_records.end() ? nullptr : found->second.get();
 }
 
+bool ServerDirectory::isAddressReused(const DirectoryRecord &record) const
+{
+    const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    return std::any_of(begin, end, [&record](const auto &owner) { return owner.second != &record && owner.second->listed; });
+}
+
 const std::vector<const DirectoryRecord *> &ServerDirectory::listed(const std::string &service) const
 {
     return serversOf(m_byService, service);
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -97,6 +97,9 @@
     /** Returns the server with an id, listed or not, or null. */
     const DirectoryRecord *findId(const std::string &id) const;
 
+    /** Returns whether a listed server with another id has the address of a server. */
+    bool isAddressReused(const DirectoryRecord &record) const;
+
     /** Returns the listed servers of a service. */
     const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -186,6 +186,7 @@
     if (observation.responseTime) {
         m_observer.recordResponseTime(*observation.responseTime);
         m_latencyTracker.recordResponse(token, *observation.responseTime, now);
+        recordLiveness(token, now - *observation.responseTime);
     }
     if (observation.serverResponded) {
         m_failureDetector.recordResponse(token, now);
@@ -295,7 +296,7 @@
             endServer(record, "address_reused");
             break;
         case DirectoryChange::Kind::Removed:
-            m_unconfirmedRemovals.push_back(record.token);
+            m_unconfirmedRemovals.insert_or_assign(record.token, TimePoint());
             m_failureDetector.requestProbe(record.token);
             break;
         case DirectoryChange::Kind::Restarted:
@@ -345,6 +346,9 @@
     if (changed) {
         logServerStatus(*record, result == ConnectResult::Refused ? "connection_refused" : connectResultName(result));
     }
+    if (result == ConnectResult::Accepted && !m_directory.isAddressReused(*record)) {
+        recordLiveness(token, probeStart);
+    }
     if (result == ConnectResult::Refused) {
         if (changed && !m_failureDetector.isEndReported(token)) {
             m_endedServers.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
@@ -440,17 +444,31 @@
     }
 }
 
+void StreamRouter::recordLiveness(std::uint32_t token, TimePoint time)
+{
+    if (const auto found = m_unconfirmedRemovals.find(token); found != m_unconfirmedRemovals.end()) {
+        found->second = std::max(found->second, time);
+    }
+}
+
 void StreamRouter::confirmRemovals()
 {
     const TimePoint now = m_clock.now();
-    std::erase_if(m_unconfirmedRemovals, [this, now](std::uint32_t token) {
+    std::erase_if(m_unconfirmedRemovals, [this, now](const auto &removal) {
+        const auto &[token, lastAlive] = removal;
         const DirectoryRecord *const record = m_directory.findToken(token);
         if (record == nullptr || record->listed) {
             return true;
         }
         const TimePoint confirmed = m_serversAge.confirmed();
-        if (now > confirmed + maxConfirmationGap
-            || confirmed < std::max(record->unlistedAt, m_confirmationGapEnd) + ServerDirectory::relistGracePeriod) {
+        if (now > confirmed + maxConfirmationGap) {
+            return false;
+        }
+        const TimePoint graceStart = std::max({ record->unlistedAt, m_confirmationGapEnd, lastAlive });
+        if (confirmed < graceStart + ServerDirectory::relistGracePeriod) {
+            if (lastAlive != TimePoint()) {
+                m_failureDetector.requestProbe(token); // a server without requests shows only by probes that it still runs
+            }
             return false;
         }
         endServer(*record, "entry_removed");
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Samphirepitch
@@ -170,6 +171,7 @@
     bool mayRetry(const StreamFlow &flow) const;
     std::optional<StreamOutcome> resetReason(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
+    void recordLiveness(std::uint32_t token, TimePoint time);
     void confirmRemovals();
     void confirmRecoveries();
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
@@ -189,7 +191,8 @@
     ViewAge m_serversAge;
     StreamCounters m_counters;
     std::vector<StreamReset> m_resets;
-    std::vector<std::uint32_t> m_unconfirmedRemovals; // tokens of unlisted servers whose end is not proven
+    // By token: unlisted servers whose end is not proven, with the last time after the removal at which they are known to have run.
+    std::unordered_map<std::uint32_t, TimePoint> m_unconfirmedRemovals;
     std::vector<EndedServer> m_endedServers;
     std::uint64_t m_configurationCheckedRevision = 0;
     TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -670,3 +670,86 @@
         CHECK(sendData().action == Action::Drop);
     }
 }
+
+TEST_CASE_METHOD(RouterFixture, "a removed entry ends no server that is known to run after the removal", "[stream][router]")
+{
+    // Guards against resets of open flows of a server whose entry expired, or that still drains after its entry was removed.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    const auto advanceConfirmed = [this](ConnectResult probeResult) {
+        for (const ProbeTarget &probe : router.takeDueProbes()) {
+            finishProbe(probe.token, probeResult);
+        }
+        advanceClock(milliseconds(1000));
+        router.confirmServers(clock.now());
+        router.tick();
+    };
+    SECTION("a draining server answers requests that are sent after the removal")
+    {
+        StreamServer draining = server(1);
+        draining.phase = ServerPhase::Draining;
+        draining.revision = 11;
+        router.updateServer(draining);
+        router.removeServer("i-1", 12);
+        for (std::uint32_t request = 0; request < 10; ++request) {
+            send(token, 101 + request * 100, 100, 55 + request * 400);
+            advanceClock(milliseconds(40));
+            send(token, 201 + request * 100, 0, 455 + request * 400);
+            advanceConfirmed(ConnectResult::Unanswered);
+            CHECK(router.takeResets().empty());
+        }
+        for (int second = 0; second < 3; ++second) {
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("the host accepts connections after the removal")
+    {
+        router.removeServer("i-1", 12);
+        for (int second = 0; second < 10; ++second) {
+            advanceConfirmed(ConnectResult::Accepted);
+            CHECK(router.takeResets().empty());
+        }
+        for (int second = 0; second < 4; ++second) {
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("only the response to a request from before the removal arrives")
+    {
+        send(token, 101, 100, 55);
+        advanceClock(milliseconds(40));
+        router.removeServer("i-1", 12);
+        advanceClock(milliseconds(40));
+        send(token, 201, 0, 455);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("another server accepts connections at the address")
+    {
+        router.removeServer("i-1", 12);
+        StreamServer successor = server(2);
+        successor.address = server(1).address;
+        successor.startedAt = 9000;
+        successor.revision = 13;
+        router.updateServer(successor);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Accepted);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("nothing shows that the server still runs")
+    {
+        router.removeServer("i-1", 12);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+}
