Return no changes of servers from before the first complete list

Seen by callers: an instance that lags behind keeps an ended server listed, and places flows on it, after it has pulled from an instance that has just started. Cause: changesAfter() builds the changes from the records of the directory, but a server that was removed before the directory's first complete list has no record there. Change: the first list sets the revision up to which removals may have no record, as expire() does for discarded records. For an earlier revision, changesAfter() returns nothing, so that the complete list is sent. Test before the change: serverdirectorytests.cpp:239: FAILED: CHECK_FALSE( source.changesAfter(9).has_value() ). Why it works: a complete list unlists every server that it does not name.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -49,6 +49,9 @@
     if (revision < m_revision) {
         return changes;
     }
+    if (m_revision == 0) {
+        m_forgottenRevision = revision; // the list does not name the servers that were removed before
+    }
     m_revision = revision;
     std::set<std::string_view> present(unreadable.begin(), unreadable.end());
     for (const StreamServer &server : servers) {
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -149,7 +149,7 @@
     Services m_unlisted;
     bool m_indexesAreStale = false; // rebuilt only if needed, since most changes of an entry concern no index
     std::uint64_t m_revision = 0;
-    std::uint64_t m_forgottenRevision = 0; // highest revision of a removal whose record was discarded
+    std::uint64_t m_forgottenRevision = 0; // highest revision of a removal that may have no record
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -229,3 +229,18 @@
         }
     }
 }
+
+TEST_CASE("a directory returns no changes from before its first complete list", "[stream][directory]")
+{
+    // A server that was removed before the list has no record. An instance that got the changes without this removal would keep the server
+    // listed.
+    ServerDirectory source;
+    source.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    CHECK_FALSE(source.changesAfter(9).has_value());
+    CHECK(source.changesAfter(10).has_value());
+    source.remove("i-1", 11, start);
+    source.advanceRevision(11);
+    CHECK_FALSE(source.changesAfter(9).has_value());
+    REQUIRE(source.changesAfter(10).has_value());
+    CHECK(source.changesAfter(10)->size() == 1);
+}
