Start a new flow for a packet with other numbers and another server

Seen by callers: a reset of an open flow right after a failed probe of its server, although the flow was opened after that failure, or no reset of a flow whose server has ended. Cause: the entry of a flow stays until it is idle for long. If another instance passes the opening packet of the next flow from the same port, the entry spoke for that flow: openSince, acknowledged, nextSequence, awaitingResponse, finished and ended were those of the earlier one. Change: recordPacket() replaces the entry of an open flow if a packet carries another token, and its sequence or acknowledgement number is more than 76,800 bytes from the tracked ones. Numbers within that distance still belong to the same flow, whose server has a new token. Test before the change: flowtrackertests.cpp:180: FAILED: CHECK( flow->openSince == now ), :182 for nextSequence, :184 for finished and :200 for ended. Why it works: a flow changes its token only if its server restarts under the same id, so another token together with numbers that the tracked flow could not have reached at this instance shows another flow. Where the guess is wrong, because other instances have carried the flow in between or a late packet of the earlier flow arrives, the entry only makes the flow look younger, which prevents resets.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -16,6 +16,21 @@
     return static_cast<std::int32_t>(left - right) > 0;
 }
 
+// Ends of a flow accept numbers at most this far from the last ones that they know.
+constexpr std::uint32_t maxNumberDistance = 76'800; // bytes
+
+bool isOutsideWindow(std::uint32_t left, std::uint32_t right)
+{
+    return (isAfter(left, right) ? left - right : right - left) > maxNumberDistance;
+}
+
+/** Returns whether a packet belongs to a later flow from the same port than the tracked one. */
+bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow)
+{
+    return flow.open && flow.token != token
+        && (isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged));
+}
+
 } // namespace
 
 FlowTracker::FlowTracker(std::size_t maxFlows)
@@ -67,6 +82,10 @@
     PacketObservation observation;
     const std::uint64_t key = flowKey(packet.client, packet.service);
     auto found = m_byKey.find(key);
+    if (found != m_byKey.end() && isOfLaterFlow(packet, token, *found->second)) {
+        erase(found);
+        found = m_byKey.end();
+    }
     if (found == m_byKey.end()) {
         // Another instance opened this flow, so the acknowledgement number shows no response time.
         if (StreamFlow *const flow = insert(packet, key, now)) {
--- a/tests/stream/flowtrackertests.cpp
+++ b/tests/stream/flowtrackertests.cpp
@@ -159,3 +159,44 @@
     CHECK_FALSE(tracker.recordPacket(data(200, 1, 900, 50), server, now).serverResponded);
     CHECK(tracker.size() == 100);
 }
+
+TEST_CASE_METHOD(
+    TrackerFixture, "a packet with other numbers and another server starts a new flow at the same port", "[stream][flowtracker]")
+{
+    // If another instance opens the next flow of a port, the entry of the earlier one would make it look older than a failure of its
+    // server, and it would be reset.
+    openFlow(1, 7);
+    StreamPacket last = data(1, 1, 900, 50);
+    last.finishes = true;
+    tracker.recordPacket(last, 7, now);
+    now += seconds(5);
+    const PacketObservation observation = tracker.recordPacket(data(1, 5'000'000, 0, 9'000'000), 8, now);
+    CHECK_FALSE(observation.serverResponded);
+    CHECK_FALSE(observation.responseTime.has_value());
+    const StreamFlow *const flow = tracker.find(client(1), service);
+    REQUIRE(flow != nullptr);
+    CHECK(flow->token == 8);
+    CHECK(flow->open);
+    CHECK(flow->openSince == now);
+    CHECK(flow->acknowledged == 9'000'000);
+    CHECK(flow->nextSequence == 5'000'000);
+    CHECK_FALSE(flow->awaitingResponse);
+    CHECK_FALSE(flow->finished);
+    CHECK(tracker.size() == 1);
+    CHECK(tracker.flowCounts().size() == 1);
+    CHECK(tracker.flowCountsOf(8).recent == 1);
+    // Numbers within the window belong to the same flow, even if its server has another token now.
+    tracker.recordPacket(data(1, 5'000'000, 900, 9'076'800), 9, now + seconds(1));
+    REQUIRE(tracker.find(client(1), service) != nullptr);
+    CHECK(tracker.find(client(1), service)->token == 9);
+    CHECK(tracker.find(client(1), service)->openSince == now);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "a new flow at the port of an ended one is not ended", "[stream][flowtracker]")
+{
+    openFlow(1, 7);
+    REQUIRE(tracker.endMatching([](const StreamFlow &) { return true; }).size() == 1);
+    tracker.recordPacket(data(1, 5'000'000, 900, 9'000'000), 8, now + seconds(1));
+    CHECK_FALSE(tracker.find(client(1), service)->ended);
+    CHECK(tracker.endMatching([](const StreamFlow &) { return true; }).size() == 1);
+}
