--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -97,6 +97,9 @@
     /** Returns the server with an id, listed or not, or null. */
     const DirectoryRecord *findId(const std::string &id) const;
 
+    /** Returns whether a listed server with another id has the address of a server. */
+    bool isAddressReused(const DirectoryRecord &record) const;
+
     /** Returns the listed servers of a service. */
     const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
 
@@ -146,7 +149,7 @@
     Services m_unlisted;
     bool m_indexesAreStale = false; // rebuilt only if needed, since most changes of an entry concern no index
     std::uint64_t m_revision = 0;
-    std::uint64_t m_forgottenRevision = 0; // highest revision of a removal whose record was discarded
+    std::uint64_t m_forgottenRevision = 0; // highest revision of a removal that may have no record
 };
 
 } // namespace Samphirepitch
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -47,7 +47,9 @@
     }
     const StreamRoute *const route = m_configuration.find(packet.service);
     if (route == nullptr) {
-        return refuse(packet, StreamOutcome::NoRoute);
+        // The route may be newer than the configuration in force, and another instance may have opened the flow.
+        const bool mayBeOpen = !packet.opens && !m_removedRoutes.contains(packet.service);
+        return mayBeOpen ? drop(packet, StreamOutcome::NoRoute) : refuse(packet, StreamOutcome::NoRoute);
     }
     return packet.opens ? routeOpening(packet, *route) : routeSubsequent(packet, *route);
 }
@@ -62,11 +64,14 @@
         m_flows.remove(packet.client, packet.service); // the client reuses the port
         return place(packet, route, false);
     }
+    const DirectoryRecord *const record = m_directory.findToken(flow->token);
     if (!flow->open) {
-        return place(packet, route, true);
+        // A client waits longer before it retransmits, so the network has duplicated the packet or this process has read it late.
+        const bool isReadAtOnce = m_clock.now() < flow->lastSentAt + FlowTracker::minRetransmissionInterval;
+        const bool mayServe = record != nullptr && m_failureDetector.status(record->token, m_clock.now()) != ServerStatus::Gone;
+        return isReadAtOnce && mayServe ? forward(*record, StreamOutcome::Known) : place(packet, route, true);
     }
     // A delayed copy of an opening packet doesn't move the flow.
-    const DirectoryRecord *const record = m_directory.findToken(flow->token);
     return record == nullptr ? drop(packet, StreamOutcome::UnknownToken) : forward(*record, StreamOutcome::Known);
 }
 
@@ -196,6 +201,7 @@
     if (observation.responseTime) {
         m_observer.recordResponseTime(*observation.responseTime);
         m_latencyTracker.recordResponse(token, *observation.responseTime, now);
+        recordLiveness(token, now - *observation.responseTime);
     }
     if (observation.serverResponded) {
         m_failureDetector.recordResponse(token, now);
@@ -216,10 +222,16 @@
     if (configuration.revision <= m_configuration.revision) {
         return false;
     }
-    const std::uint64_t previousVersion = std::exchange(m_configuration, std::move(configuration)).version;
+    const StreamConfiguration previous = std::exchange(m_configuration, std::move(configuration));
+    for (const auto &[address, route] : previous.routes) {
+        if (m_configuration.find(address) == nullptr) {
+            m_removedRoutes.insert_or_assign(address, m_clock.now() + ServerDirectory::retention);
+        }
+    }
+    std::erase_if(m_removedRoutes, [this](const auto &entry) { return m_configuration.find(entry.first) != nullptr; });
     m_configurationCheckedRevision = std::max(m_configurationCheckedRevision, m_configuration.revision);
     m_events.record(EventSeverity::Info, "configuration_in_force",
-        { { "version", number(m_configuration.version) }, { "before", number(previousVersion) },
+        { { "version", number(m_configuration.version) }, { "before", number(previous.version) },
             { "revision", number(m_configuration.revision) }, { "routes", number(m_configuration.routes.size()) } });
     resetAll(m_flows.removeMatching([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
         StreamOutcome::RouteRemoved);
@@ -309,7 +321,7 @@
             endServer(record, "address_reused");
             break;
         case DirectoryChange::Kind::Removed:
-            m_unconfirmedRemovals.push_back(record.token);
+            m_unconfirmedRemovals.insert_or_assign(record.token, TimePoint());
             m_failureDetector.requestProbe(record.token);
             break;
         case DirectoryChange::Kind::Restarted:
@@ -378,10 +390,17 @@
         m_failureDetector.forget(token); // the server expired or restarted during the probe
         return;
     }
+    // Like in takeDueProbes(): a server that has begun to drain may have closed its listener while it still has flows.
+    if (result == ConnectResult::Refused && record->server.phase != ServerPhase::Ready) {
+        result = ConnectResult::Inconclusive;
+    }
     const bool changed = m_failureDetector.recordProbeResult(token, result, probeStart, m_clock.now());
     if (changed) {
         logServerStatus(*record, result == ConnectResult::Refused ? "connection_refused" : connectResultName(result));
     }
+    if (result == ConnectResult::Accepted && !m_directory.isAddressReused(*record)) {
+        recordLiveness(token, probeStart);
+    }
     if (result == ConnectResult::Refused) {
         if (changed && !m_failureDetector.isEndReported(token)) {
             m_endedServers.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
@@ -493,6 +512,7 @@
     m_nextExpiry = now + expiryInterval;
     const auto idleTimeout = m_configuration.idleTimeout.count() > 0 ? m_configuration.idleTimeout : defaultIdleTimeout;
     m_flows.expire(now, idleTimeout);
+    std::erase_if(m_removedRoutes, [now](const auto &entry) { return entry.second <= now; });
     confirmRemovals();
     confirmRecoveries();
     for (const std::uint32_t token : m_directory.expire(now)) {
@@ -502,17 +522,31 @@
     }
 }
 
+void StreamRouter::recordLiveness(std::uint32_t token, TimePoint time)
+{
+    if (const auto found = m_unconfirmedRemovals.find(token); found != m_unconfirmedRemovals.end()) {
+        found->second = std::max(found->second, time);
+    }
+}
+
 void StreamRouter::confirmRemovals()
 {
     const TimePoint now = m_clock.now();
-    std::erase_if(m_unconfirmedRemovals, [this, now](std::uint32_t token) {
+    std::erase_if(m_unconfirmedRemovals, [this, now](const auto &removal) {
+        const auto &[token, lastAlive] = removal;
         const DirectoryRecord *const record = m_directory.findToken(token);
         if (record == nullptr || record->listed) {
             return true;
         }
         const TimePoint confirmed = m_serversAge.confirmed();
-        if (now > confirmed + maxConfirmationGap
-            || confirmed < std::max(record->unlistedAt, m_confirmationGapEnd) + ServerDirectory::relistGracePeriod) {
+        if (now > confirmed + maxConfirmationGap) {
+            return false;
+        }
+        const TimePoint graceStart = std::max({ record->unlistedAt, m_confirmationGapEnd, lastAlive });
+        if (confirmed < graceStart + ServerDirectory::relistGracePeriod) {
+            if (lastAlive != TimePoint()) {
+                m_failureDetector.requestProbe(token); // a server without requests shows only by probes that it still runs
+            }
             return false;
         }
         endServer(*record, "entry_removed");
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -16,9 +16,11 @@
 #include "stream/viewage.h"
 
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Samphirepitch
@@ -183,6 +185,7 @@
     std::optional<StreamOutcome> resetReason(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const;
     void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
     void appendResetEvidence(std::uint32_t token, TimePoint openSince, std::vector<EventField> &fields) const;
+    void recordLiveness(std::uint32_t token, TimePoint time);
     void confirmRemovals();
     void confirmRecoveries();
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
@@ -199,11 +202,13 @@
     FlowTracker m_flows;
     FlowPlacement m_placement;
     StreamConfiguration m_configuration;
+    std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
     ViewAge m_configurationAge;
     ViewAge m_serversAge;
     StreamCounters m_counters;
     std::vector<StreamReset> m_resets;
-    std::vector<std::uint32_t> m_unconfirmedRemovals; // tokens of unlisted servers whose end is not proven
+    // By token: unlisted servers whose end is not proven, with the last time after the removal at which they are known to have run.
+    std::unordered_map<std::uint32_t, TimePoint> m_unconfirmedRemovals;
     std::vector<EndedServer> m_endedServers;
     std::uint64_t m_configurationCheckedRevision = 0;
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -660,3 +660,174 @@
         CHECK(ids == std::set<std::string> { "i-1", "i-3" });
     }
 }
+
+TEST_CASE_METHOD(
+    RouterFixture, "a refused connection proves nothing about a server that began to drain during the probe", "[stream][router]")
+{
+    // Guards against resets of open flows: a draining server may close its listener before its flows have ended.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    advanceClock(milliseconds(100));
+    router.tick();
+    REQUIRE(router.takeDueProbes().size() == 1);
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    draining.revision = 11;
+    router.updateServer(draining);
+    finishProbe(token, ConnectResult::Refused);
+    CHECK(router.takeResets().empty());
+    CHECK(router.takeEndedServers().empty());
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    advanceClock(milliseconds(1000));
+    CHECK(router.takeDueProbes().empty());
+}
+
+TEST_CASE_METHOD(RouterFixture, "copies of an opening packet that are read at once go to the same server", "[stream][router]")
+{
+    // Guards against a flow whose packets reach two servers: packets wait while the process has no CPU time or holds them during a start,
+    // and the network may duplicate them.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t first = open().token;
+    advanceClock(milliseconds(5));
+    SECTION("the server has not failed")
+    {
+        const StreamDecision copy = open(client, 1);
+        CHECK(copy.action == Action::Forward);
+        CHECK(copy.token == first);
+        CHECK(router.failureDetector().status(first, clock.now()) == ServerStatus::Trusted);
+        CHECK(router.takeDueProbes().empty());
+        advanceClock(milliseconds(195));
+        const StreamDecision later = open(client, 1);
+        CHECK(later.outcome == StreamOutcome::PlacedAgain);
+        CHECK(later.token != first);
+    }
+    SECTION("the server has refused a connection")
+    {
+        finishProbe(first, ConnectResult::Refused);
+        CHECK(open(client, 1).token != first);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "packets of flows on a route that this instance has never known are dropped", "[stream][router]")
+{
+    // Another instance may have a newer configuration and have opened the flow, which a reset would break.
+    makeReady({ server(1) });
+    const auto sendData = [this] {
+        return router.route(
+            { .client = client, .service = unsafeService, .token = ServerDirectory::tokenOf(server(1)), .length = 900, .sequence = 101 });
+    };
+    const auto withRoute = [](std::uint64_t revision) {
+        StreamConfiguration both = configuration(revision);
+        both.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { "pond", 1 } } });
+        return both;
+    };
+    const StreamDecision early = sendData();
+    CHECK(early.action == Action::Drop);
+    CHECK(early.outcome == StreamOutcome::NoRoute);
+    CHECK(router.route({ .client = client, .service = unsafeService, .opens = true }).action == Action::Reset);
+    router.applyConfiguration(withRoute(6));
+    CHECK(sendData().action == Action::Forward);
+    router.applyConfiguration(configuration(8));
+    CHECK(router.takeResets().size() == 1);
+    CHECK(sendData().action == Action::Reset);
+    SECTION("the route returns")
+    {
+        router.applyConfiguration(withRoute(10));
+        CHECK(sendData().action == Action::Forward);
+    }
+    SECTION("later configurations don't have the route either")
+    {
+        router.applyConfiguration(configuration(10));
+        CHECK(sendData().action == Action::Reset);
+    }
+    SECTION("all flows on the removed route have ended")
+    {
+        advanceClock(ServerDirectory::retention);
+        router.tick();
+        CHECK(sendData().action == Action::Drop);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a removed entry ends no server that is known to run after the removal", "[stream][router]")
+{
+    // Guards against resets of open flows of a server whose entry expired, or that still drains after its entry was removed.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    const auto advanceConfirmed = [this](ConnectResult probeResult) {
+        for (const ProbeTarget &probe : router.takeDueProbes()) {
+            finishProbe(probe.token, probeResult);
+        }
+        advanceClock(milliseconds(1000));
+        router.confirmServers(clock.now());
+        router.tick();
+    };
+    SECTION("a draining server answers requests that are sent after the removal")
+    {
+        StreamServer draining = server(1);
+        draining.phase = ServerPhase::Draining;
+        draining.revision = 11;
+        router.updateServer(draining);
+        router.removeServer("i-1", 12);
+        for (std::uint32_t request = 0; request < 10; ++request) {
+            send(token, 101 + request * 100, 100, 55 + request * 400);
+            advanceClock(milliseconds(40));
+            send(token, 201 + request * 100, 0, 455 + request * 400);
+            advanceConfirmed(ConnectResult::Unanswered);
+            CHECK(router.takeResets().empty());
+        }
+        for (int second = 0; second < 3; ++second) {
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("the host accepts connections after the removal")
+    {
+        router.removeServer("i-1", 12);
+        for (int second = 0; second < 10; ++second) {
+            advanceConfirmed(ConnectResult::Accepted);
+            CHECK(router.takeResets().empty());
+        }
+        for (int second = 0; second < 4; ++second) {
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("only the response to a request from before the removal arrives")
+    {
+        send(token, 101, 100, 55);
+        advanceClock(milliseconds(40));
+        router.removeServer("i-1", 12);
+        advanceClock(milliseconds(40));
+        send(token, 201, 0, 455);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("another server accepts connections at the address")
+    {
+        router.removeServer("i-1", 12);
+        StreamServer successor = server(2);
+        successor.address = server(1).address;
+        successor.startedAt = 9000;
+        successor.revision = 13;
+        router.updateServer(successor);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Accepted);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("nothing shows that the server still runs")
+    {
+        router.removeServer("i-1", 12);
+        for (int second = 0; second < 3; ++second) {
+            CHECK(router.takeResets().empty());
+            advanceConfirmed(ConnectResult::Unanswered);
+        }
+        CHECK(router.takeResets().size() == 1);
+    }
+}
