--- a/src/stream/discovery.h
+++ b/src/stream/discovery.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "stream/storeposition.h"
 #include "stream/streamconfiguration.h"
 #include "stream/streamserver.h"
 
@@ -28,7 +29,7 @@
 struct ServerList {
     std::vector<StreamServer> servers;
     std::vector<DiscoveryFault> faults; /**< entries that do not describe a valid server */
-    std::uint64_t revision = 0; /**< store revision at the start of the read; updates are requested from here */
+    StorePosition position; /**< of the store at the start of the read; updates are requested from here */
 };
 
 /** The change of one server entry. Exactly one of listed, unlisted and fault is set. */
@@ -36,20 +37,20 @@
     std::optional<StreamServer> listed; /**< the server of a new or changed entry */
     std::optional<std::string> unlisted; /**< id of the server whose entry was removed */
     std::optional<DiscoveryFault> fault; /**< why the new content of the entry is invalid; the last valid content stays in use */
-    std::uint64_t revision = 0; /**< store revision of the change */
+    StorePosition position; /**< of the change */
 };
 
 /** The changes of server entries after a store revision. */
 struct ServerUpdates {
     std::vector<ServerUpdate> updates; /**< oldest first; empty if nothing changed during the wait */
-    std::uint64_t revision = 0; /**< store revision from which to request the next updates */
+    StorePosition position; /**< from which to request the next updates */
 };
 
 /** The result of reading the configuration, or of waiting for a newer one. */
 struct ConfigurationRead {
     std::optional<StreamConfiguration> configuration; /**< not set if nothing changed, none exists or the newest one is invalid */
     std::optional<DiscoveryFault> fault; /**< why the newest configuration is invalid */
-    std::uint64_t revision = 0; /**< store revision from which to wait for the next change */
+    StorePosition position; /**< from which to wait for the next change */
 };
 
 /**
--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -56,7 +56,7 @@
             co_await m_timer.waitUntil(m_clock.now() + readCheckInterval);
             continue;
         }
-        if (m_servers.historyGone || m_router.viewStatus().serversRevision == 0) {
+        if (m_servers.historyGone || m_router.viewStatus().serversPosition.isUnset()) {
             co_await listServers();
         } else {
             co_await awaitServerUpdates(watches ? m_longPollWaits.servers : milliseconds(0));
@@ -75,7 +75,7 @@
             co_await m_timer.waitUntil(m_clock.now() + readCheckInterval);
             continue;
         }
-        if (m_configuration.historyGone || m_router.viewStatus().configurationCheckedRevision == 0) {
+        if (m_configuration.historyGone || m_router.viewStatus().configurationCheckedPosition.isUnset()) {
             co_await readConfiguration();
         } else {
             co_await awaitConfigurationUpdate(watches ? m_longPollWaits.configuration : milliseconds(0));
@@ -101,23 +101,24 @@
         recordFault("server_entry_refused", fault);
         unreadable.push_back(fault.subject);
     }
-    m_router.replaceServers(list->servers, unreadable, list->revision, callStart);
-    m_coordinator.publishServerUpdates(0, { {}, list->revision });
+    m_router.replaceServers(list->servers, unreadable, list->position, callStart);
+    m_coordinator.publishServerUpdates(0, { {}, list->position });
 }
 
 asio::awaitable<void> DiscoveryWatcher::awaitServerUpdates(milliseconds wait)
 {
     ++m_servers.calls;
-    const std::uint64_t from = m_router.viewStatus().serversRevision;
+    const StorePosition from = m_router.viewStatus().serversPosition;
+    m_servers.askedFrom = from;
     const TimePoint callStart = m_clock.now();
-    Result<ServerUpdates> updates = co_await m_discovery.awaitServerUpdates(from, wait, callStart + wait + responseMargin);
+    Result<ServerUpdates> updates = co_await m_discovery.awaitServerUpdates(from.revision(), wait, callStart + wait + responseMargin);
     if (!updates) {
         recordFailure(m_servers, updates.error());
         co_return;
     }
     recordSuccess(m_servers);
     const bool changed = !updates->updates.empty();
-    apply(*std::move(updates), from, wait.count() == 0 ? callStart : m_clock.now());
+    apply(*std::move(updates), from.revision(), wait.count() == 0 ? callStart : m_clock.now());
     if (changed) {
         co_await m_timer.waitUntil(m_clock.now() + batchDelay);
     }
@@ -140,8 +141,10 @@
 {
     ++m_configuration.calls;
     const TimePoint callStart = m_clock.now();
-    const std::uint64_t from = m_router.viewStatus().configurationCheckedRevision;
-    Result<ConfigurationRead> read = co_await m_discovery.awaitConfigurationUpdate(from, wait, callStart + wait + responseMargin);
+    const StorePosition from = m_router.viewStatus().configurationCheckedPosition;
+    m_configuration.askedFrom = from;
+    Result<ConfigurationRead> read
+        = co_await m_discovery.awaitConfigurationUpdate(from.revision(), wait, callStart + wait + responseMargin);
     if (!read) {
         recordFailure(m_configuration, read.error());
         co_return;
@@ -169,7 +172,7 @@
     if (read.configuration) {
         m_router.applyConfiguration(*std::move(read.configuration));
     }
-    m_router.confirmConfiguration(read.revision, confirmedAt);
+    m_router.confirmConfiguration(read.position, confirmedAt);
     m_coordinator.publishConfiguration();
 }
 
@@ -200,7 +203,9 @@
         // The missed changes can only be recovered by a complete read, which needs no delay.
         feed.historyGone = true;
         feed.failures = 0;
-        m_events.record(EventSeverity::Info, "store_history_gone", { { "feed", std::string(feed.name) } });
+        m_events.record(EventSeverity::Info, "store_history_gone",
+            { { "feed", std::string(feed.name) }, { "reason", error.describe() }, { "era", std::to_string(feed.askedFrom.era()) },
+                { "revision", std::to_string(feed.askedFrom.revision()) } });
         return;
     }
     if (feed.reachable) {
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -89,6 +89,7 @@
     struct Feed {
         std::string_view name; /**< label of the task in metrics and events */
         bool historyGone = false; /**< whether the store dropped the changes since the last read, so that a complete read is needed */
+        StorePosition askedFrom; /**< from which the last long poll asked for changes */
         bool reachable = true; /**< whether the last call succeeded */
         std::uint64_t failures = 0; /**< consecutive failed calls */
         std::uint64_t calls = 0;
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -203,26 +203,26 @@
 
 WireView toWire(const ViewStatus &view, const WireTime &time)
 {
-    return { view.serversRevision, view.configurationRevision, view.configurationCheckedRevision, time.age(view.serversConfirmedAt),
-        time.age(view.configurationConfirmedAt) };
+    return { view.serversPosition.revision(), view.configurationPosition.revision(), view.configurationCheckedPosition.revision(),
+        time.age(view.serversConfirmedAt), time.age(view.configurationConfirmedAt) };
 }
 
 ViewStatus fromWire(const WireView &view, const WireTime &time)
 {
-    return { view.serversRevision, view.configurationRevision, view.configurationCheckedRevision, time.fromAge(view.serversAge),
-        time.fromAge(view.configurationAge) };
+    return { { 0, view.serversRevision }, { 0, view.configurationRevision }, { 0, view.configurationCheckedRevision },
+        time.fromAge(view.serversAge), time.fromAge(view.configurationAge) };
 }
 
 WireServer toWire(const StreamServer &server, const WireTime &time)
 {
     return { server.id, server.number, server.service, server.address, server.failureDomain, server.slots, server.phase,
-        time.remaining(server.coldUntil), static_cast<std::uint64_t>(server.startedAt), server.revision };
+        time.remaining(server.coldUntil), static_cast<std::uint64_t>(server.startedAt), server.position.revision() };
 }
 
 StreamServer fromWire(const WireServer &server, const WireTime &time)
 {
     return { server.id, server.number, server.service, server.address, server.failureDomain, server.slots, server.phase,
-        time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), server.revision };
+        time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), { 0, server.revision } };
 }
 
 std::vector<WireServer> toWire(const std::vector<ServerUpdate> &changes, const WireTime &time)
@@ -232,7 +232,7 @@
         if (change.listed) {
             wire.push_back(toWire(*change.listed, time));
         } else if (change.unlisted) {
-            wire.push_back({ .id = *change.unlisted, .revision = change.revision });
+            wire.push_back({ .id = *change.unlisted, .revision = change.position.revision() });
         }
     }
     return wire;
@@ -243,7 +243,7 @@
     std::vector<ServerUpdate> changes;
     for (const WireServer &server : wire) {
         ServerUpdate change;
-        change.revision = server.revision;
+        change.position = { 0, server.revision };
         if (server.service.empty()) {
             change.unlisted = server.id;
         } else {
@@ -344,7 +344,7 @@
     state.changes = fromWire(wire->changes, time);
     state.records = wire->records;
     state.configuration.version = wire->version;
-    state.configuration.revision = wire->view.configurationRevision;
+    state.configuration.position = { 0, wire->view.configurationRevision };
     state.configuration.idleTimeout = std::chrono::milliseconds(wire->idleTimeout);
     for (const StreamRoute &route : wire->routes) {
         if (route.targets.empty()) {
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -15,13 +15,13 @@
 {
 
 /**
- * Up to which store revision an instance's view of the store is complete, and when that was last confirmed. The view consists of the
+ * Up to which position of the store an instance's view of the store is complete, and when that was last confirmed. The view consists of the
  * list of servers and the configuration. Times are sent as ages.
  */
 struct ViewStatus {
-    std::uint64_t serversRevision = 0; /**< store revision up to which all changes of servers are known; 0 if none */
-    std::uint64_t configurationRevision = 0; /**< revision of the configuration in force; 0 if none */
-    std::uint64_t configurationCheckedRevision = 0; /**< store revision up to which no newer configuration exists */
+    StorePosition serversPosition; /**< up to which all changes of servers are known; unset if none */
+    StorePosition configurationPosition; /**< of the configuration in force; unset if none */
+    StorePosition configurationCheckedPosition; /**< up to which no newer configuration exists */
     TimePoint serversConfirmedAt {}; /**< when the list of servers was last known to be complete; TimePoint() if never */
     TimePoint configurationConfirmedAt {}; /**< when the configuration was last known to be the newest; TimePoint() if never */
 
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -171,7 +171,7 @@
         return;
     }
     // Messages without new content are not forwarded, which ends loops between instances that compute different trees.
-    if (after.serversRevision > before.serversRevision) {
+    if (after.serversPosition.revision() > before.serversPosition.revision()) {
         push(message.baseRevision, message.changes);
     } else if (after.serversConfirmedAt > before.serversConfirmedAt || after.configurationConfirmedAt > before.configurationConfirmedAt) {
         pushConfirmation();
@@ -183,19 +183,20 @@
     const ViewStatus mine = m_router.viewStatus();
     const ViewStatus &theirs = message.view;
     bool complete = true;
-    if (theirs.serversRevision <= mine.serversRevision) {
-        if (theirs.serversRevision > 0) {
+    if (theirs.serversPosition.revision() <= mine.serversPosition.revision()) {
+        if (theirs.serversPosition.revision() > 0) {
             m_router.confirmServers(theirs.serversConfirmedAt);
         }
-    } else if (mine.serversRevision > 0 && message.baseRevision > 0 && message.baseRevision <= mine.serversRevision) {
-        m_router.applyServerUpdates({ message.changes, theirs.serversRevision }, theirs.serversConfirmedAt);
+    } else if (mine.serversPosition.revision() > 0 && message.baseRevision > 0 && message.baseRevision <= mine.serversPosition.revision()) {
+        m_router.applyServerUpdates({ message.changes, theirs.serversPosition }, theirs.serversConfirmedAt);
     } else {
         complete = false;
     }
-    if (theirs.configurationRevision > mine.configurationRevision) {
+    if (theirs.configurationPosition.revision() > mine.configurationPosition.revision()) {
         complete = false;
-    } else if (theirs.configurationRevision == mine.configurationRevision && mine.configurationRevision > 0) {
-        m_router.confirmConfiguration(theirs.configurationCheckedRevision, theirs.configurationConfirmedAt);
+    } else if (theirs.configurationPosition.revision() == mine.configurationPosition.revision()
+        && mine.configurationPosition.revision() > 0) {
+        m_router.confirmConfiguration(theirs.configurationCheckedPosition, theirs.configurationConfirmedAt);
     }
     return complete;
 }
@@ -240,7 +241,7 @@
 void PeerSynchronizer::pushConfirmation()
 {
     if (m_clock.now() >= m_lastPush + confirmInterval) {
-        push(m_router.viewStatus().serversRevision, {});
+        push(m_router.viewStatus().serversPosition.revision(), {});
     }
 }
 
@@ -343,8 +344,8 @@
 {
     // The message contains only the revision; instances that lack the configuration pull it.
     const ViewStatus view = m_router.viewStatus();
-    if (view.configurationRevision == view.configurationCheckedRevision) {
-        push(view.serversRevision, {});
+    if (view.configurationPosition.revision() == view.configurationCheckedPosition.revision()) {
+        push(view.serversPosition.revision(), {});
     } else {
         pushConfirmation();
     }
@@ -354,7 +355,7 @@
 {
     if (m_directory.setStoreReachable(reachable)) {
         m_directory.incrementHeartbeat();
-        push(m_router.viewStatus().serversRevision, {});
+        push(m_router.viewStatus().serversPosition.revision(), {});
     }
 }
 
@@ -382,16 +383,17 @@
         merge(record);
     }
     const ViewStatus mine = m_router.viewStatus();
-    if (state->view.serversRevision > mine.serversRevision) {
-        applyServers(*state, mine.serversRevision);
+    if (state->view.serversPosition.revision() > mine.serversPosition.revision()) {
+        applyServers(*state, mine.serversPosition.revision());
     }
-    if (state->view.configurationRevision > mine.configurationRevision) {
+    if (state->view.configurationPosition.revision() > mine.configurationPosition.revision()) {
         m_router.applyConfiguration(std::move(state->configuration));
-        m_router.confirmConfiguration(state->view.configurationCheckedRevision, state->view.configurationConfirmedAt);
+        m_router.confirmConfiguration(state->view.configurationCheckedPosition, state->view.configurationConfirmedAt);
     }
     const ViewStatus after = m_router.viewStatus();
-    if (after.serversRevision > before.serversRevision || after.configurationRevision > before.configurationRevision) {
-        push(after.serversRevision, {});
+    if (after.serversPosition.revision() > before.serversPosition.revision()
+        || after.configurationPosition.revision() > before.configurationPosition.revision()) {
+        push(after.serversPosition.revision(), {});
     }
 }
 
@@ -399,7 +401,7 @@
 {
     if (state.baseRevision > 0) {
         if (state.baseRevision <= known) {
-            m_router.applyServerUpdates({ state.changes, state.view.serversRevision }, state.view.serversConfirmedAt);
+            m_router.applyServerUpdates({ state.changes, state.view.serversPosition }, state.view.serversConfirmedAt);
         }
         return;
     }
@@ -409,7 +411,7 @@
             servers.push_back(*change.listed);
         }
     }
-    m_router.replaceServers(servers, {}, state.view.serversRevision, state.view.serversConfirmedAt);
+    m_router.replaceServers(servers, {}, state.view.serversPosition, state.view.serversConfirmedAt);
 }
 
 asio::awaitable<Result<void>> PeerSynchronizer::serveStates()
@@ -426,18 +428,18 @@
 PeerState PeerSynchronizer::makeState(const ViewStatus &known) const
 {
     PeerState state { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
-    if (known.serversRevision == 0) {
+    if (known.serversPosition.revision() == 0) {
         state.records = m_directory.ranking(m_clock.now()); // the requesting instance has just started
     }
-    if (known.serversRevision < state.view.serversRevision) {
-        if (auto changes = m_router.directory().changesAfter(known.serversRevision)) {
-            state.baseRevision = known.serversRevision;
+    if (known.serversPosition.revision() < state.view.serversPosition.revision()) {
+        if (auto changes = m_router.directory().changesAfter(known.serversPosition)) {
+            state.baseRevision = known.serversPosition.revision();
             state.changes = *std::move(changes);
         } else {
             state.changes = m_router.directory().completeList();
         }
     }
-    if (known.configurationRevision < state.view.configurationRevision) {
+    if (known.configurationPosition.revision() < state.view.configurationPosition.revision()) {
         state.configuration = m_router.configuration();
     }
     return state;
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -43,21 +43,21 @@
 }
 
 DirectoryChanges ServerDirectory::replaceAll(
-    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint now)
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
-    if (revision < m_revision) {
+    if (position.revision() < m_position.revision()) {
         return changes;
     }
-    m_revision = revision;
+    m_position = position;
     std::set<std::string_view> present(unreadable.begin(), unreadable.end());
     for (const StreamServer &server : servers) {
         present.insert(server.id);
         put(server, now, changes);
     }
     for (auto &[id, record] : m_records) {
-        if (record->listed && !present.contains(id) && record->server.revision <= revision) {
-            record->server.revision = revision; // the list holds no revision of the removal itself
+        if (record->listed && !present.contains(id) && record->server.position.revision() <= position.revision()) {
+            record->server.position = position; // the list holds no position of the removal itself
             unlist(*record, DirectoryChange::Kind::Removed, now, changes);
         }
     }
@@ -73,14 +73,14 @@
     return changes;
 }
 
-DirectoryChanges ServerDirectory::remove(const std::string &id, std::uint64_t revision, TimePoint now)
+DirectoryChanges ServerDirectory::remove(const std::string &id, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
     const auto found = m_records.find(id);
-    if (found == m_records.end() || !found->second->listed || found->second->server.revision > revision) {
+    if (found == m_records.end() || !found->second->listed || found->second->server.position.revision() > position.revision()) {
         return changes;
     }
-    found->second->server.revision = revision;
+    found->second->server.position = position;
     unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
     refreshIndexes();
     return changes;
@@ -92,7 +92,7 @@
     for (const auto &[id, record] : m_records) {
         if (!record->listed && record->unlistedAt + retention <= now) {
             forgotten.push_back(record->token);
-            m_forgottenRevision = std::max(m_forgottenRevision, record->server.revision);
+            m_forgottenPosition = std::max(m_forgottenPosition, record->server.position);
             removeAddress(*record);
         }
     }
@@ -148,18 +148,18 @@
     return records;
 }
 
-std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(std::uint64_t revision) const
+std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(StorePosition position) const
 {
-    if (revision == 0 || revision < m_forgottenRevision) {
+    if (position.isUnset() || position.revision() < m_forgottenPosition.revision()) {
         return std::nullopt;
     }
     std::vector<ServerUpdate> changes;
     for (const auto &[id, record] : m_records) {
-        if (record->server.revision <= revision) {
+        if (record->server.position.revision() <= position.revision()) {
             continue;
         }
         ServerUpdate change;
-        change.revision = record->server.revision;
+        change.position = record->server.position;
         if (record->listed) {
             change.listed = record->server;
         } else {
@@ -177,21 +177,21 @@
         if (record->listed) {
             ServerUpdate entry;
             entry.listed = record->server;
-            entry.revision = record->server.revision;
+            entry.position = record->server.position;
             list.push_back(std::move(entry));
         }
     }
     return list;
 }
 
-void ServerDirectory::advanceRevision(std::uint64_t revision)
+void ServerDirectory::advancePosition(StorePosition position)
 {
-    m_revision = std::max(m_revision, revision);
+    m_position = position.revision() > m_position.revision() ? position : m_position;
 }
 
-std::uint64_t ServerDirectory::revision() const
+StorePosition ServerDirectory::position() const
 {
-    return m_revision;
+    return m_position;
 }
 
 void ServerDirectory::put(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
@@ -205,7 +205,7 @@
         unlistPreviousOwner(server, now, changes);
         return;
     }
-    if (server.revision < record->server.revision || (record->listed && server == record->server)) {
+    if (server.position.revision() < record->server.position.revision() || (record->listed && server == record->server)) {
         return;
     }
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
@@ -247,7 +247,7 @@
     for (auto owner = begin; owner != end; ++owner) {
         DirectoryRecord &record = *owner->second;
         const StreamServer &other = record.server;
-        const bool isEarlier = other.revision < server.revision && other.startedAt < server.startedAt;
+        const bool isEarlier = other.position.revision() < server.position.revision() && other.startedAt < server.startedAt;
         if (other.id != server.id && record.listed && isEarlier) {
             unlist(record, DirectoryChange::Kind::AddressReused, now, changes);
         }
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -71,18 +71,18 @@
      * Replaces the listed servers by a complete list.
      * @param servers all listed servers
      * @param unreadable the ids of entries that could not be read; their servers stay as they are
-     * @param revision the revision of the store at which the list was read; a list older than the directory is ignored
+     * @param position the position of the store at which the list was read; a list older than the directory is ignored
      * @param now the time at which servers that are missing from the list count as unlisted
      * @return the changes, or none if the list is ignored
      */
     DirectoryChanges replaceAll(
-        const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint now);
+        const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now);
 
     /** Adds or updates one server. An entry older than that of the directory is ignored. @return the changes */
     DirectoryChanges update(const StreamServer &server, TimePoint now);
 
-    /** Marks a server as unlisted, unless its entry is newer than @p revision of the store. @return the changes */
-    DirectoryChanges remove(const std::string &id, std::uint64_t revision, TimePoint now);
+    /** Marks a server as unlisted, unless its entry is newer than @p position. @return the changes */
+    DirectoryChanges remove(const std::string &id, StorePosition position, TimePoint now);
 
     /** Removes the servers that have been unlisted for the retention time. @return their tokens */
     std::vector<std::uint32_t> expire(TimePoint now);
@@ -110,19 +110,19 @@
     std::vector<const DirectoryRecord *> all() const;
 
     /**
-     * Returns the changes after a revision of the store, for another instance.
+     * Returns the changes after a position of the store, for another instance.
      * @return the changes, or nothing if some of them are no longer known and the complete list is needed
      */
-    std::optional<std::vector<ServerUpdate>> changesAfter(std::uint64_t revision) const;
+    std::optional<std::vector<ServerUpdate>> changesAfter(StorePosition position) const;
 
     /** Returns all listed servers as updates, for another instance. */
     std::vector<ServerUpdate> completeList() const;
 
-    /** Records that the directory holds all changes up to @p revision of the store. */
-    void advanceRevision(std::uint64_t revision);
+    /** Records that the directory holds all changes up to @p position. */
+    void advancePosition(StorePosition position);
 
-    /** Returns the revision of the store up to which all changes are known, or 0 before the first list. */
-    std::uint64_t revision() const;
+    /** Returns the position of the store up to which all changes are known; unset before the first list. */
+    StorePosition position() const;
 
 private:
     using Records = std::map<std::string, std::unique_ptr<DirectoryRecord>>;
@@ -145,8 +145,8 @@
     std::map<std::string, Services> m_byDomain; // listed servers by failure domain
     Services m_unlisted;
     bool m_indexesAreStale = false; // rebuilt only if needed, since most changes of an entry concern no index
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_forgottenRevision = 0; // highest revision of a removal whose record was discarded
+    StorePosition m_position;
+    StorePosition m_forgottenPosition; // highest position of a removal whose record was discarded
 };
 
 } // namespace Samphirepitch
--- a/src/stream/streamconfiguration.h
+++ b/src/stream/streamconfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "stream/storeposition.h"
 
 #include <chrono>
 #include <cstdint>
@@ -32,7 +33,7 @@
 /** The routes of one version of the configuration. */
 struct StreamConfiguration {
     std::uint64_t version = 0; /**< assigned by the operator */
-    std::uint64_t revision = 0; /**< store revision of the last change; a higher revision replaces a lower one */
+    StorePosition position; /**< of its last change in the store */
     std::map<Endpoint, StreamRoute> routes; /**< by address */
     std::chrono::milliseconds idleTimeout { 0 }; /**< a flow may be dropped after this long without a packet */
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -198,23 +198,30 @@
 
 bool StreamRouter::applyConfiguration(StreamConfiguration configuration)
 {
-    if (configuration.revision <= m_configuration.revision) {
+    if (configuration.position.revision() <= m_configuration.position.revision()) {
+        if (configuration.version != m_configuration.version) {
+            m_events.record(EventSeverity::Info, "configuration_ignored",
+                { { "version", number(configuration.version) }, { "in_force", number(m_configuration.version) },
+                    { "era", number(configuration.position.era()) }, { "revision", number(configuration.position.revision()) } });
+        }
         return false;
     }
     const std::uint64_t previousVersion = std::exchange(m_configuration, std::move(configuration)).version;
-    m_configurationCheckedRevision = std::max(m_configurationCheckedRevision, m_configuration.revision);
+    advanceCheckedPosition(m_configuration.position);
     m_events.record(EventSeverity::Info, "configuration_in_force",
         { { "version", number(m_configuration.version) }, { "before", number(previousVersion) },
-            { "revision", number(m_configuration.revision) }, { "routes", number(m_configuration.routes.size()) } });
+            { "era", number(m_configuration.position.era()) }, { "revision", number(m_configuration.position.revision()) },
+            { "routes", number(m_configuration.routes.size()) } });
     resetAll(m_flows.removeMatching([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
         StreamOutcome::RouteRemoved);
     return true;
 }
 
 void StreamRouter::replaceServers(
-    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint confirmedAt)
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint confirmedAt)
 {
-    applyChanges(m_directory.replaceAll(servers, unreadable, revision, m_clock.now()));
+    recordEra("servers", m_directory.position(), position);
+    applyChanges(m_directory.replaceAll(servers, unreadable, position, m_clock.now()));
     confirmServers(confirmedAt);
 }
 
@@ -224,10 +231,10 @@
         if (update.listed) {
             updateServer(*update.listed);
         } else if (update.unlisted) {
-            removeServer(*update.unlisted, update.revision);
+            removeServer(*update.unlisted, update.position);
         }
     }
-    m_directory.advanceRevision(updates.revision);
+    m_directory.advancePosition(updates.position);
     confirmServers(confirmedAt);
 }
 
@@ -236,9 +243,9 @@
     applyChanges(m_directory.update(server, m_clock.now()));
 }
 
-void StreamRouter::removeServer(const std::string &id, std::uint64_t revision)
+void StreamRouter::removeServer(const std::string &id, StorePosition position)
 {
-    applyChanges(m_directory.remove(id, revision, m_clock.now()));
+    applyChanges(m_directory.remove(id, position, m_clock.now()));
 }
 
 void StreamRouter::confirmServers(TimePoint time)
@@ -249,15 +256,23 @@
     m_serversAge.confirm(time);
 }
 
-void StreamRouter::confirmConfiguration(std::uint64_t revision, TimePoint time)
+void StreamRouter::confirmConfiguration(StorePosition position, TimePoint time)
 {
-    m_configurationCheckedRevision = std::max(m_configurationCheckedRevision, revision);
+    advanceCheckedPosition(position);
     m_configurationAge.confirm(time);
 }
 
+void StreamRouter::advanceCheckedPosition(StorePosition position)
+{
+    recordEra("configuration", m_configurationCheckedPosition, position);
+    if (position.revision() > m_configurationCheckedPosition.revision()) {
+        m_configurationCheckedPosition = position;
+    }
+}
+
 ViewStatus StreamRouter::viewStatus() const
 {
-    return { m_directory.revision(), m_configuration.revision, m_configurationCheckedRevision, m_serversAge.confirmed(),
+    return { m_directory.position(), m_configuration.position, m_configurationCheckedPosition, m_serversAge.confirmed(),
         m_configurationAge.confirmed() };
 }
 
@@ -266,6 +281,15 @@
     return std::exchange(m_endedServers, {});
 }
 
+void StreamRouter::recordEra(std::string_view view, StorePosition before, StorePosition now)
+{
+    if (!before.isUnset() && now.era() > before.era()) {
+        m_events.record(EventSeverity::Warning, "store_era_changed",
+            { { "view", std::string(view) }, { "before", number(before.era()) }, { "era", number(now.era()) },
+                { "revision_before", number(before.revision()) }, { "revision", number(now.revision()) } });
+    }
+}
+
 void StreamRouter::applyChanges(const DirectoryChanges &changes)
 {
     for (const DirectoryChange &change : changes) {
@@ -274,7 +298,7 @@
             { { "server", record.server.id }, { "change", std::string(directoryChangeName(change.kind)) },
                 { "service_name", record.server.service }, { "address", record.server.address.toString() },
                 { "domain", record.server.failureDomain }, { "phase", record.server.phase == ServerPhase::Ready ? "ready" : "draining" },
-                { "revision", number(record.server.revision) } });
+                { "era", number(record.server.position.era()) }, { "revision", number(record.server.position.revision()) } });
         if (record.tokenTaken) {
             m_events.record(
                 EventSeverity::Warning, "server_token_taken", { { "server", record.server.id }, { "token", number(record.token) } });
@@ -460,7 +484,7 @@
 
 bool StreamRouter::isReady() const
 {
-    return m_configuration.revision > 0 && m_directory.revision() > 0;
+    return !m_configuration.position.isUnset() && !m_directory.position().isUnset();
 }
 
 const StreamConfiguration &StreamRouter::configuration() const
@@ -495,7 +519,8 @@
     std::move(fields.begin(), fields.end(), std::back_inserter(all));
     all.push_back({ "configuration", number(m_configuration.version) });
     all.push_back({ "configuration_age_ms", m_configurationAge.text(now) });
-    all.push_back({ "servers_revision", number(m_directory.revision()) });
+    all.push_back({ "servers_era", number(m_directory.position().era()) });
+    all.push_back({ "servers_revision", number(m_directory.position().revision()) });
     all.push_back({ "servers_age_ms", m_serversAge.text(now) });
     m_events.record(severity, name, std::move(all));
 }
@@ -522,6 +547,10 @@
     writer.gauge("samphirepitch_stream_flows", "Flows that this instance tracks.", {}, static_cast<double>(m_flows.size()));
     writer.gauge(
         "samphirepitch_configuration_version", "Version of the configuration in force.", {}, static_cast<double>(m_configuration.version));
+    writer.gauge("samphirepitch_store_era", "Era of the store that a view is from; it rises when the store returns from an older copy.",
+        { { "view", "servers" } }, static_cast<double>(m_directory.position().era()));
+    writer.gauge("samphirepitch_store_era", "Era of the store that a view is from; it rises when the store returns from an older copy.",
+        { { "view", "configuration" } }, static_cast<double>(m_configurationCheckedPosition.era()));
     writer.gauge("samphirepitch_configuration_age_seconds", "Seconds since the configuration was last confirmed.", {},
         m_configurationAge.seconds(now));
     writer.gauge(
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -93,21 +93,21 @@
      * Replaces the list of servers.
      * @param servers all listed servers
      * @param unreadable the ids of entries that could not be read; what is known of such a server stays
-     * @param revision the revision of the store at which the list was read
+     * @param position the position of the store at which the list was read
      * @param confirmedAt when the list was complete
      */
-    void replaceServers(const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision,
+    void replaceServers(const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position,
         TimePoint confirmedAt);
 
     /** Adds or updates one server. */
     void updateServer(const StreamServer &server);
 
-    /** Marks a server as unlisted because its entry was removed at @p revision of the store. */
-    void removeServer(const std::string &id, std::uint64_t revision);
+    /** Marks a server as unlisted because its entry was removed at @p position. */
+    void removeServer(const std::string &id, StorePosition position);
 
     /**
      * Applies changes of servers.
-     * @param updates the changes from a revision that the router knows up to their own revision
+     * @param updates the changes from a position that the router knows up to their own position
      * @param confirmedAt when the list of servers was complete with these changes
      */
     void applyServerUpdates(const ServerUpdates &updates, TimePoint confirmedAt);
@@ -115,8 +115,8 @@
     /** Records that the list of servers was complete at @p time, according to the store or to an instance that has read it. */
     void confirmServers(TimePoint time);
 
-    /** Records that at @p time the store, up to @p revision, held no configuration newer than the one in force. */
-    void confirmConfiguration(std::uint64_t revision, TimePoint time);
+    /** Records that at @p time the store, up to @p position, held no configuration newer than the one in force. */
+    void confirmConfiguration(StorePosition position, TimePoint time);
 
     /** Returns how recent the views of the store are, for other instances. */
     ViewStatus viewStatus() const;
@@ -162,6 +162,8 @@
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
     void applyChanges(const DirectoryChanges &changes);
+    void advanceCheckedPosition(StorePosition position);
+    void recordEra(std::string_view view, StorePosition before, StorePosition now);
     void endServer(const DirectoryRecord &record, std::string_view proof);
     void resetFlowsOfSilentServer(std::uint32_t token);
     bool isEndProven(std::uint32_t token) const;
@@ -189,7 +191,7 @@
     std::vector<StreamReset> m_resets;
     std::vector<std::uint32_t> m_unconfirmedRemovals; // tokens of unlisted servers whose end is not proven
     std::vector<EndedServer> m_endedServers;
-    std::uint64_t m_configurationCheckedRevision = 0;
+    StorePosition m_configurationCheckedPosition;
     TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
 };
--- a/src/stream/streamserver.h
+++ b/src/stream/streamserver.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/endpoint.h"
+#include "stream/storeposition.h"
 
 #include <cstdint>
 #include <string>
@@ -26,7 +27,7 @@
     ServerPhase phase = ServerPhase::Ready;
     TimePoint coldUntil {}; /**< when it stops being slow after its start */
     std::int64_t startedAt = 0; /**< Unix time in milliseconds; distinguishes incarnations with the same id; 0 if unknown */
-    std::uint64_t revision = 0; /**< revision of the store at the last change of the entry */
+    StorePosition position; /**< of the last change of the entry */
 
     friend bool operator==(const StreamServer &, const StreamServer &) = default;
 };
--- a/tests/adapter/objectdecodertests.cpp
+++ b/tests/adapter/objectdecodertests.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-const ObjectMeta serverMeta { "i-7f3a91c2", 41 };
+const ObjectMeta serverMeta { "i-7f3a91c2", { 0, 41 } };
 const TimePoint now = TimePoint() + std::chrono::seconds(100);
 
 Json serverSpec()
@@ -46,7 +46,7 @@
     CHECK(server->phase == ServerPhase::Ready);
     CHECK(server->coldUntil == now + milliseconds(800));
     CHECK(server->startedAt == 1780000000123);
-    CHECK(server->revision == 41);
+    CHECK(server->position == StorePosition(0, 41));
     spec["state"] = "draining";
     CHECK(decodeServer(serverMeta, spec, now)->phase == ServerPhase::Draining);
 }
@@ -78,7 +78,7 @@
     spec = serverSpec();
     spec["slots"] = 0;
     CHECK_FALSE(decodeServer(serverMeta, spec, now).has_value());
-    CHECK_FALSE(decodeServer({ "i-zzz", 4 }, serverSpec(), now).has_value());
+    CHECK_FALSE(decodeServer({ "i-zzz", { 0, 4 } }, serverSpec(), now).has_value());
     CHECK_FALSE(decodeServer(serverMeta, Json("text"), now).has_value());
     CHECK_FALSE(decodeServer(serverMeta, Json(), now).has_value());
 }
@@ -96,10 +96,10 @@
 
 TEST_CASE("a configuration is decoded into routes by address", "[adapter][objectdecoder]")
 {
-    const auto configuration = decodeConfiguration({ "main", 9 }, configurationSpec());
+    const auto configuration = decodeConfiguration({ "main", { 0, 9 } }, configurationSpec());
     REQUIRE(configuration.has_value());
     CHECK(configuration->version == 7);
-    CHECK(configuration->revision == 9);
+    CHECK(configuration->position == StorePosition(0, 9));
     CHECK(configuration->idleTimeout == milliseconds(15000));
     REQUIRE(configuration->routes.size() == 2);
     const StreamRoute *const split = configuration->find(Endpoint(0xc6120001, 8443));
@@ -148,7 +148,7 @@
     {
         spec = Json::array();
     }
-    const auto refused = decodeConfiguration({ "main", 9 }, spec);
+    const auto refused = decodeConfiguration({ "main", { 0, 9 } }, spec);
     REQUIRE_FALSE(refused.has_value());
     CHECK(refused.error().kind() == ErrorKind::Malformed);
 }
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -127,11 +127,11 @@
         "/v1/objects/servers?after=i-2", R"({"items":[)" + object("i-3", 6, serverSpec()) + R"(],"has_more":false,"store_revision":33})");
     const auto list = servers();
     REQUIRE(list.has_value());
-    CHECK(list->revision == 30);
+    CHECK(list->position == StorePosition(0, 30));
     REQUIRE(list->servers.size() == 2);
     CHECK(list->servers[0].id == "i-1");
     CHECK(list->servers[1].id == "i-3");
-    CHECK(list->servers[1].revision == 6);
+    CHECK(list->servers[1].position == StorePosition(0, 6));
     REQUIRE(list->faults.size() == 1);
     CHECK(list->faults[0].subject == "i-2");
 }
@@ -143,11 +143,11 @@
             + object("i-2", 32, "null") + R"(},{"deleted":false,"object":)" + object("i-3", 33, "7") + R"(}],"store_revision":34})");
     const auto changes = updates(30);
     REQUIRE(changes.has_value());
-    CHECK(changes->revision == 34);
+    CHECK(changes->position == StorePosition(0, 34));
     REQUIRE(changes->updates.size() == 3);
     CHECK(changes->updates[0].listed.has_value());
     CHECK(changes->updates[1].unlisted == std::optional<std::string>("i-2"));
-    CHECK(changes->updates[1].revision == 32);
+    CHECK(changes->updates[1].position == StorePosition(0, 32));
     CHECK(changes->updates[2].fault.has_value());
 }
 
@@ -159,11 +159,11 @@
             + R"(],"has_more":false,"store_revision":30})");
     const auto read = configuration();
     REQUIRE(read.has_value());
-    CHECK(read->revision == 30);
+    CHECK(read->position == StorePosition(0, 30));
     CHECK_FALSE(read->fault.has_value());
     REQUIRE(read->configuration.has_value());
     CHECK(read->configuration->version == 7);
-    CHECK(read->configuration->revision == 6);
+    CHECK(read->configuration->position == StorePosition(0, 6));
 }
 
 TEST_CASE_METHOD(
@@ -181,7 +181,7 @@
     REQUIRE(removed.has_value());
     CHECK_FALSE(removed->fault.has_value());
     CHECK_FALSE(removed->configuration.has_value());
-    CHECK(removed->revision == 32);
+    CHECK(removed->position == StorePosition(0, 32));
 }
 
 TEST_CASE_METHOD(StoreFixture, "each kind of failure of the store is reported as its own kind of error", "[adapter][storediscovery]")
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -93,7 +93,7 @@
 
     void publishServerUpdates(std::uint64_t from, const ServerUpdates &updates) override
     {
-        published.push_back(std::to_string(from) + " to " + std::to_string(updates.revision));
+        published.push_back(std::to_string(from) + " to " + std::to_string(updates.position.revision()));
     }
 
     void publishConfiguration() override
@@ -144,12 +144,12 @@
 
 TEST_CASE_METHOD(WatcherFixture, "servers are listed once and then watched from the revision of the list", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
-    discovery.updates.push_back(ServerUpdates { {}, 12 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 12 } });
     ServerUpdate removal;
     removal.unlisted = "i-1";
-    removal.revision = 13;
-    discovery.updates.push_back(ServerUpdates { { removal }, 13 });
+    removal.position = { 0, 13 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 0, 13 } });
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 12", "watch 13" });
     CHECK(router.directory().listed("pond").empty());
@@ -157,9 +157,9 @@
 
 TEST_CASE_METHOD(WatcherFixture, "servers are listed again without delay after the store lost the history", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, { 0, 10 } });
     discovery.updates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
-    discovery.lists.push_back(ServerList { { server(2) }, {}, 40 });
+    discovery.lists.push_back(ServerList { { server(2) }, {}, { 0, 40 } });
     const TimePoint before = clock.now();
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "list", "watch 40" });
@@ -171,11 +171,11 @@
 TEST_CASE_METHOD(WatcherFixture, "calls are retried with growing delays during an outage, and its start and end are each published once",
     "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     for (int count = 0; count < 8; ++count) {
         discovery.updates.push_back(unavailable());
     }
-    discovery.updates.push_back(ServerUpdates { {}, 50 });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 50 } });
     const TimePoint before = clock.now();
     watchServers();
     const auto waited = clock.now() - before;
@@ -194,7 +194,7 @@
     // Every call to the store has a cost, also a rejected one, and the first instance that reaches the store informs the others.
     coordinator.count = GENERATE(1, 10, 78, 5000);
     CAPTURE(coordinator.count);
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     constexpr int failures = 20;
     for (int count = 0; count < failures; ++count) {
         discovery.updates.push_back(unavailable());
@@ -210,23 +210,23 @@
 
 TEST_CASE_METHOD(WatcherFixture, "an invalid configuration leaves the previous one in force", "[stream][discoverywatcher]")
 {
-    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, 10 });
-    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, 11 });
-    discovery.reads.push_back(ConfigurationRead { configuration(12), {}, 12 });
-    discovery.reads.push_back(ConfigurationRead { {}, {}, 14 });
+    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, { 0, 10 } });
+    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, { 0, 11 } });
+    discovery.reads.push_back(ConfigurationRead { configuration(12), {}, { 0, 12 } });
+    discovery.reads.push_back(ConfigurationRead { {}, {}, { 0, 14 } });
     watchConfiguration();
     CHECK(discovery.calls == std::vector<std::string> { "read", "watch 10", "watch 11", "watch 12", "watch 14" });
     CHECK(events.count("configuration_refused") == 1);
-    CHECK(router.configuration().revision == 12);
+    CHECK(router.configuration().position.revision() == 12);
 }
 
 TEST_CASE_METHOD(WatcherFixture, "an unreadable entry is reported and the servers stay listed", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text string" } }, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text string" } }, { 0, 10 } });
     ServerUpdate fault;
     fault.fault = DiscoveryFault { "i-1", "slots is 0" };
-    fault.revision = 11;
-    discovery.updates.push_back(ServerUpdates { { fault }, 11 });
+    fault.position = { 0, 11 };
+    discovery.updates.push_back(ServerUpdates { { fault }, { 0, 11 } });
     watchServers();
     CHECK(events.count("server_entry_refused") == 2);
     CHECK(router.directory().listed("pond").size() == 1);
@@ -239,7 +239,7 @@
     makeReady({ server(1) });
     coordinator.watches = false;
     coordinator.reads = 1;
-    discovery.updates.push_back(ServerUpdates { {}, 12 });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 12 } });
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "watch 10" });
     CHECK(discovery.lastWait == milliseconds(0));
@@ -247,11 +247,11 @@
 
 TEST_CASE_METHOD(WatcherFixture, "changes are published with the revision that they follow", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     ServerUpdate removal;
     removal.unlisted = "i-1";
-    removal.revision = 13;
-    discovery.updates.push_back(ServerUpdates { { removal }, 13 });
+    removal.position = { 0, 13 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 0, 13 } });
     watchServers();
     CHECK(coordinator.published == std::vector<std::string> { "0 to 10", "10 to 13" });
 }
--- a/tests/stream/flowplacementtests.cpp
+++ b/tests/stream/flowplacementtests.cpp
@@ -40,7 +40,7 @@
         for (std::uint64_t number = 1; number <= count; ++number) {
             servers.push_back(RouterFixture::server(number, number <= local ? "a" : "b"));
         }
-        directory.replaceAll(servers, {}, 10, clock.now());
+        directory.replaceAll(servers, {}, { 0, 10 }, clock.now());
     }
 
     const DirectoryRecord *place()
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -22,7 +22,7 @@
 
 ViewStatus view(TimePoint now)
 {
-    return { 40, 38, 41, now - milliseconds(300), now - milliseconds(900) };
+    return { { 0, 40 }, { 0, 38 }, { 0, 41 }, now - milliseconds(300), now - milliseconds(900) };
 }
 
 GossipMessage message()
@@ -33,10 +33,10 @@
     cold.phase = ServerPhase::Draining;
     ServerUpdate listed;
     listed.listed = cold;
-    listed.revision = cold.revision;
+    listed.position = cold.position;
     ServerUpdate unlisted;
     unlisted.unlisted = "i-8";
-    unlisted.revision = 39;
+    unlisted.position = { 0, 39 };
     message.changes = { listed, unlisted };
     message.ended = { { "i-9", 1234 } };
     message.records = { record("entry-2") };
@@ -59,7 +59,7 @@
     expected.coldUntil = received + milliseconds(500);
     CHECK(read->changes[0].listed == std::optional(expected));
     CHECK(read->changes[1].unlisted == std::optional<std::string>("i-8"));
-    CHECK(read->changes[1].revision == 39);
+    CHECK(read->changes[1].position == StorePosition(0, 39));
     CHECK(read->ended == message().ended);
     CHECK(read->records == message().records);
 }
--- a/tests/stream/loadmodel.cpp
+++ b/tests/stream/loadmodel.cpp
@@ -45,7 +45,7 @@
         m_servers[ServerDirectory::tokenOf(listed.back())].behavior = servers[index];
     }
     m_router.applyConfiguration(RouterFixture::configuration(4));
-    m_router.replaceServers(listed, {}, 10, m_clock.now());
+    m_router.replaceServers(listed, {}, { 0, 10 }, m_clock.now());
     for (std::size_t user = 0; user < users; ++user) {
         schedule(drawExponential(meanPause), [this, user] { openFlow(user); });
     }
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -28,7 +28,7 @@
     PeerState stateFor(const GossipMessage &request) override
     {
         asked.push_back(request.sender.id);
-        return { .deployment = "dewnet", .sender = { .id = "entry-1" }, .view = { .serversRevision = 7 } };
+        return { .deployment = "dewnet", .sender = { .id = "entry-1" }, .view = { .serversPosition = { 0, 7 } } };
     }
 
     void reportFailure(std::string_view event, const std::string &, const Error &error) override
@@ -82,7 +82,7 @@
     const Result<PeerState> state = fetchAs("dewnet", servingAddress);
     REQUIRE(state);
     CHECK(state->sender.id == "entry-1");
-    CHECK(state->view.serversRevision == 7);
+    CHECK(state->view.serversPosition == StorePosition(0, 7));
     CHECK(source.asked == std::vector<std::string> { "entry-2" });
     CHECK(source.failures.empty());
 }
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -89,10 +89,10 @@
 
 ServerUpdate listed(StreamServer server, std::uint64_t revision)
 {
-    server.revision = revision;
+    server.position = { 0, revision };
     ServerUpdate update;
     update.listed = server;
-    update.revision = revision;
+    update.position = { 0, revision };
     return update;
 }
 
@@ -104,7 +104,7 @@
     // Guards against a failure domain that serves nothing because its instances restarted during an outage of the store.
     Node &first = add({});
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     Node &second = add({ Node::addressOf(0) });
     REQUIRE(runUntil([&] { return second.router.isReady(); }));
     CHECK(second.router.configuration() == first.router.configuration());
@@ -123,16 +123,16 @@
     REQUIRE(runUntil(all([this](const Node &node) { return node.synchronizer->directory().ranking(clock.now()).size() == 8; })));
     Node &source = reader();
     source.router.applyConfiguration(RouterFixture::configuration(4));
-    source.router.confirmConfiguration(4, clock.now());
-    source.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    source.router.confirmConfiguration({ 0, 4 }, clock.now());
+    source.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     source.synchronizer->publishConfiguration();
-    source.synchronizer->publishServerUpdates(0, { {}, 10 });
+    source.synchronizer->publishServerUpdates(0, { {}, { 0, 10 } });
     REQUIRE(runUntil(all([](const Node &node) { return node.router.isReady(); })));
 
-    const ServerUpdates updates { { listed(RouterFixture::server(2), 11) }, 11 };
+    const ServerUpdates updates { { listed(RouterFixture::server(2), 11) }, { 0, 11 } };
     source.router.applyServerUpdates(updates, clock.now());
     source.synchronizer->publishServerUpdates(10, updates);
-    REQUIRE(runUntil(all([](const Node &node) { return node.router.viewStatus().serversRevision == 11; })));
+    REQUIRE(runUntil(all([](const Node &node) { return node.router.viewStatus().serversPosition.revision() == 11; })));
     CHECK(std::all_of(nodes.begin(), nodes.end(), [](const Node &node) { return node.router.directory().listed("pond").size() == 2; }));
 }
 
@@ -141,12 +141,14 @@
     Node &first = add({});
     Node &second = add({ Node::addressOf(0) });
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady(); }));
     // The router is changed without a call to the synchronizer, so nothing is pushed.
-    first.router.applyServerUpdates({ { listed(RouterFixture::server(2), 12) }, 12 }, clock.now());
+    first.router.applyServerUpdates({ { listed(RouterFixture::server(2), 12) }, { 0, 12 } }, clock.now());
     first.router.applyConfiguration(RouterFixture::configuration(13));
-    REQUIRE(runUntil([&] { return second.router.viewStatus().serversRevision == 12 && second.router.configuration().revision == 13; }));
+    REQUIRE(runUntil([&] {
+        return second.router.viewStatus().serversPosition.revision() == 12 && second.router.configuration().position.revision() == 13;
+    }));
 }
 
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
@@ -154,7 +156,7 @@
     Node &first = add({});
     Node &second = add({ Node::addressOf(0) });
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
     const std::uint32_t token = ServerDirectory::tokenOf(RouterFixture::server(1));
     first.router.recordProbeResult(token, ConnectResult::Refused, clock.now());
@@ -174,7 +176,7 @@
         servers.push_back(RouterFixture::server(number));
     }
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers(servers, {}, 10, clock.now());
+    first.router.replaceServers(servers, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
     for (const StreamServer &server : servers) {
         first.router.recordProbeResult(ServerDirectory::tokenOf(server), ConnectResult::Refused, clock.now());
@@ -203,7 +205,7 @@
     // Guards against routes and servers of another deployment being used because of a wrong seed address.
     Node &first = add({});
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     Node &second = add({ Node::addressOf(0) }, "tugan-kun");
     REQUIRE(runUntil([&] { return first.events.count("peer_request_refused") > 0 && second.events.count("peer_pull_failed") > 0; }));
     CHECK_FALSE(second.router.isReady());
--- a/tests/stream/routerfixture.cpp
+++ b/tests/stream/routerfixture.cpp
@@ -45,12 +45,12 @@
         .failureDomain = std::move(failureDomain),
         .slots = 2,
         .startedAt = 1000,
-        .revision = 5 };
+        .position = { 0, 5 } };
 }
 
 StreamConfiguration RouterFixture::configuration(std::uint64_t revision)
 {
-    StreamConfiguration configuration { .version = revision * 3, .revision = revision };
+    StreamConfiguration configuration { .version = revision * 3, .position = { 0, revision } };
     configuration.routes.emplace(service, StreamRoute { "r-1", service, { { "pond", 1 } } });
     configuration.idleTimeout = std::chrono::seconds(15);
     return configuration;
@@ -59,7 +59,7 @@
 void RouterFixture::makeReady(const std::vector<StreamServer> &servers)
 {
     router.applyConfiguration(configuration(4));
-    router.replaceServers(servers, {}, 10, clock.now());
+    router.replaceServers(servers, {}, { 0, 10 }, clock.now());
 }
 
 StreamDecision RouterFixture::open(Endpoint from, std::uint32_t copy)
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -25,7 +25,7 @@
 
 StreamServer withRevision(StreamServer server, std::uint64_t revision)
 {
-    server.revision = revision;
+    server.position = { 0, revision };
     return server;
 }
 
@@ -42,19 +42,20 @@
 TEST_CASE("a complete list adds and removes servers", "[stream][directory]")
 {
     ServerDirectory directory;
-    CHECK(describe(directory.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, 10, start)) == "added i-1;added i-2;");
+    CHECK(describe(directory.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, { 0, 10 }, start))
+        == "added i-1;added i-2;");
     CHECK(directory.listed("pond").size() == 2);
-    CHECK(describe(directory.replaceAll({ RouterFixture::server(2) }, {}, 12, start)) == "removed i-1;");
+    CHECK(describe(directory.replaceAll({ RouterFixture::server(2) }, {}, { 0, 12 }, start)) == "removed i-1;");
     CHECK(directory.listed("pond").size() == 1);
-    CHECK(directory.revision() == 12);
+    CHECK(directory.position() == StorePosition(0, 12));
 }
 
 TEST_CASE("an unlisted server stays known as long as a flow may last", "[stream][directory]")
 {
     // An entry may expire while its server still runs, and packets of its flows still carry its token.
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
-    directory.remove("i-1", 11, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    directory.remove("i-1", { 0, 11 }, start);
     directory.expire(start + ServerDirectory::retention - std::chrono::seconds(1));
     REQUIRE(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1))) != nullptr);
     CHECK_FALSE(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1)))->listed);
@@ -66,14 +67,14 @@
 TEST_CASE("an older revision never replaces a newer one", "[stream][directory]")
 {
     ServerDirectory directory;
-    directory.replaceAll({ withRevision(RouterFixture::server(1), 20) }, {}, 30, start);
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 20) }, {}, { 0, 30 }, start);
     StreamServer stale = withRevision(RouterFixture::server(1), 19);
     stale.phase = ServerPhase::Draining;
     CHECK(directory.update(stale, start).empty());
-    CHECK(directory.replaceAll({}, {}, 29, start).empty());
-    directory.advanceRevision(28);
-    CHECK(directory.revision() == 30);
-    CHECK(directory.remove("i-1", 19, start).empty());
+    CHECK(directory.replaceAll({}, {}, { 0, 29 }, start).empty());
+    directory.advancePosition({ 0, 28 });
+    CHECK(directory.position() == StorePosition(0, 30));
+    CHECK(directory.remove("i-1", { 0, 19 }, start).empty());
     CHECK(directory.listed("pond").front()->server.phase == ServerPhase::Ready);
 }
 
@@ -81,25 +82,25 @@
 {
     // With 300 instances and 3,000 servers, complete lists for each change were most of the traffic between instances.
     ServerDirectory source;
-    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2), RouterFixture::server(3) }, {}, 10, start);
+    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2), RouterFixture::server(3) }, {}, { 0, 10 }, start);
     ServerDirectory copy;
     for (const ServerUpdate &entry : source.completeList()) {
         copy.update(*entry.listed, start);
     }
-    copy.advanceRevision(10);
+    copy.advancePosition({ 0, 10 });
     StreamServer draining = withRevision(RouterFixture::server(1), 11);
     draining.phase = ServerPhase::Draining;
     source.update(draining, start);
-    source.remove("i-2", 12, start);
-    source.advanceRevision(12);
-    const auto changes = source.changesAfter(10);
+    source.remove("i-2", { 0, 12 }, start);
+    source.advancePosition({ 0, 12 });
+    const auto changes = source.changesAfter({ 0, 10 });
     REQUIRE(changes.has_value());
     CHECK(changes->size() == 2);
     for (const ServerUpdate &change : *changes) {
         if (change.listed) {
             copy.update(*change.listed, start);
         } else {
-            copy.remove(*change.unlisted, change.revision, start);
+            copy.remove(*change.unlisted, change.position, start);
         }
     }
     CHECK(copy.findId("i-1")->server.phase == ServerPhase::Draining);
@@ -109,29 +110,29 @@
 TEST_CASE("no changes are returned from before a removal that is forgotten", "[stream][directory]")
 {
     ServerDirectory source;
-    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, 10, start);
-    source.remove("i-2", 12, start);
-    source.advanceRevision(12);
-    CHECK(source.changesAfter(11).has_value());
+    source.replaceAll({ RouterFixture::server(1), RouterFixture::server(2) }, {}, { 0, 10 }, start);
+    source.remove("i-2", { 0, 12 }, start);
+    source.advancePosition({ 0, 12 });
+    CHECK(source.changesAfter({ 0, 11 }).has_value());
     source.expire(start + ServerDirectory::retention);
-    CHECK_FALSE(source.changesAfter(11).has_value());
-    CHECK(source.changesAfter(12).has_value());
-    CHECK_FALSE(source.changesAfter(0).has_value());
+    CHECK_FALSE(source.changesAfter({ 0, 11 }).has_value());
+    CHECK(source.changesAfter({ 0, 12 }).has_value());
+    CHECK_FALSE(source.changesAfter({ 0, 0 }).has_value());
     CHECK(source.completeList().size() == 1);
 }
 
 TEST_CASE("an unreadable entry keeps what is known of its server", "[stream][directory]")
 {
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
-    CHECK(directory.replaceAll({}, { "i-1" }, 12, start).empty());
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    CHECK(directory.replaceAll({}, { "i-1" }, { 0, 12 }, start).empty());
     CHECK(directory.listed("pond").size() == 1);
 }
 
 TEST_CASE("incarnations with the same id differ by their start time", "[stream][directory]")
 {
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
     StreamServer next = withRevision(RouterFixture::server(1), 11);
     next.startedAt = 2000;
     CHECK(describe(directory.update(next, start)) == "restarted i-1;");
@@ -140,7 +141,7 @@
 TEST_CASE("a later server with the same address ends the earlier one", "[stream][directory]")
 {
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
     StreamServer successor = withRevision(RouterFixture::server(2), 11);
     successor.address = RouterFixture::server(1).address;
     successor.startedAt = 4000;
@@ -152,7 +153,7 @@
 {
     // An entry without a start time must not end a running server.
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
     StreamServer other = withRevision(RouterFixture::server(2), 11);
     other.address = RouterFixture::server(1).address;
     other.startedAt = 0;
@@ -176,7 +177,7 @@
 {
     // Guards the index of addresses: a new server at the previous address must not end the server that has moved.
     ServerDirectory directory;
-    directory.replaceAll({ RouterFixture::server(1) }, {}, 10, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
     StreamServer moved = withRevision(RouterFixture::server(1), 11);
     moved.address = Endpoint(0x0a020001, 8080);
     directory.update(moved, start);
@@ -203,9 +204,9 @@
         server.service = random.below(4) == 0 ? "tile" : "pond";
         server.phase = random.below(2) == 0 ? ServerPhase::Ready : ServerPhase::Draining;
         server.startedAt = 1000 + static_cast<std::int64_t>(random.below(3));
-        server.revision = ++revision;
+        server.position = { 0, ++revision };
         if (random.below(4) == 0) {
-            directory.remove(server.id, revision, now);
+            directory.remove(server.id, { 0, revision }, now);
         } else {
             directory.update(server, now);
         }
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -13,7 +13,7 @@
 TEST_CASE_METHOD(RouterFixture, "an instance without a configuration drops packets and resets nothing", "[stream][router]")
 {
     // Guards against a restarted instance that resets open flows because it has not read the routes yet.
-    router.replaceServers({ server(1) }, {}, 10, clock.now());
+    router.replaceServers({ server(1) }, {}, { 0, 10 }, clock.now());
     CHECK(send(ServerDirectory::tokenOf(RouterFixture::server(1)), 101, 900, 7).action == Action::Drop);
     CHECK(open().action == Action::Drop);
     CHECK(router.takeResets().empty());
@@ -140,7 +140,7 @@
     makeReady({ server(1), server(2) });
     StreamServer draining = server(1);
     draining.phase = ServerPhase::Draining;
-    draining.revision = 11;
+    draining.position = { 0, 11 };
     router.updateServer(draining);
     CHECK(send(ServerDirectory::tokenOf(RouterFixture::server(1)), 500, 900, 7).action == Action::Forward);
     for (std::uint16_t port = 1; port < 20; ++port) {
@@ -315,7 +315,7 @@
     successor.service = "tile";
     successor.address = server(1).address;
     successor.startedAt = 9000;
-    successor.revision = 12;
+    successor.position = { 0, 12 };
     router.updateServer(successor);
     CHECK(router.takeResets().size() == 1);
     CHECK(send(token, 101, 900, 55).action == Action::Reset);
@@ -335,7 +335,7 @@
     };
     SECTION("the store works all the time")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         advanceConfirmed(2);
         CHECK(router.takeResets().empty());
         CHECK(send(token, 101, 900, 55).action == Action::Forward);
@@ -344,7 +344,7 @@
     }
     SECTION("an unconfirmed view proves nothing")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         for (int second = 0; second < 20; ++second) {
             advanceClock(milliseconds(1000));
             router.tick();
@@ -355,12 +355,12 @@
     {
         advanceClock(milliseconds(9000));
         router.tick();
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         router.confirmServers(clock.now());
         advanceConfirmed(2);
         CHECK(router.takeResets().empty());
         StreamServer back = server(1);
-        back.revision = 14;
+        back.position = { 0, 14 };
         router.updateServer(back);
         advanceConfirmed(9);
         CHECK(router.takeResets().empty());
@@ -416,7 +416,7 @@
     restarted.startedAt = 5000;
     const std::uint32_t token = ServerDirectory::tokenOf(restarted);
     CHECK(send(token, 101, 900, 55).action == Action::Drop);
-    restarted.revision = 12;
+    restarted.position = { 0, 12 };
     router.updateServer(restarted);
     CHECK(send(token, 101, 900, 55).action == Action::Forward);
 }
@@ -430,7 +430,7 @@
     send(token, 101, 0, 55);
     StreamServer restarted = server(1);
     restarted.startedAt = 5000;
-    restarted.revision = 12;
+    restarted.position = { 0, 12 };
     router.updateServer(restarted);
     CHECK(router.takeResets().empty());
     const StreamDecision later = send(token, 101, 900, 55);
@@ -476,7 +476,7 @@
 {
     // An old view explains why flows were placed on servers that have ended. A gauge shows the age only at the moment of the scrape.
     makeReady({ server(1) });
-    router.confirmConfiguration(10, clock.now());
+    router.confirmConfiguration({ 0, 10 }, clock.now());
     advanceClock(milliseconds(400));
     router.confirmServers(clock.now());
     advanceClock(milliseconds(300));
@@ -535,7 +535,7 @@
     makeReady({ server(1), server(2), server(3), server(4) });
     StreamServer leaving = server(4);
     leaving.phase = ServerPhase::Draining;
-    leaving.revision = 11;
+    leaving.position = { 0, 11 };
     router.updateServer(leaving);
     advanceClock(milliseconds(9000));
     std::set<std::string> ids;
@@ -550,7 +550,7 @@
     };
     SECTION("all entries are missing")
     {
-        router.replaceServers({}, {}, 20, clock.now());
+        router.replaceServers({}, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
         advanceClock(milliseconds(2600));
@@ -559,8 +559,8 @@
     SECTION("one server is listed again")
     {
         StreamServer back = server(1);
-        back.revision = 19;
-        router.replaceServers({ back }, {}, 20, clock.now());
+        back.position = { 0, 19 };
+        router.replaceServers({ back }, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
         advanceClock(milliseconds(2600));
@@ -570,13 +570,13 @@
     SECTION("one entry is missing, so its server has most likely ended")
     {
         StreamServer second = server(2);
-        router.replaceServers({ server(1), second }, {}, 20, clock.now());
+        router.replaceServers({ server(1), second }, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2" });
     }
     SECTION("a server that refuses connections is not chosen")
     {
-        router.replaceServers({}, {}, 20, clock.now());
+        router.replaceServers({}, {}, { 0, 20 }, clock.now());
         finishProbe(ServerDirectory::tokenOf(server(2)), ConnectResult::Refused);
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-3" });
