Order configurations by version and servers by position in the store

Cause: after a return of the store from an older copy its revisions are lower, and all beliefs were ordered by the revision alone. A version that was written then was not in force until its revision passed the old one, an older one with a higher revision replaced the newer, and lists, drains, restarts and new servers with lower revisions were ignored. Change: a configuration replaces another by the operator's version, and by the position if the versions are the same: what the store holds in its newest era is what the operator wrote last. The checked position, the list and the entries are ordered by era, then revision. The first list of an era replaces the view and counts as the end of a gap in the confirmations, so missing servers have the grace of returning entries. It may be an old copy, so what was seen of an incarnation stays: draining, a proven end (an accepted probe corrects it), a later incarnation of the id, another owner of the address. An entry that differs only in its position is no change of the server. "a configuration never goes back to an older revision" now states the version, with a lower version under a higher revision besides.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -16,6 +16,12 @@
 // oldest flows have ended.
 constexpr std::size_t maxPreviousTokens = 8;
 
+bool hasSameContent(StreamServer first, const StreamServer &second)
+{
+    first.position = second.position;
+    return first == second;
+}
+
 } // namespace
 
 std::string_view directoryChangeName(DirectoryChange::Kind kind)
@@ -27,6 +33,8 @@
         return "changed";
     case DirectoryChange::Kind::Restarted:
         return "restarted";
+    case DirectoryChange::Kind::Restored:
+        return "restored";
     case DirectoryChange::Kind::Removed:
         return "removed";
     case DirectoryChange::Kind::AddressReused:
@@ -46,19 +54,25 @@
     const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
-    if (position.revision() < m_position.revision()) {
+    if (position < m_position) {
         return changes;
     }
+    const bool mayBeOldCopy = !m_position.isUnset() && position.era() > m_position.era();
+    const auto relisted = mayBeOldCopy ? DirectoryChange::Kind::Restored : DirectoryChange::Kind::Added;
     m_position = position;
     std::set<std::string_view> present(unreadable.begin(), unreadable.end());
     for (const StreamServer &server : servers) {
         present.insert(server.id);
-        put(server, now, changes);
+        if (!mayBeOldCopy || !isSuperseded(server)) {
+            put(server, relisted, now, changes);
+        }
     }
     for (auto &[id, record] : m_records) {
-        if (record->listed && !present.contains(id) && record->server.position.revision() <= position.revision()) {
+        if (record->listed && !present.contains(id) && record->server.position <= position) {
             record->server.position = position; // the list holds no position of the removal itself
             unlist(*record, DirectoryChange::Kind::Removed, now, changes);
+        } else if (record->listed && record->server.position.era() < position.era()) {
+            record->server.position = position; // the entry is unreadable or of an ended incarnation; later changes must apply
         }
     }
     refreshIndexes();
@@ -68,7 +82,7 @@
 DirectoryChanges ServerDirectory::update(const StreamServer &server, TimePoint now)
 {
     DirectoryChanges changes;
-    put(server, now, changes);
+    put(server, DirectoryChange::Kind::Added, now, changes);
     refreshIndexes();
     return changes;
 }
@@ -77,7 +91,7 @@
 {
     DirectoryChanges changes;
     const auto found = m_records.find(id);
-    if (found == m_records.end() || !found->second->listed || found->second->server.position.revision() > position.revision()) {
+    if (found == m_records.end() || !found->second->listed || found->second->server.position > position) {
         return changes;
     }
     found->second->server.position = position;
@@ -150,12 +164,12 @@
 
 std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(StorePosition position) const
 {
-    if (position.isUnset() || position.revision() < m_forgottenPosition.revision()) {
+    if (position.isUnset() || position.era() != m_position.era() || position < m_forgottenPosition) {
         return std::nullopt;
     }
     std::vector<ServerUpdate> changes;
     for (const auto &[id, record] : m_records) {
-        if (record->server.position.revision() <= position.revision()) {
+        if (record->server.position <= position) {
             continue;
         }
         ServerUpdate change;
@@ -186,7 +200,7 @@
 
 void ServerDirectory::advancePosition(StorePosition position)
 {
-    m_position = position.revision() > m_position.revision() ? position : m_position;
+    m_position = std::max(m_position, position);
 }
 
 StorePosition ServerDirectory::position() const
@@ -194,7 +208,7 @@
     return m_position;
 }
 
-void ServerDirectory::put(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
+void ServerDirectory::put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes)
 {
     std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
     if (!record) {
@@ -205,7 +219,15 @@
         unlistPreviousOwner(server, now, changes);
         return;
     }
-    if (server.position.revision() < record->server.position.revision() || (record->listed && server == record->server)) {
+    const bool isSameIncarnation = server.startedAt != 0 && server.startedAt == record->server.startedAt;
+    if (isSameIncarnation && record->server.phase == ServerPhase::Draining) {
+        server.phase = ServerPhase::Draining;
+    }
+    if (server.position < record->server.position) {
+        return;
+    }
+    if (record->listed && hasSameContent(server, record->server)) {
+        record->server.position = server.position; // in a new era, the position of every entry differs
         return;
     }
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
@@ -226,13 +248,25 @@
             record->previousTokens.erase(record->previousTokens.begin());
         }
     }
-    const auto kind = restarted ? DirectoryChange::Kind::Restarted
-        : wasListed             ? DirectoryChange::Kind::Changed
-                                : DirectoryChange::Kind::Added;
+    const auto kind = restarted ? DirectoryChange::Kind::Restarted : wasListed ? DirectoryChange::Kind::Changed : relisted;
     changes.push_back({ kind, record.get(), previousToken });
     unlistPreviousOwner(server, now, changes);
 }
 
+bool ServerDirectory::isSuperseded(const StreamServer &server) const
+{
+    const DirectoryRecord *const known = findId(server.id);
+    if (known == nullptr || server.startedAt == 0) {
+        return false;
+    }
+    if (known->listed || known->server.startedAt != server.startedAt) {
+        return server.startedAt < known->server.startedAt;
+    }
+    const auto [begin, end] = m_byAddress.equal_range(server.address);
+    return std::any_of(begin, end,
+        [&server](const auto &owner) { return owner.second->server.id != server.id && owner.second->server.startedAt > server.startedAt; });
+}
+
 void ServerDirectory::unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes)
 {
     record.listed = false;
@@ -247,7 +281,7 @@
     for (auto owner = begin; owner != end; ++owner) {
         DirectoryRecord &record = *owner->second;
         const StreamServer &other = record.server;
-        const bool isEarlier = other.position.revision() < server.position.revision() && other.startedAt < server.startedAt;
+        const bool isEarlier = other.position < server.position && other.startedAt < server.startedAt;
         if (other.id != server.id && record.listed && isEarlier) {
             unlist(record, DirectoryChange::Kind::AddressReused, now, changes);
         }
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -32,6 +32,7 @@
         Added,
         Changed,
         Restarted, /**< A new incarnation has the same id; what was known of the earlier one no longer holds. */
+        Restored, /**< An unlisted server is in the first list of a new era, which may be an old copy; it need not run any more. */
         Removed,
         AddressReused, /**< A server with another id has the address now, so this one has ended. */
     };
@@ -48,7 +49,8 @@
 
 /**
  * Holds the backend servers that discovery lists, and those that it no longer lists but that may still have flows. Updates may
- * come from several sources, because an older revision never replaces a newer one.
+ * come from several sources, because an earlier position in the store never replaces a later one. What was seen of an incarnation holds
+ * irrespective of the store: one that is draining doesn't become ready again.
  */
 class ServerDirectory
 {
@@ -68,7 +70,8 @@
     static std::uint32_t tokenOf(const StreamServer &server);
 
     /**
-     * Replaces the listed servers by a complete list.
+     * Replaces the listed servers by a complete list. The first list of a new era may be an older copy, so its entries of incarnations
+     * that have ended since are ignored: those after which another one has started with the same id, or at the same address.
      * @param servers all listed servers
      * @param unreadable the ids of entries that could not be read; their servers stay as they are
      * @param position the position of the store at which the list was read; a list older than the directory is ignored
@@ -127,7 +130,8 @@
 private:
     using Records = std::map<std::string, std::unique_ptr<DirectoryRecord>>;
 
-    void put(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
+    void put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes);
+    bool isSuperseded(const StreamServer &server) const;
     void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
     void unlistPreviousOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
     void removeAddress(const DirectoryRecord &record);
--- a/src/stream/streamconfiguration.h
+++ b/src/stream/streamconfiguration.h
@@ -44,6 +44,15 @@
         return found == routes.end() ? nullptr : &found->second;
     }
 
+    /**
+     * Returns whether this configuration replaces @p other. The operator's version decides, because the store may return with an older
+     * version. Of two configurations with the same version, the operator has written the one at the later position last.
+     */
+    bool isNewerThan(const StreamConfiguration &other) const
+    {
+        return version != other.version ? version > other.version : position > other.position;
+    }
+
     friend bool operator==(const StreamConfiguration &, const StreamConfiguration &) = default;
 };
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -198,8 +198,8 @@
 
 bool StreamRouter::applyConfiguration(StreamConfiguration configuration)
 {
-    if (configuration.position.revision() <= m_configuration.position.revision()) {
-        if (configuration.version != m_configuration.version) {
+    if (!configuration.isNewerThan(m_configuration)) {
+        if (configuration.version < m_configuration.version) {
             m_events.record(EventSeverity::Info, "configuration_ignored",
                 { { "version", number(configuration.version) }, { "in_force", number(m_configuration.version) },
                     { "era", number(configuration.position.era()) }, { "revision", number(configuration.position.revision()) } });
@@ -220,13 +220,21 @@
 void StreamRouter::replaceServers(
     const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint confirmedAt)
 {
-    recordEra("servers", m_directory.position(), position);
+    if (position.era() < m_directory.position().era()) {
+        return;
+    }
+    if (recordEra("servers", m_directory.position(), position)) {
+        m_confirmationGapEnd = m_clock.now();
+    }
     applyChanges(m_directory.replaceAll(servers, unreadable, position, m_clock.now()));
     confirmServers(confirmedAt);
 }
 
 void StreamRouter::applyServerUpdates(const ServerUpdates &updates, TimePoint confirmedAt)
 {
+    if (updates.position.era() != m_directory.position().era()) {
+        return;
+    }
     for (const ServerUpdate &update : updates.updates) {
         if (update.listed) {
             updateServer(*update.listed);
@@ -265,9 +273,7 @@
 void StreamRouter::advanceCheckedPosition(StorePosition position)
 {
     recordEra("configuration", m_configurationCheckedPosition, position);
-    if (position.revision() > m_configurationCheckedPosition.revision()) {
-        m_configurationCheckedPosition = position;
-    }
+    m_configurationCheckedPosition = std::max(m_configurationCheckedPosition, position);
 }
 
 ViewStatus StreamRouter::viewStatus() const
@@ -281,13 +287,15 @@
     return std::exchange(m_endedServers, {});
 }
 
-void StreamRouter::recordEra(std::string_view view, StorePosition before, StorePosition now)
+bool StreamRouter::recordEra(std::string_view view, StorePosition before, StorePosition now)
 {
-    if (!before.isUnset() && now.era() > before.era()) {
+    const bool hasChanged = !before.isUnset() && now.era() > before.era();
+    if (hasChanged) {
         m_events.record(EventSeverity::Warning, "store_era_changed",
             { { "view", std::string(view) }, { "before", number(before.era()) }, { "era", number(now.era()) },
                 { "revision_before", number(before.revision()) }, { "revision", number(now.revision()) } });
     }
+    return hasChanged;
 }
 
 void StreamRouter::applyChanges(const DirectoryChanges &changes)
@@ -319,6 +327,12 @@
         case DirectoryChange::Kind::Added:
             m_failureDetector.forget(record.token);
             break;
+        case DirectoryChange::Kind::Restored:
+            // An old copy says nothing about whether the server still runs, so a proof of its end holds until a probe is accepted.
+            if (m_failureDetector.status(record.token, m_clock.now()) == ServerStatus::Gone) {
+                m_failureDetector.requestProbe(record.token);
+            }
+            break;
         case DirectoryChange::Kind::Changed:
             break;
         }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -85,12 +85,13 @@
 
     /**
      * Puts a configuration in force and resets the flows that have no route in it.
-     * @return false if the configuration in force has the same or a higher revision, which then stays in force
+     * @return false if the configuration is not newer than the one in force, which then stays in force
      */
     bool applyConfiguration(StreamConfiguration configuration);
 
     /**
-     * Replaces the list of servers.
+     * Replaces the list of servers. A list of an earlier era of the store than the known one is ignored. The first list of a later era
+     * counts as the end of a gap in the confirmations, because it may be an older copy.
      * @param servers all listed servers
      * @param unreadable the ids of entries that could not be read; what is known of such a server stays
      * @param position the position of the store at which the list was read
@@ -106,7 +107,7 @@
     void removeServer(const std::string &id, StorePosition position);
 
     /**
-     * Applies changes of servers.
+     * Applies changes of servers. Changes of another era of the store than the known one are ignored.
      * @param updates the changes from a position that the router knows up to their own position
      * @param confirmedAt when the list of servers was complete with these changes
      */
@@ -163,7 +164,7 @@
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
     void applyChanges(const DirectoryChanges &changes);
     void advanceCheckedPosition(StorePosition position);
-    void recordEra(std::string_view view, StorePosition before, StorePosition now);
+    bool recordEra(std::string_view view, StorePosition before, StorePosition now);
     void endServer(const DirectoryRecord &record, std::string_view proof);
     void resetFlowsOfSilentServer(std::uint32_t token);
     bool isEndProven(std::uint32_t token) const;
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -230,3 +230,75 @@
         }
     }
 }
+
+TEST_CASE("a complete list of a newer era replaces one with higher revisions, and never the other way round", "[stream][directory][era]")
+{
+    // Guards against drains, restarts and new servers that are missed after the store returned from an older copy.
+    ServerDirectory directory;
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 55), withRevision(RouterFixture::server(2), 56) }, {}, { 0, 60 }, start);
+    StreamServer restarted = RouterFixture::server(1);
+    restarted.startedAt = 2000;
+    restarted.position = { 1, 18 };
+    StreamServer added = RouterFixture::server(3);
+    added.position = { 1, 19 };
+    CHECK(describe(directory.replaceAll({ restarted, added }, {}, { 1, 20 }, start)) == "restarted i-1;added i-3;removed i-2;");
+    CHECK(directory.position() == StorePosition(1, 20));
+    CHECK(directory.replaceAll({}, {}, { 0, 90 }, start).empty());
+    CHECK(directory.update(withRevision(RouterFixture::server(1), 90), start).empty());
+    CHECK(directory.remove("i-1", { 0, 90 }, start).empty());
+    directory.advancePosition({ 0, 90 });
+    CHECK(directory.position() == StorePosition(1, 20));
+}
+
+TEST_CASE("no changes are returned for a position of another era", "[stream][directory][era]")
+{
+    // Guards against an instance that applies changes of the returned store on top of the entries from before.
+    ServerDirectory directory;
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 55) }, {}, { 0, 60 }, start);
+    StreamServer copied = RouterFixture::server(1);
+    copied.position = { 1, 5 };
+    directory.replaceAll({ copied }, {}, { 1, 70 }, start);
+    CHECK_FALSE(directory.changesAfter({ 0, 60 }).has_value());
+    CHECK(directory.changesAfter({ 1, 70 }).has_value());
+}
+
+TEST_CASE("an earlier incarnation in an old copy doesn't replace the one that has started since", "[stream][directory][era]")
+{
+    // Guards against packets that are sent with the token and to the address of an incarnation that has ended.
+    ServerDirectory directory;
+    StreamServer current = withRevision(RouterFixture::server(1), 55);
+    current.startedAt = 2000;
+    directory.replaceAll({ current }, {}, { 0, 60 }, start);
+    StreamServer earlier = RouterFixture::server(1);
+    earlier.position = { 1, 5 };
+    CHECK(directory.replaceAll({ earlier }, {}, { 1, 20 }, start).empty());
+    REQUIRE(directory.position() == StorePosition(1, 20));
+    CHECK(directory.findId("i-1")->server.startedAt == 2000);
+    CHECK(directory.findId("i-1")->listed);
+    // Other instances get the entry with a position of the era of the list.
+    CHECK(directory.findId("i-1")->server.position == StorePosition(1, 20));
+    SECTION("its entry expires because it has ended")
+    {
+        CHECK(describe(directory.remove("i-1", { 1, 21 }, start)) == "removed i-1;");
+    }
+    SECTION("it writes its entry again")
+    {
+        current.position = { 1, 22 };
+        current.slots = 4;
+        CHECK(describe(directory.update(current, start)) == "changed i-1;");
+    }
+    SECTION("within an era the last write counts, because start times may go back with the clock of a machine")
+    {
+        earlier.position = { 1, 22 };
+        CHECK(describe(directory.update(earlier, start)) == "restarted i-1;");
+    }
+}
+
+TEST_CASE("an unreadable entry in a returned store has a position of the new era", "[stream][directory][era]")
+{
+    // Guards against changes of the server that other instances ignore because its entry kept a high revision from before.
+    ServerDirectory directory;
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 55) }, {}, { 0, 60 }, start);
+    CHECK(directory.replaceAll({}, { "i-1" }, { 1, 20 }, start).empty());
+    CHECK(directory.findId("i-1")->server.position == StorePosition(1, 20));
+}
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace Samphirepitch;
@@ -439,7 +440,7 @@
     CHECK(open(Endpoint(0x64400009, 1)).token == ServerDirectory::tokenOf(restarted));
 }
 
-TEST_CASE_METHOD(RouterFixture, "a configuration never goes back to an older revision, and a new one resets only flows without a route",
+TEST_CASE_METHOD(RouterFixture, "a configuration never goes back to an older version, and a new one resets only flows without a route",
     "[stream][router]")
 {
     makeReady({ server(1) });
@@ -453,6 +454,9 @@
     CHECK(router.applyConfiguration(without));
     CHECK(router.takeResets().size() == 1);
     CHECK_FALSE(router.applyConfiguration(configuration(7)));
+    StreamConfiguration rewritten = configuration(7);
+    rewritten.position = { 0, 9 };
+    CHECK_FALSE(router.applyConfiguration(rewritten));
     CHECK(open().outcome == StreamOutcome::NoRoute);
 }
 
@@ -582,3 +586,273 @@
         CHECK(ids == std::set<std::string> { "i-1", "i-3" });
     }
 }
+
+TEST_CASE_METHOD(
+    RouterFixture, "a version that is written after the store returned from an older copy is in force at once", "[stream][router][era]")
+{
+    // Guards against changes that are not in force in time: the revisions of a returned store are lower than those from before.
+    StreamConfiguration known = configuration(60);
+    makeReady({ server(1) });
+    REQUIRE(router.applyConfiguration(known));
+    router.confirmConfiguration({ 0, 61 }, clock.now());
+    StreamConfiguration written = known;
+    written.version = known.version + 1;
+    written.position = { 1, 12 };
+    written.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { "pond", 1 } } });
+    CHECK(router.applyConfiguration(written));
+    router.confirmConfiguration({ 1, 12 }, clock.now());
+    CHECK(router.route({ .client = client, .service = unsafeService, .opens = true }).action == Action::Forward);
+    CHECK(router.viewStatus().configurationCheckedPosition == StorePosition(1, 12));
+    CHECK(events.last("store_era_changed") == "view=configuration before=0 era=1 revision_before=61 revision=12");
+}
+
+TEST_CASE_METHOD(RouterFixture, "an older version in a returned store doesn't replace the one in force", "[stream][router][era]")
+{
+    // Guards against a configuration that goes back: the operator writes the lost versions again, with higher revisions than before.
+    makeReady({ server(1) });
+    StreamConfiguration newest = configuration(60);
+    REQUIRE(router.applyConfiguration(newest));
+    StreamConfiguration older = configuration(50);
+    older.position = { 1, 70 };
+    older.routes.clear();
+    advanceClock(milliseconds(400));
+    CHECK_FALSE(router.applyConfiguration(older));
+    router.confirmConfiguration({ 1, 71 }, clock.now());
+    CHECK(router.configuration() == newest);
+    CHECK(open().action == Action::Forward);
+    CHECK(events.last("configuration_ignored") == "version=150 in_force=180 era=1 revision=70");
+    // The instance watches the returned store from where it was read, and its view counts as confirmed.
+    CHECK(router.viewStatus().configurationCheckedPosition == StorePosition(1, 71));
+    CHECK(router.viewStatus().configurationConfirmedAt == clock.now());
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "of two configurations with the same version, the one at the newest position is in force", "[stream][router][era]")
+{
+    // Guards against instances that disagree: a version that was lost and written again with other content exists twice.
+    makeReady({ server(1) });
+    StreamConfiguration lost = configuration(60);
+    lost.routes.clear();
+    REQUIRE(router.applyConfiguration(lost));
+    StreamConfiguration written = configuration(60);
+    written.position = { 1, 20 };
+    CHECK(router.applyConfiguration(written));
+    CHECK_FALSE(router.applyConfiguration(lost));
+    CHECK(router.configuration() == written);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a drain that is written after the store returned takes effect", "[stream][router][era]")
+{
+    // Guards against flows that are placed on a draining server because the revision of its report is below that of the list.
+    makeReady({ server(1), server(2) });
+    router.replaceServers({ server(1), server(2) }, {}, { 0, 60 }, clock.now());
+    const auto atEra = [](StreamServer entry, std::uint64_t revision) {
+        entry.position = { 1, revision };
+        return entry;
+    };
+    router.replaceServers({ atEra(server(1), 5), atEra(server(2), 6) }, {}, { 1, 20 }, clock.now());
+    StreamServer draining = atEra(server(1), 21);
+    draining.phase = ServerPhase::Draining;
+    ServerUpdate update;
+    update.listed = draining;
+    update.position = { 1, 21 };
+    router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now());
+    for (std::uint16_t port = 1; port < 20; ++port) {
+        CHECK(open(Endpoint(0x64400009, port)).token == ServerDirectory::tokenOf(RouterFixture::server(2)));
+    }
+    CHECK(router.viewStatus().serversPosition == StorePosition(1, 21));
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "a server that was seen draining doesn't become ready because an old copy lists it so", "[stream][router][era]")
+{
+    // Guards against new flows at a server whose drain was acknowledged before the store returned.
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    makeReady({ draining, server(2) });
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    router.replaceServers({ copied, other }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    for (std::uint16_t port = 1; port < 20; ++port) {
+        CHECK(open(Endpoint(0x64400009, port)).token == ServerDirectory::tokenOf(RouterFixture::server(2)));
+    }
+    SECTION("its next incarnation is ready")
+    {
+        copied.startedAt = 5000;
+        copied.position = { 1, 10 };
+        router.updateServer(copied);
+        CHECK(router.directory().findId("i-1")->server.phase == ServerPhase::Ready);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "servers that a returned store lacks keep their flows until they have had time to be listed again",
+    "[stream][router][era]")
+{
+    // Guards against resets of open flows, and against refused new ones, when the copy is from before the registration of the servers and
+    // the store was away for less than an expiry takes.
+    makeReady({ server(1), server(2), server(3) });
+    router.replaceServers({ server(1), server(2), server(3) }, {}, { 0, 60 }, clock.now());
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    advanceClock(milliseconds(1000));
+    router.replaceServers({}, {}, { 1, 20 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 20));
+    CHECK(open(Endpoint(0x64400009, 1)).action == Action::Forward);
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    advanceConfirmed(2);
+    CHECK(router.takeResets().empty());
+    SECTION("the server registers again")
+    {
+        StreamServer back = router.directory().findToken(token)->server;
+        back.position = { 1, 25 };
+        router.updateServer(back);
+        advanceConfirmed(9);
+        CHECK(router.takeResets().empty());
+        CHECK(send(token, 101, 900, 55).action == Action::Forward);
+        CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+    }
+    SECTION("the server stays missing, so it has ended")
+    {
+        advanceConfirmed(1);
+        const std::vector<StreamReset> resets = router.takeResets();
+        CHECK(std::count_if(resets.begin(), resets.end(), [](const StreamReset &reset) { return reset.client == client; }) == 1);
+        CHECK(events.last("server_standing").find("evidence=entry_removed") != std::string::npos);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a removal that is not confirmed when the store returns is confirmed against the returned store",
+    "[stream][router][era]")
+{
+    // Guards against the end of a server that was removed just before and that has not had time to register again.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    router.removeServer("i-1", { 0, 12 });
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    advanceConfirmed(2);
+    router.replaceServers({}, {}, { 1, 5 }, clock.now());
+    advanceConfirmed(2);
+    CHECK(router.takeResets().empty());
+    advanceConfirmed(1);
+    CHECK(router.takeResets().size() == 1);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server whose end was proven is not trusted only because an old copy lists it", "[stream][router][era]")
+{
+    // Guards against flows that are placed on a server that ended before the store returned.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    const auto onlyOther = [this] {
+        for (std::uint16_t port = 1; port < 20; ++port) {
+            if (open(Endpoint(0x64400009, port)).token != ServerDirectory::tokenOf(RouterFixture::server(2))) {
+                return false;
+            }
+        }
+        return true;
+    };
+    SECTION("its connection was refused")
+    {
+        finishProbe(token, ConnectResult::Refused);
+        router.removeServer("i-1", { 0, 12 });
+    }
+    SECTION("its entry was removed, and the removal was confirmed")
+    {
+        router.removeServer("i-1", { 0, 12 });
+        advanceConfirmed(4);
+    }
+    REQUIRE(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    router.replaceServers({ copied, other }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    CHECK(onlyOther());
+    // A probe that is accepted corrects a false proof.
+    advanceConfirmed(1);
+    const std::vector<ProbeTarget> probes = router.takeDueProbes();
+    CHECK(std::any_of(probes.begin(), probes.end(), [token](const ProbeTarget &target) { return target.token == token; }));
+    finishProbe(token, ConnectResult::Accepted);
+    advanceConfirmed(4);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "a server whose end was proven is trusted again when it registers in the returned store", "[stream][router][era]")
+{
+    // Guards against a server that stays without flows: only its own registration shows that the proof was wrong.
+    makeReady({ server(1), server(2) });
+    router.replaceServers({ server(1), server(2) }, {}, { 0, 60 }, clock.now());
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    router.removeServer("i-1", { 0, 62 });
+    for (int second = 0; second < 4; ++second) {
+        advanceClock(milliseconds(1000));
+        router.confirmServers(clock.now());
+        router.tick();
+    }
+    REQUIRE(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    router.replaceServers({ other }, {}, { 1, 9 }, clock.now());
+    StreamServer back = server(1);
+    back.position = { 1, 11 };
+    router.updateServer(back);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+    CHECK(router.directory().listed("pond").size() == 2);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server whose address was reused is not listed again by an old copy", "[stream][router][era]")
+{
+    // Guards against flows at the address of another service: the copy may be from before the registration of the address's new owner.
+    makeReady({ server(1) });
+    StreamServer successor = server(2);
+    successor.service = "tile";
+    successor.address = server(1).address;
+    successor.startedAt = 9000;
+    successor.position = { 0, 12 };
+    router.updateServer(successor);
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    router.replaceServers({ copied }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    CHECK(router.directory().listed("pond").empty());
+    CHECK(open().outcome == StreamOutcome::NoServer);
+}
+
+TEST_CASE_METHOD(RouterFixture, "changes of another era don't continue a list of servers", "[stream][router][era]")
+{
+    // Guards against a view with gaps: what was written before the changes in the newer era is not part of them.
+    makeReady({ server(1) });
+    StreamServer added = server(2);
+    added.position = { 1, 21 };
+    ServerUpdate update;
+    update.listed = added;
+    update.position = { 1, 21 };
+    router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now() + milliseconds(100));
+    CHECK(router.viewStatus().serversPosition == StorePosition(0, 10));
+    CHECK(router.viewStatus().serversConfirmedAt == clock.now());
+    CHECK(router.directory().listed("pond").size() == 1);
+}
