Read the store completely when it is in another era

Cause: the watch after a return asked from the highest revision ever seen, so it got 410 and a complete read in turn without a pause; once the store's counter had passed, it was answered with events that skip what was written below. Change: a watch whose response is of another era than the revision that it asked from is handled like HistoryGone: a complete read follows without delay, and the next watch asks from there. A response of an earlier era than the known one is a failed call. A list whose pages are of different eras is read again.

--- a/src/stream/discovery.h
+++ b/src/stream/discovery.h
@@ -63,11 +63,11 @@
 public:
     virtual ~Discovery() = default;
 
-    /** Reads all server entries. */
+    /** Reads all server entries. @return the list, or an error; HistoryGone if the store returned from an older copy meanwhile */
     virtual asio::awaitable<Result<ServerList>> listServers(TimePoint deadline) = 0;
 
     /**
-     * Waits for changes of server entries.
+     * Waits for changes of server entries. A result of another era than that of @p revision does not continue what the caller knows.
      * @param revision store revision after which changes are returned
      * @param wait longest time to wait for a change; 0 returns at once
      * @return the changes, or an error; HistoryGone if the store no longer keeps the changes after @p revision
@@ -80,7 +80,7 @@
     virtual asio::awaitable<Result<ConfigurationRead>> readConfiguration(TimePoint deadline) = 0;
 
     /**
-     * Waits for a new configuration.
+     * Waits for a new configuration. A result of another era than that of @p revision does not continue what the caller knows.
      * @param revision store revision after which changes are returned
      * @param wait longest time to wait for a change; 0 returns at once
      * @return the newest configuration, or an error; HistoryGone if the store no longer keeps the changes after @p revision
--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -95,6 +95,9 @@
         recordFailure(m_servers, list.error());
         co_return;
     }
+    if (!checkEra(m_servers, m_router.viewStatus().serversPosition, list->position)) {
+        co_return;
+    }
     recordSuccess(m_servers);
     std::vector<std::string> unreadable;
     for (const DiscoveryFault &fault : list->faults) {
@@ -116,6 +119,9 @@
         recordFailure(m_servers, updates.error());
         co_return;
     }
+    if (!checkContinuation(m_servers, m_router.viewStatus().serversPosition, updates->position)) {
+        co_return;
+    }
     recordSuccess(m_servers);
     const bool changed = !updates->updates.empty();
     apply(*std::move(updates), from.revision(), wait.count() == 0 ? callStart : m_clock.now());
@@ -133,6 +139,9 @@
         recordFailure(m_configuration, read.error());
         co_return;
     }
+    if (!checkEra(m_configuration, m_router.viewStatus().configurationCheckedPosition, read->position)) {
+        co_return;
+    }
     recordSuccess(m_configuration);
     apply(*std::move(read), callStart);
 }
@@ -149,6 +158,9 @@
         recordFailure(m_configuration, read.error());
         co_return;
     }
+    if (!checkContinuation(m_configuration, m_router.viewStatus().configurationCheckedPosition, read->position)) {
+        co_return;
+    }
     recordSuccess(m_configuration);
     apply(*std::move(read), wait.count() == 0 ? callStart : m_clock.now());
 }
@@ -176,6 +188,28 @@
     m_coordinator.publishConfiguration();
 }
 
+bool DiscoveryWatcher::checkEra(Feed &feed, StorePosition known, StorePosition response)
+{
+    if (response.era() >= known.era()) {
+        return true;
+    }
+    recordFailure(feed, Error(ErrorKind::Malformed, "store", "the response is of an earlier era of the store than the known one"));
+    return false;
+}
+
+bool DiscoveryWatcher::checkContinuation(Feed &feed, StorePosition known, StorePosition response)
+{
+    if (!checkEra(feed, known, response)) {
+        return false;
+    }
+    if (response.era() == feed.askedFrom.era()) {
+        return true;
+    }
+    // The store has returned from an older copy: it has given out the revision again, and may have changed entries below it.
+    recordFailure(feed, Error(ErrorKind::HistoryGone, "store", "the store is in another era than the revision of the call"));
+    return false;
+}
+
 bool DiscoveryWatcher::storeIsReachable() const
 {
     return m_servers.reachable && m_configuration.reachable;
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -104,6 +104,8 @@
     void apply(ServerUpdates updates, std::uint64_t from, TimePoint confirmedAt);
     void apply(ConfigurationRead read, TimePoint confirmedAt);
     bool storeIsReachable() const;
+    bool checkEra(Feed &feed, StorePosition known, StorePosition response);
+    bool checkContinuation(Feed &feed, StorePosition known, StorePosition response);
     void recordSuccess(Feed &feed);
     void recordFailure(Feed &feed, const Error &error);
     asio::awaitable<void> backOff(Feed &feed);
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,17 @@
 public:
     void answer(const std::string &target, std::string body, int status = 200)
     {
-        m_answers[target] = HttpResponse::of(status, "application/json", std::move(body));
+        HttpResponse response = HttpResponse::of(status, "application/json", std::move(body));
+        if (m_era) {
+            response.headers.add("Store-Era", *m_era);
+        }
+        m_answers[target] = std::move(response);
+    }
+
+    /** Sets the value of the header Store-Era for the responses that are set afterwards. */
+    void setEra(std::string era)
+    {
+        m_era = std::move(era);
     }
 
     asio::awaitable<std::optional<HttpResponse>> handle(HttpRequest request) override
@@ -43,6 +54,7 @@
 
 private:
     std::map<std::string, HttpResponse> m_answers;
+    std::optional<std::string> m_era;
 };
 
 class StoreFixture
@@ -210,3 +222,52 @@
     REQUIRE_FALSE(lost.has_value());
     CHECK(lost.error().kind() == ErrorKind::OutcomeUnknown);
 }
+
+TEST_CASE_METHOD(StoreFixture, "the era of the store is part of each position in its responses", "[adapter][storediscovery][era]")
+{
+    // Guards against revisions that are compared across the return of the store from an older copy.
+    store.setEra("3");
+    store.answer("/v1/objects/servers", R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(],"has_more":false,"store_revision":30})");
+    store.answer("/v1/objects/servers?watch=30&wait_ms=4000",
+        R"({"events":[{"deleted":true,"object":)" + object("i-1", 32, "null") + R"(}],"store_revision":34})");
+    store.answer(
+        "/v1/objects/config", R"({"items":[)" + object("main", 6, configurationSpec()) + R"(],"has_more":false,"store_revision":30})");
+    const auto list = servers();
+    REQUIRE(list.has_value());
+    CHECK(list->position == StorePosition(3, 30));
+    CHECK(list->servers[0].position == StorePosition(3, 4));
+    const auto changes = updates(30);
+    REQUIRE(changes.has_value());
+    CHECK(changes->position == StorePosition(3, 34));
+    CHECK(changes->updates[0].position == StorePosition(3, 32));
+    const auto read = configuration();
+    REQUIRE(read.has_value());
+    CHECK(read->position == StorePosition(3, 30));
+    CHECK(read->configuration->position == StorePosition(3, 6));
+}
+
+TEST_CASE_METHOD(StoreFixture, "a response whose era is not a number is malformed", "[adapter][storediscovery][era]")
+{
+    // Guards against a wrong era that would make the instance ignore all further responses, or none.
+    for (const std::string era : { "", "one", "-1", "1.5", "99999999999999999999" }) {
+        CAPTURE(era);
+        store.setEra(era);
+        store.answer("/v1/objects/config", R"({"items":[],"has_more":false,"store_revision":30})");
+        const auto read = configuration();
+        REQUIRE_FALSE(read.has_value());
+        CHECK(read.error().kind() == ErrorKind::Malformed);
+    }
+}
+
+TEST_CASE_METHOD(StoreFixture, "a list whose pages are of different eras is read again", "[adapter][storediscovery][era]")
+{
+    // Guards against a list that mixes entries from before and after the return of the store.
+    store.setEra("1");
+    store.answer("/v1/objects/servers", R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(],"has_more":true,"store_revision":30})");
+    store.setEra("2");
+    store.answer(
+        "/v1/objects/servers?after=i-1", R"({"items":[)" + object("i-3", 6, serverSpec()) + R"(],"has_more":false,"store_revision":9})");
+    const auto list = servers();
+    REQUIRE_FALSE(list.has_value());
+    CHECK(list.error().kind() == ErrorKind::HistoryGone);
+}
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -255,3 +255,77 @@
     watchServers();
     CHECK(coordinator.published == std::vector<std::string> { "0 to 10", "10 to 13" });
 }
+
+TEST_CASE_METHOD(WatcherFixture, "after the store returned with lower revisions, servers are watched from the revision of the new list",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against a loop of 410 and complete lists that lasts until the store's revision has passed the old one.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 60 } });
+    discovery.updates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    StreamServer added = server(2);
+    added.position = { 1, 19 };
+    discovery.lists.push_back(ServerList { { added }, {}, { 1, 20 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 1, 22 } });
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 60", "list", "watch 20", "watch 22" });
+    CHECK(router.directory().findId("i-2") != nullptr);
+    CHECK(events.count("store_era_changed") == 1);
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a long poll that a returned store answers is followed by a complete list without delay",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against entries that are missed: once the revisions have passed the old one, the store answers without 410.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 60 } });
+    ServerUpdate removal;
+    removal.unlisted = "i-1";
+    removal.position = { 1, 63 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 1, 64 } });
+    StreamServer added = server(2);
+    added.position = { 1, 30 };
+    discovery.lists.push_back(ServerList { { added }, {}, { 1, 64 } });
+    const TimePoint before = clock.now();
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 60", "list", "watch 64" });
+    CHECK(clock.now() == before);
+    CHECK(router.directory().findId("i-2") != nullptr);
+    CHECK(coordinator.published == std::vector<std::string> { "0 to 60", "0 to 64" });
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a configuration that a returned store holds is read completely and watched from there",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against an added route that is not served: the store gives out the revisions below the old one again.
+    const std::vector<std::string> calls { "read", "watch 60", "read", "watch 20" };
+    StreamConfiguration written = configuration(60);
+    written.position = { 1, 19 };
+    written.version = configuration(50).version + 1;
+    discovery.reads.push_back(ConfigurationRead { configuration(50), {}, { 0, 60 } });
+    SECTION("the store lacks the revision")
+    {
+        discovery.reads.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    }
+    SECTION("the store has passed the revision")
+    {
+        discovery.reads.push_back(ConfigurationRead { {}, {}, { 1, 61 } });
+    }
+    discovery.reads.push_back(ConfigurationRead { written, {}, { 1, 20 } });
+    watchConfiguration();
+    CHECK(discovery.calls == calls);
+    CHECK(router.configuration() == written);
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a response of an earlier era than the known one is ignored and retried after a delay",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against a view that goes back when a peer has told of the returned store first and an old response arrives late.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 1, 20 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 64 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 1, 21 } });
+    const TimePoint before = clock.now();
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 20", "watch 20", "watch 21" });
+    CHECK(clock.now() > before);
+    CHECK(router.viewStatus().serversPosition == StorePosition(1, 21));
+    CHECK(events.count("store_call_failed") == 1);
+}
