Order the views of peers by era

Cause: gossip carried revisions only, so of two instances the one with the higher numbers won, whichever copy of the store it had read: one that was frozen while the store returned confirmed and overwrote the others, and did not follow them. Change: views carry era and revision, and the version of the configuration. Changes continue a view, and confirm it, only within an era; an instance of a lower era pulls the complete list. The newer version of the configuration wins, at the same version the later position.

--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -103,14 +103,18 @@
 
 /** The encoded form of a ViewStatus. Ages are in milliseconds. */
 struct WireView {
+    std::uint64_t serversEra = 0;
     std::uint64_t serversRevision = 0;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t configurationEra = 0;
     std::uint64_t configurationRevision = 0;
+    std::uint64_t configurationCheckedEra = 0;
     std::uint64_t configurationCheckedRevision = 0;
     std::uint64_t serversAge = neverConfirmed;
     std::uint64_t configurationAge = neverConfirmed;
 };
 
-/** The encoded form of a ServerUpdate. An empty service means that the server's entry was removed. */
+/** The encoded form of a ServerUpdate, whose era is that of the view. An empty service means that the server's entry was removed. */
 struct WireServer {
     std::string id;
     std::uint64_t number = 0;
@@ -152,8 +156,12 @@
 template<typename Visitor, MaybeConst<WireView> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
+    visitor.number(value.serversEra);
     visitor.number(value.serversRevision);
+    visitor.number(value.configurationVersion);
+    visitor.number(value.configurationEra);
     visitor.number(value.configurationRevision);
+    visitor.number(value.configurationCheckedEra);
     visitor.number(value.configurationCheckedRevision);
     visitor.number(value.serversAge);
     visitor.number(value.configurationAge);
@@ -203,14 +211,25 @@
 
 WireView toWire(const ViewStatus &view, const WireTime &time)
 {
-    return { view.serversPosition.revision(), view.configurationPosition.revision(), view.configurationCheckedPosition.revision(),
-        time.age(view.serversConfirmedAt), time.age(view.configurationConfirmedAt) };
+    return { .serversEra = view.serversPosition.era(),
+        .serversRevision = view.serversPosition.revision(),
+        .configurationVersion = view.configurationVersion,
+        .configurationEra = view.configurationPosition.era(),
+        .configurationRevision = view.configurationPosition.revision(),
+        .configurationCheckedEra = view.configurationCheckedPosition.era(),
+        .configurationCheckedRevision = view.configurationCheckedPosition.revision(),
+        .serversAge = time.age(view.serversConfirmedAt),
+        .configurationAge = time.age(view.configurationConfirmedAt) };
 }
 
 ViewStatus fromWire(const WireView &view, const WireTime &time)
 {
-    return { { 0, view.serversRevision }, { 0, view.configurationRevision }, { 0, view.configurationCheckedRevision },
-        time.fromAge(view.serversAge), time.fromAge(view.configurationAge) };
+    return { .serversPosition = { view.serversEra, view.serversRevision },
+        .configurationVersion = view.configurationVersion,
+        .configurationPosition = { view.configurationEra, view.configurationRevision },
+        .configurationCheckedPosition = { view.configurationCheckedEra, view.configurationCheckedRevision },
+        .serversConfirmedAt = time.fromAge(view.serversAge),
+        .configurationConfirmedAt = time.fromAge(view.configurationAge) };
 }
 
 WireServer toWire(const StreamServer &server, const WireTime &time)
@@ -219,10 +238,10 @@
         time.remaining(server.coldUntil), static_cast<std::uint64_t>(server.startedAt), server.position.revision() };
 }
 
-StreamServer fromWire(const WireServer &server, const WireTime &time)
+StreamServer fromWire(const WireServer &server, std::uint64_t era, const WireTime &time)
 {
     return { server.id, server.number, server.service, server.address, server.failureDomain, server.slots, server.phase,
-        time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), { 0, server.revision } };
+        time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), { era, server.revision } };
 }
 
 std::vector<WireServer> toWire(const std::vector<ServerUpdate> &changes, const WireTime &time)
@@ -238,16 +257,16 @@
     return wire;
 }
 
-std::vector<ServerUpdate> fromWire(const std::vector<WireServer> &wire, const WireTime &time)
+std::vector<ServerUpdate> fromWire(const std::vector<WireServer> &wire, std::uint64_t era, const WireTime &time)
 {
     std::vector<ServerUpdate> changes;
     for (const WireServer &server : wire) {
         ServerUpdate change;
-        change.position = { 0, server.revision };
+        change.position = { era, server.revision };
         if (server.service.empty()) {
             change.unlisted = server.id;
         } else {
-            change.listed = fromWire(server, time);
+            change.listed = fromWire(server, era, time);
         }
         changes.push_back(std::move(change));
     }
@@ -325,7 +344,7 @@
     }
     const WireTime time(now);
     return GossipMessage { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, time), wire->ended, wire->records };
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records };
 }
 
 Result<PeerState> GossipCodec::decodeState(std::string_view bytes, TimePoint now)
@@ -341,10 +360,10 @@
     state.sender = wire->sender;
     state.view = fromWire(wire->view, time);
     state.baseRevision = wire->baseRevision;
-    state.changes = fromWire(wire->changes, time);
+    state.changes = fromWire(wire->changes, wire->view.serversEra, time);
     state.records = wire->records;
     state.configuration.version = wire->version;
-    state.configuration.position = { 0, wire->view.configurationRevision };
+    state.configuration.position = state.view.configurationPosition;
     state.configuration.idleTimeout = std::chrono::milliseconds(wire->idleTimeout);
     for (const StreamRoute &route : wire->routes) {
         if (route.targets.empty()) {
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -20,11 +20,19 @@
  */
 struct ViewStatus {
     StorePosition serversPosition; /**< up to which all changes of servers are known; unset if none */
+    std::uint64_t configurationVersion = 0; /**< of the configuration in force */
     StorePosition configurationPosition; /**< of the configuration in force; unset if none */
     StorePosition configurationCheckedPosition; /**< up to which no newer configuration exists */
     TimePoint serversConfirmedAt {}; /**< when the list of servers was last known to be complete; TimePoint() if never */
     TimePoint configurationConfirmedAt {}; /**< when the configuration was last known to be the newest; TimePoint() if never */
 
+    /** Returns whether the configuration in force replaces that of @p other, in the order of StreamConfiguration::isNewerThan(). */
+    bool hasNewerConfiguration(const ViewStatus &other) const
+    {
+        return configurationVersion != other.configurationVersion ? configurationVersion > other.configurationVersion
+                                                                  : configurationPosition > other.configurationPosition;
+    }
+
     friend bool operator==(const ViewStatus &, const ViewStatus &) = default;
 };
 
@@ -42,7 +50,7 @@
     PeerRecord sender;
     ViewStatus view; /**< of the sender */
     bool pushed = false; /**< whether the message goes down the tree; a receiver forwards it if it contains something new */
-    std::uint64_t baseRevision = 0; /**< store revision that the changes follow, up to the revision in the view; 0 if they are not sent */
+    std::uint64_t baseRevision = 0; /**< store revision, in the era of the view, that the changes follow; 0 if they are not sent */
     std::vector<ServerUpdate> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records; /**< some of the other instances that the sender knows */
@@ -53,7 +61,7 @@
     std::string deployment; /**< instances of other deployments reject the state */
     PeerRecord sender;
     ViewStatus view; /**< of the sender */
-    std::uint64_t baseRevision = 0; /**< store revision that the changes follow; 0 if they are the complete list of servers */
+    std::uint64_t baseRevision = 0; /**< store revision, in the era of the view, that the changes follow; 0 if they are the complete list */
     std::vector<ServerUpdate> changes;
     StreamConfiguration configuration; /**< empty if the requesting instance has it already */
     std::vector<PeerRecord> records; /**< all live instances if the requesting instance has just started, otherwise empty */
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -171,7 +171,7 @@
         return;
     }
     // Messages without new content are not forwarded, which ends loops between instances that compute different trees.
-    if (after.serversPosition.revision() > before.serversPosition.revision()) {
+    if (after.serversPosition > before.serversPosition) {
         push(message.baseRevision, message.changes);
     } else if (after.serversConfirmedAt > before.serversConfirmedAt || after.configurationConfirmedAt > before.configurationConfirmedAt) {
         pushConfirmation();
@@ -182,20 +182,22 @@
 {
     const ViewStatus mine = m_router.viewStatus();
     const ViewStatus &theirs = message.view;
+    // Changes continue a view only within an era, and a view from before the store's return from an older copy confirms nothing.
+    const bool isSameEra = theirs.serversPosition.era() == mine.serversPosition.era();
     bool complete = true;
-    if (theirs.serversPosition.revision() <= mine.serversPosition.revision()) {
-        if (theirs.serversPosition.revision() > 0) {
+    if (theirs.serversPosition <= mine.serversPosition) {
+        if (isSameEra && !theirs.serversPosition.isUnset()) {
             m_router.confirmServers(theirs.serversConfirmedAt);
         }
-    } else if (mine.serversPosition.revision() > 0 && message.baseRevision > 0 && message.baseRevision <= mine.serversPosition.revision()) {
+    } else if (isSameEra && !mine.serversPosition.isUnset() && message.baseRevision > 0
+        && message.baseRevision <= mine.serversPosition.revision()) {
         m_router.applyServerUpdates({ message.changes, theirs.serversPosition }, theirs.serversConfirmedAt);
     } else {
         complete = false;
     }
-    if (theirs.configurationPosition.revision() > mine.configurationPosition.revision()) {
+    if (theirs.hasNewerConfiguration(mine)) {
         complete = false;
-    } else if (theirs.configurationPosition.revision() == mine.configurationPosition.revision()
-        && mine.configurationPosition.revision() > 0) {
+    } else if (theirs.configurationVersion == mine.configurationVersion && !theirs.configurationPosition.isUnset()) {
         m_router.confirmConfiguration(theirs.configurationCheckedPosition, theirs.configurationConfirmedAt);
     }
     return complete;
@@ -342,9 +344,9 @@
 
 void PeerSynchronizer::publishConfiguration()
 {
-    // The message contains only the revision; instances that lack the configuration pull it.
+    // The message contains only version and position; instances that lack the configuration pull it.
     const ViewStatus view = m_router.viewStatus();
-    if (view.configurationPosition.revision() == view.configurationCheckedPosition.revision()) {
+    if (view.configurationPosition == view.configurationCheckedPosition) {
         push(view.serversPosition.revision(), {});
     } else {
         pushConfirmation();
@@ -383,24 +385,23 @@
         merge(record);
     }
     const ViewStatus mine = m_router.viewStatus();
-    if (state->view.serversPosition.revision() > mine.serversPosition.revision()) {
-        applyServers(*state, mine.serversPosition.revision());
+    if (state->view.serversPosition > mine.serversPosition) {
+        applyServers(*state, mine.serversPosition);
     }
-    if (state->view.configurationPosition.revision() > mine.configurationPosition.revision()) {
+    if (state->view.hasNewerConfiguration(mine)) {
         m_router.applyConfiguration(std::move(state->configuration));
         m_router.confirmConfiguration(state->view.configurationCheckedPosition, state->view.configurationConfirmedAt);
     }
     const ViewStatus after = m_router.viewStatus();
-    if (after.serversPosition.revision() > before.serversPosition.revision()
-        || after.configurationPosition.revision() > before.configurationPosition.revision()) {
+    if (after.serversPosition > before.serversPosition || after.hasNewerConfiguration(before)) {
         push(after.serversPosition.revision(), {});
     }
 }
 
-void PeerSynchronizer::applyServers(const PeerState &state, std::uint64_t known)
+void PeerSynchronizer::applyServers(const PeerState &state, StorePosition known)
 {
     if (state.baseRevision > 0) {
-        if (state.baseRevision <= known) {
+        if (state.view.serversPosition.era() == known.era() && state.baseRevision <= known.revision()) {
             m_router.applyServerUpdates({ state.changes, state.view.serversPosition }, state.view.serversConfirmedAt);
         }
         return;
@@ -428,10 +429,10 @@
 PeerState PeerSynchronizer::makeState(const ViewStatus &known) const
 {
     PeerState state { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
-    if (known.serversPosition.revision() == 0) {
+    if (known.serversPosition.isUnset()) {
         state.records = m_directory.ranking(m_clock.now()); // the requesting instance has just started
     }
-    if (known.serversPosition.revision() < state.view.serversPosition.revision()) {
+    if (known.serversPosition < state.view.serversPosition) {
         if (auto changes = m_router.directory().changesAfter(known.serversPosition)) {
             state.baseRevision = known.serversPosition.revision();
             state.changes = *std::move(changes);
@@ -439,7 +440,7 @@
             state.changes = m_router.directory().completeList();
         }
     }
-    if (known.configurationPosition.revision() < state.view.configurationPosition.revision()) {
+    if (state.view.hasNewerConfiguration(known)) {
         state.configuration = m_router.configuration();
     }
     return state;
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -107,7 +107,7 @@
     void checkReader();
     void startPull(Endpoint peer);
     asio::awaitable<void> pull(Endpoint peer);
-    void applyServers(const PeerState &state, std::uint64_t known);
+    void applyServers(const PeerState &state, StorePosition known);
     PeerState makeState(const ViewStatus &known) const;
 
     asio::any_io_executor m_executor;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -278,8 +278,8 @@
 
 ViewStatus StreamRouter::viewStatus() const
 {
-    return { m_directory.position(), m_configuration.position, m_configurationCheckedPosition, m_serversAge.confirmed(),
-        m_configurationAge.confirmed() };
+    return { m_directory.position(), m_configuration.version, m_configuration.position, m_configurationCheckedPosition,
+        m_serversAge.confirmed(), m_configurationAge.confirmed() };
 }
 
 std::vector<EndedServer> StreamRouter::takeEndedServers()
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -22,7 +22,7 @@
 
 ViewStatus view(TimePoint now)
 {
-    return { { 0, 40 }, { 0, 38 }, { 0, 41 }, now - milliseconds(300), now - milliseconds(900) };
+    return { { 0, 40 }, 114, { 0, 38 }, { 0, 41 }, now - milliseconds(300), now - milliseconds(900) };
 }
 
 GossipMessage message()
@@ -135,3 +135,25 @@
     state.configuration.routes.begin()->second.targets.clear();
     CHECK_FALSE(GossipCodec::decodeState(GossipCodec::encode(state, sent), received).has_value());
 }
+
+TEST_CASE("the era of the store is part of views, changes and configurations", "[stream][gossipcodec][era]")
+{
+    // Guards against an instance that takes the revisions of a store that returned from an older copy for those from before.
+    GossipMessage sentMessage = message();
+    sentMessage.view.serversPosition = { 3, 40 };
+    sentMessage.view.configurationPosition = { 2, 38 };
+    sentMessage.view.configurationCheckedPosition = { 3, 41 };
+    const auto read = GossipCodec::decodeMessage(GossipCodec::encode(sentMessage, sent), received);
+    REQUIRE(read.has_value());
+    CHECK(read->view.serversPosition == StorePosition(3, 40));
+    CHECK(read->view.configurationPosition == StorePosition(2, 38));
+    CHECK(read->view.configurationCheckedPosition == StorePosition(3, 41));
+    REQUIRE(read->changes.size() == 2);
+    CHECK(read->changes[0].listed->position == StorePosition(3, 5));
+    CHECK(read->changes[1].position == StorePosition(3, 39));
+    PeerState state { .sender = record("entry-1"), .view = sentMessage.view };
+    state.configuration = RouterFixture::configuration(38);
+    const auto readState = GossipCodec::decodeState(GossipCodec::encode(state, sent), received);
+    REQUIRE(readState.has_value());
+    CHECK(readState->configuration.position == StorePosition(2, 38));
+}
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -225,3 +225,75 @@
     asio::write(caller, asio::buffer(bytes));
     REQUIRE(runUntil([&] { return node.events.count("peer_request_refused") == 1; }));
 }
+
+TEST_CASE_METHOD(SynchronizerFixture, "an instance that has read the returned store is followed, whoever has the higher revisions",
+    "[stream][peersynchronizer][era]")
+{
+    // Guards against a view that goes back: an instance that was frozen while the store returned has the higher revisions of before.
+    Node &slept = add({});
+    Node &current = add({ Node::addressOf(0) });
+    slept.router.applyConfiguration(RouterFixture::configuration(50));
+    StreamServer ended = RouterFixture::server(1);
+    ended.position = { 0, 55 };
+    slept.router.replaceServers({ ended }, {}, { 0, 60 }, clock.now());
+    slept.router.confirmConfiguration({ 0, 60 }, clock.now());
+    REQUIRE(runUntil([&] { return current.router.isReady(); }));
+    StreamServer added = RouterFixture::server(2);
+    added.position = { 1, 19 };
+    current.router.replaceServers({ added }, {}, { 1, 20 }, clock.now());
+    StreamConfiguration written = RouterFixture::configuration(50);
+    written.version += 1;
+    written.position = { 1, 18 };
+    written.routes.begin()->second.targets = { { "tile", 1 } };
+    current.router.applyConfiguration(written);
+    current.router.confirmConfiguration({ 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return slept.router.viewStatus().serversPosition == StorePosition(1, 20); }));
+    REQUIRE(runUntil([&] { return slept.router.configuration() == written; }));
+    CHECK(slept.router.directory().findId("i-2") != nullptr);
+    CHECK_FALSE(slept.router.directory().findId("i-1")->listed);
+    CHECK(current.router.configuration() == written);
+    CHECK(current.router.viewStatus().serversPosition == StorePosition(1, 20));
+    CHECK_FALSE(current.router.directory().findId("i-1")->listed);
+}
+
+TEST_CASE_METHOD(SynchronizerFixture, "the newer version of the configuration wins between instances, whichever store it is from",
+    "[stream][peersynchronizer][era]")
+{
+    // Guards against a starting instance that spreads the older version that the returned store still holds.
+    Node &running = add({});
+    Node &started = add({ Node::addressOf(0) });
+    StreamConfiguration newest = RouterFixture::configuration(50);
+    newest.routes.begin()->second.targets = { { "tile", 1 } };
+    running.router.applyConfiguration(newest);
+    running.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 60 }, clock.now());
+    StreamConfiguration older = RouterFixture::configuration(40);
+    older.position = { 1, 18 };
+    started.router.applyConfiguration(older);
+    started.router.replaceServers({ RouterFixture::server(1) }, {}, { 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return running.router.viewStatus().serversPosition.era() == 1; }));
+    REQUIRE(runUntil([&] { return started.router.configuration().version == newest.version; }));
+    CHECK(running.router.configuration() == newest);
+    CHECK(started.router.configuration() == newest);
+}
+
+TEST_CASE_METHOD(
+    SynchronizerFixture, "changes of the returned store reach instances that follow it as changes", "[stream][peersynchronizer][era]")
+{
+    // Guards against complete lists for each change, and against changes that are applied on top of a view from before the return.
+    Node &first = add({});
+    Node &second = add({ Node::addressOf(0) });
+    first.router.applyConfiguration(RouterFixture::configuration(4));
+    StreamServer copied = RouterFixture::server(1);
+    copied.position = { 1, 5 };
+    first.router.replaceServers({ copied }, {}, { 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return second.router.isReady(); }));
+    REQUIRE(second.router.viewStatus().serversPosition == StorePosition(1, 20));
+    ServerUpdate update = listed(RouterFixture::server(2), 21);
+    update.position = { 1, 21 };
+    update.listed->position = { 1, 21 };
+    first.router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now());
+    first.synchronizer->publishServerUpdates(20, { { update }, { 1, 21 } });
+    REQUIRE(runUntil([&] { return second.router.viewStatus().serversPosition == StorePosition(1, 21); }));
+    CHECK(second.router.directory().listed("pond").size() == 2);
+    CHECK(second.router.directory().findId("i-2")->server.position == StorePosition(1, 21));
+}
