--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -56,7 +56,7 @@
             co_await m_timer.waitUntil(m_clock.now() + readCheckInterval);
             continue;
         }
-        if (m_servers.historyGone || m_router.viewStatus().serversRevision == 0) {
+        if (m_servers.historyGone || m_router.viewStatus().serversPosition.isUnset()) {
             co_await listServers();
         } else {
             co_await awaitServerUpdates(watches ? m_longPollWaits.servers : milliseconds(0));
@@ -75,7 +75,7 @@
             co_await m_timer.waitUntil(m_clock.now() + readCheckInterval);
             continue;
         }
-        if (m_configuration.historyGone || m_router.viewStatus().configurationCheckedRevision == 0) {
+        if (m_configuration.historyGone || m_router.viewStatus().configurationCheckedPosition.isUnset()) {
             co_await readConfiguration();
         } else {
             co_await awaitConfigurationUpdate(watches ? m_longPollWaits.configuration : milliseconds(0));
@@ -95,30 +95,37 @@
         recordFailure(m_servers, list.error());
         co_return;
     }
+    if (!checkEra(m_servers, m_router.viewStatus().serversPosition, list->position)) {
+        co_return;
+    }
     recordSuccess(m_servers);
     std::vector<std::string> unreadable;
     for (const DiscoveryFault &fault : list->faults) {
         recordFault("server_entry_refused", fault);
         unreadable.push_back(fault.subject);
     }
-    m_router.replaceServers(list->servers, unreadable, list->revision, callStart);
-    m_coordinator.publishServerUpdates(0, { {}, list->revision });
+    m_router.replaceServers(list->servers, unreadable, list->position, callStart);
+    m_coordinator.publishServerUpdates(0, { {}, list->position });
 }
 
 asio::awaitable<void> DiscoveryWatcher::awaitServerUpdates(milliseconds wait)
 {
     ++m_servers.calls;
-    const std::uint64_t from = m_router.viewStatus().serversRevision;
+    const StorePosition from = m_router.viewStatus().serversPosition;
+    m_servers.askedFrom = from;
     const TimePoint callStart = m_clock.now();
-    Result<ServerUpdates> updates = co_await m_discovery.awaitServerUpdates(from, wait, callStart + wait + responseMargin);
+    Result<ServerUpdates> updates = co_await m_discovery.awaitServerUpdates(from.revision(), wait, callStart + wait + responseMargin);
     if (!updates) {
         recordFailure(m_servers, updates.error());
         co_return;
     }
+    if (!checkContinuation(m_servers, m_router.viewStatus().serversPosition, updates->position)) {
+        co_return;
+    }
     recordSuccess(m_servers);
     const bool changed = !updates->updates.empty();
     const TimePoint confirmedAt = confirmationTime(callStart, wait, changed);
-    apply(*std::move(updates), from, confirmedAt);
+    apply(*std::move(updates), from.revision(), confirmedAt);
     if (changed) {
         co_await m_timer.waitUntil(m_clock.now() + batchDelay);
     }
@@ -133,6 +140,9 @@
         recordFailure(m_configuration, read.error());
         co_return;
     }
+    if (!checkEra(m_configuration, m_router.viewStatus().configurationCheckedPosition, read->position)) {
+        co_return;
+    }
     recordSuccess(m_configuration);
     apply(*std::move(read), callStart);
 }
@@ -141,12 +151,17 @@
 {
     ++m_configuration.calls;
     const TimePoint callStart = m_clock.now();
-    const std::uint64_t from = m_router.viewStatus().configurationCheckedRevision;
-    Result<ConfigurationRead> read = co_await m_discovery.awaitConfigurationUpdate(from, wait, callStart + wait + responseMargin);
+    const StorePosition from = m_router.viewStatus().configurationCheckedPosition;
+    m_configuration.askedFrom = from;
+    Result<ConfigurationRead> read
+        = co_await m_discovery.awaitConfigurationUpdate(from.revision(), wait, callStart + wait + responseMargin);
     if (!read) {
         recordFailure(m_configuration, read.error());
         co_return;
     }
+    if (!checkContinuation(m_configuration, m_router.viewStatus().configurationCheckedPosition, read->position)) {
+        co_return;
+    }
     recordSuccess(m_configuration);
     const TimePoint confirmedAt = confirmationTime(callStart, wait, read->configuration || read->fault);
     apply(*std::move(read), confirmedAt);
@@ -178,10 +193,32 @@
     if (read.configuration) {
         m_router.applyConfiguration(*std::move(read.configuration));
     }
-    m_router.confirmConfiguration(read.revision, confirmedAt);
+    m_router.confirmConfiguration(read.position, confirmedAt);
     m_coordinator.publishConfiguration();
 }
 
+bool DiscoveryWatcher::checkEra(Feed &feed, StorePosition known, StorePosition response)
+{
+    if (response.era() >= known.era()) {
+        return true;
+    }
+    recordFailure(feed, Error(ErrorKind::Malformed, "store", "the response is of an earlier era of the store than the known one"));
+    return false;
+}
+
+bool DiscoveryWatcher::checkContinuation(Feed &feed, StorePosition known, StorePosition response)
+{
+    if (!checkEra(feed, known, response)) {
+        return false;
+    }
+    if (response.era() == feed.askedFrom.era()) {
+        return true;
+    }
+    // The store has returned from an older copy: it has given out the revision again, and may have changed entries below it.
+    recordFailure(feed, Error(ErrorKind::HistoryGone, "store", "the store is in another era than the revision of the call"));
+    return false;
+}
+
 bool DiscoveryWatcher::storeIsReachable() const
 {
     return m_servers.reachable && m_configuration.reachable;
@@ -209,7 +246,9 @@
         // The missed changes can only be recovered by a complete read, which needs no delay.
         feed.historyGone = true;
         feed.failures = 0;
-        m_events.record(EventSeverity::Info, "store_history_gone", { { "feed", std::string(feed.name) } });
+        m_events.record(EventSeverity::Info, "store_history_gone",
+            { { "feed", std::string(feed.name) }, { "reason", error.describe() }, { "era", std::to_string(feed.askedFrom.era()) },
+                { "revision", std::to_string(feed.askedFrom.revision()) } });
         return;
     }
     if (feed.reachable) {
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -89,6 +89,7 @@
     struct Feed {
         std::string_view name; /**< label of the task in metrics and events */
         bool historyGone = false; /**< whether the store dropped the changes since the last read, so that a complete read is needed */
+        StorePosition askedFrom; /**< from which the last long poll asked for changes */
         bool reachable = true; /**< whether the last call succeeded */
         std::uint64_t failures = 0; /**< consecutive failed calls */
         std::uint64_t calls = 0;
@@ -104,6 +105,8 @@
     void apply(ServerUpdates updates, std::uint64_t from, TimePoint confirmedAt);
     void apply(ConfigurationRead read, TimePoint confirmedAt);
     bool storeIsReachable() const;
+    bool checkEra(Feed &feed, StorePosition known, StorePosition response);
+    bool checkContinuation(Feed &feed, StorePosition known, StorePosition response);
     void recordSuccess(Feed &feed);
     void recordFailure(Feed &feed, const Error &error);
     asio::awaitable<void> backOff(Feed &feed);
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -175,7 +175,7 @@
         return;
     }
     // Messages without new content are not forwarded, which ends loops between instances that compute different trees.
-    if (after.serversRevision > before.serversRevision) {
+    if (after.serversPosition > before.serversPosition) {
         push(message.baseRevision, message.changes);
     } else if (after.serversConfirmedAt > before.serversConfirmedAt || after.configurationConfirmedAt > before.configurationConfirmedAt) {
         pushConfirmation();
@@ -186,20 +186,23 @@
 {
     const ViewStatus mine = m_router.viewStatus();
     const ViewStatus &theirs = message.view;
+    // Changes continue a view only within an era, and a view from before the store's return from an older copy confirms nothing.
+    const bool isSameEra = theirs.serversPosition.era() == mine.serversPosition.era();
     bool complete = true;
-    if (theirs.serversRevision <= mine.serversRevision) {
-        if (theirs.serversRevision > 0) {
+    if (theirs.serversPosition <= mine.serversPosition) {
+        if (isSameEra && !theirs.serversPosition.isUnset()) {
             m_router.confirmServers(theirs.serversConfirmedAt);
         }
-    } else if (mine.serversRevision > 0 && message.baseRevision > 0 && message.baseRevision <= mine.serversRevision) {
-        m_router.applyServerUpdates({ message.changes, theirs.serversRevision }, theirs.serversConfirmedAt);
+    } else if (isSameEra && !mine.serversPosition.isUnset() && message.baseRevision > 0
+        && message.baseRevision <= mine.serversPosition.revision()) {
+        m_router.applyServerUpdates({ message.changes, theirs.serversPosition }, theirs.serversConfirmedAt);
     } else {
         complete = false;
     }
-    if (theirs.configurationRevision > mine.configurationRevision) {
+    if (theirs.hasNewerConfiguration(mine)) {
         complete = false;
-    } else if (theirs.configurationRevision == mine.configurationRevision && mine.configurationRevision > 0) {
-        m_router.confirmConfiguration(theirs.configurationCheckedRevision, theirs.configurationConfirmedAt);
+    } else if (theirs.configurationVersion == mine.configurationVersion && !theirs.configurationPosition.isUnset()) {
+        m_router.confirmConfiguration(theirs.configurationCheckedPosition, theirs.configurationConfirmedAt);
     }
     return complete;
 }
@@ -244,7 +247,7 @@
 void PeerSynchronizer::pushConfirmation()
 {
     if (m_clock.now() >= m_lastPush + confirmInterval) {
-        push(m_router.viewStatus().serversRevision, {});
+        push(m_router.viewStatus().serversPosition.revision(), {});
     }
 }
 
@@ -336,24 +339,24 @@
 
 void PeerSynchronizer::publishServerUpdates(std::uint64_t from, const ServerUpdates &updates)
 {
-    const std::uint64_t known = m_router.viewStatus().serversRevision;
+    const StorePosition known = m_router.viewStatus().serversPosition;
     if (updates.updates.empty()) {
         pushConfirmation();
-    } else if (known == updates.revision) {
+    } else if (known == updates.position) {
         push(from, updates.updates);
     } else {
         // Another instance has passed on later changes meanwhile. A message with these changes would claim to be complete up to the later
         // revision, so it is sent without changes, and instances that are behind request all they lack.
-        push(known, {});
+        push(known.revision(), {});
     }
 }
 
 void PeerSynchronizer::publishConfiguration()
 {
-    // The message contains only the revision; instances that lack the configuration pull it.
+    // The message contains only version and position; instances that lack the configuration pull it.
     const ViewStatus view = m_router.viewStatus();
-    if (view.configurationRevision == view.configurationCheckedRevision) {
-        push(view.serversRevision, {});
+    if (view.configurationPosition == view.configurationCheckedPosition) {
+        push(view.serversPosition.revision(), {});
     } else {
         pushConfirmation();
     }
@@ -363,7 +366,7 @@
 {
     if (m_directory.setStoreReachable(reachable)) {
         m_directory.incrementHeartbeat();
-        push(m_router.viewStatus().serversRevision, {});
+        push(m_router.viewStatus().serversPosition.revision(), {});
     }
 }
 
@@ -400,24 +403,24 @@
         merge(record);
     }
     const ViewStatus mine = m_router.viewStatus();
-    if (state->view.serversRevision > mine.serversRevision) {
-        applyServers(*state, mine.serversRevision);
+    if (state->view.serversPosition > mine.serversPosition) {
+        applyServers(*state, mine.serversPosition);
     }
-    if (state->view.configurationRevision > mine.configurationRevision) {
+    if (state->view.hasNewerConfiguration(mine)) {
         m_router.applyConfiguration(std::move(state->configuration));
-        m_router.confirmConfiguration(state->view.configurationCheckedRevision, state->view.configurationConfirmedAt);
+        m_router.confirmConfiguration(state->view.configurationCheckedPosition, state->view.configurationConfirmedAt);
     }
     const ViewStatus after = m_router.viewStatus();
-    if (after.serversRevision > before.serversRevision || after.configurationRevision > before.configurationRevision) {
-        push(after.serversRevision, {});
+    if (after.serversPosition > before.serversPosition || after.hasNewerConfiguration(before)) {
+        push(after.serversPosition.revision(), {});
     }
 }
 
-void PeerSynchronizer::applyServers(const PeerState &state, std::uint64_t known)
+void PeerSynchronizer::applyServers(const PeerState &state, StorePosition known)
 {
     if (state.baseRevision > 0) {
-        if (state.baseRevision <= known) {
-            m_router.applyServerUpdates({ state.changes, state.view.serversRevision }, state.view.serversConfirmedAt);
+        if (state.view.serversPosition.era() == known.era() && state.baseRevision <= known.revision()) {
+            m_router.applyServerUpdates({ state.changes, state.view.serversPosition }, state.view.serversConfirmedAt);
         }
         return;
     }
@@ -427,7 +430,7 @@
             servers.push_back(*change.listed);
         }
     }
-    m_router.replaceServers(servers, {}, state.view.serversRevision, state.view.serversConfirmedAt);
+    m_router.replaceServers(servers, {}, state.view.serversPosition, state.view.serversConfirmedAt);
 }
 
 asio::awaitable<Result<void>> PeerSynchronizer::serveStates()
@@ -444,18 +447,18 @@
 PeerState PeerSynchronizer::makeState(const ViewStatus &known) const
 {
     PeerState state { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
-    if (known.serversRevision == 0) {
+    if (known.serversPosition.isUnset()) {
         state.records = m_directory.ranking(m_clock.now()); // the requesting instance has just started
     }
-    if (known.serversRevision < state.view.serversRevision) {
-        if (auto changes = m_router.directory().changesAfter(known.serversRevision)) {
-            state.baseRevision = known.serversRevision;
+    if (known.serversPosition < state.view.serversPosition) {
+        if (auto changes = m_router.directory().changesAfter(known.serversPosition)) {
+            state.baseRevision = known.serversPosition.revision();
             state.changes = *std::move(changes);
         } else {
             state.changes = m_router.directory().completeList();
         }
     }
-    if (known.configurationRevision < state.view.configurationRevision) {
+    if (state.view.hasNewerConfiguration(known)) {
         state.configuration = m_router.configuration();
     }
     return state;
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -16,6 +16,12 @@
 // oldest flows have ended.
 constexpr std::size_t maxPreviousTokens = 8;
 
+bool hasSameContent(StreamServer first, const StreamServer &second)
+{
+    first.position = second.position;
+    return first == second;
+}
+
 } // namespace
 
 std::string_view directoryChangeName(DirectoryChange::Kind kind)
@@ -27,6 +33,8 @@
         return "changed";
     case DirectoryChange::Kind::Restarted:
         return "restarted";
+    case DirectoryChange::Kind::Restored:
+        return "restored";
     case DirectoryChange::Kind::Removed:
         return "removed";
     case DirectoryChange::Kind::AddressReused:
@@ -43,25 +51,31 @@
 }
 
 DirectoryChanges ServerDirectory::replaceAll(
-    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, std::uint64_t revision, TimePoint now)
+    const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
-    if (revision < m_revision) {
+    if (position < m_position) {
         return changes;
     }
-    if (m_revision == 0) {
-        m_forgottenRevision = revision; // the list does not name the servers that were removed before
+    const bool mayBeOldCopy = !m_position.isUnset() && position.era() > m_position.era();
+    const auto relisted = mayBeOldCopy ? DirectoryChange::Kind::Restored : DirectoryChange::Kind::Added;
+    if (m_position.isUnset()) {
+        m_forgottenPosition = position; // the list does not name the servers that were removed before
     }
-    m_revision = revision;
+    m_position = position;
     std::set<std::string_view> present(unreadable.begin(), unreadable.end());
     for (const StreamServer &server : servers) {
         present.insert(server.id);
-        put(server, now, changes);
+        if (!mayBeOldCopy || !isSuperseded(server)) {
+            put(server, relisted, now, changes);
+        }
     }
     for (auto &[id, record] : m_records) {
-        if (record->listed && !present.contains(id) && record->server.revision <= revision) {
-            record->server.revision = revision; // the list holds no revision of the removal itself
+        if (record->listed && !present.contains(id) && record->server.position <= position) {
+            record->server.position = position; // the list holds no position of the removal itself
             unlist(*record, DirectoryChange::Kind::Removed, now, changes);
+        } else if (record->listed && record->server.position.era() < position.era()) {
+            record->server.position = position; // the entry is unreadable or of an ended incarnation; later changes must apply
         }
     }
     refreshIndexes();
@@ -71,19 +85,19 @@
 DirectoryChanges ServerDirectory::update(const StreamServer &server, TimePoint now)
 {
     DirectoryChanges changes;
-    put(server, now, changes);
+    put(server, DirectoryChange::Kind::Added, now, changes);
     refreshIndexes();
     return changes;
 }
 
-DirectoryChanges ServerDirectory::remove(const std::string &id, std::uint64_t revision, TimePoint now)
+DirectoryChanges ServerDirectory::remove(const std::string &id, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
     const auto found = m_records.find(id);
-    if (found == m_records.end() || !found->second->listed || found->second->server.revision > revision) {
+    if (found == m_records.end() || !found->second->listed || found->second->server.position > position) {
         return changes;
     }
-    found->second->server.revision = revision;
+    found->second->server.position = position;
     unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
     refreshIndexes();
     return changes;
@@ -95,7 +109,7 @@
     for (const auto &[id, record] : m_records) {
         if (!record->listed && record->unlistedAt + retention <= now) {
             forgotten.push_back(record->token);
-            m_forgottenRevision = std::max(m_forgottenRevision, record->server.revision);
+            m_forgottenPosition = std::max(m_forgottenPosition, record->server.position);
             removeAddress(*record);
         }
     }
@@ -157,18 +171,18 @@
     return records;
 }
 
-std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(std::uint64_t revision) const
+std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(StorePosition position) const
 {
-    if (revision == 0 || revision < m_forgottenRevision) {
+    if (position.isUnset() || position.era() != m_position.era() || position < m_forgottenPosition) {
         return std::nullopt;
     }
     std::vector<ServerUpdate> changes;
     for (const auto &[id, record] : m_records) {
-        if (record->server.revision <= revision) {
+        if (record->server.position <= position) {
             continue;
         }
         ServerUpdate change;
-        change.revision = record->server.revision;
+        change.position = record->server.position;
         if (record->listed) {
             change.listed = record->server;
         } else {
@@ -186,24 +200,24 @@
         if (record->listed) {
             ServerUpdate entry;
             entry.listed = record->server;
-            entry.revision = record->server.revision;
+            entry.position = record->server.position;
             list.push_back(std::move(entry));
         }
     }
     return list;
 }
 
-void ServerDirectory::advanceRevision(std::uint64_t revision)
+void ServerDirectory::advancePosition(StorePosition position)
 {
-    m_revision = std::max(m_revision, revision);
+    m_position = std::max(m_position, position);
 }
 
-std::uint64_t ServerDirectory::revision() const
+StorePosition ServerDirectory::position() const
 {
-    return m_revision;
+    return m_position;
 }
 
-void ServerDirectory::put(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
+void ServerDirectory::put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes)
 {
     std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
     if (!record) {
@@ -214,7 +228,15 @@
         unlistPreviousOwner(server, now, changes);
         return;
     }
-    if (server.revision < record->server.revision || (record->listed && server == record->server)) {
+    const bool isSameIncarnation = server.startedAt != 0 && server.startedAt == record->server.startedAt;
+    if (isSameIncarnation && record->server.phase == ServerPhase::Draining) {
+        server.phase = ServerPhase::Draining;
+    }
+    if (server.position < record->server.position) {
+        return;
+    }
+    if (record->listed && hasSameContent(server, record->server)) {
+        record->server.position = server.position; // in a new era, the position of every entry differs
         return;
     }
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
@@ -235,13 +257,25 @@
             record->previousTokens.erase(record->previousTokens.begin());
         }
     }
-    const auto kind = restarted ? DirectoryChange::Kind::Restarted
-        : wasListed             ? DirectoryChange::Kind::Changed
-                                : DirectoryChange::Kind::Added;
+    const auto kind = restarted ? DirectoryChange::Kind::Restarted : wasListed ? DirectoryChange::Kind::Changed : relisted;
     changes.push_back({ kind, record.get(), previousToken });
     unlistPreviousOwner(server, now, changes);
 }
 
+bool ServerDirectory::isSuperseded(const StreamServer &server) const
+{
+    const DirectoryRecord *const known = findId(server.id);
+    if (known == nullptr || server.startedAt == 0) {
+        return false;
+    }
+    if (known->listed || known->server.startedAt != server.startedAt) {
+        return server.startedAt < known->server.startedAt;
+    }
+    const auto [begin, end] = m_byAddress.equal_range(server.address);
+    return std::any_of(begin, end,
+        [&server](const auto &owner) { return owner.second->server.id != server.id && owner.second->server.startedAt > server.startedAt; });
+}
+
 void ServerDirectory::unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes)
 {
     record.listed = false;
@@ -256,7 +290,7 @@
     for (auto owner = begin; owner != end; ++owner) {
         DirectoryRecord &record = *owner->second;
         const StreamServer &other = record.server;
-        const bool isEarlier = other.revision < server.revision && other.startedAt < server.startedAt;
+        const bool isEarlier = other.position < server.position && other.startedAt < server.startedAt;
         if (other.id != server.id && record.listed && isEarlier) {
             unlist(record, DirectoryChange::Kind::AddressReused, now, changes);
         }
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -97,7 +97,7 @@
 
     void publishServerUpdates(std::uint64_t from, const ServerUpdates &updates) override
     {
-        published.push_back(std::to_string(from) + " to " + std::to_string(updates.revision));
+        published.push_back(std::to_string(from) + " to " + std::to_string(updates.position.revision()));
     }
 
     void publishConfiguration() override
@@ -148,12 +148,12 @@
 
 TEST_CASE_METHOD(WatcherFixture, "servers are listed once and then watched from the revision of the list", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
-    discovery.updates.push_back(ServerUpdates { {}, 12 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 12 } });
     ServerUpdate removal;
     removal.unlisted = "i-1";
-    removal.revision = 13;
-    discovery.updates.push_back(ServerUpdates { { removal }, 13 });
+    removal.position = { 0, 13 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 0, 13 } });
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 12", "watch 13" });
     CHECK(router.directory().listed("pond").empty());
@@ -162,12 +162,12 @@
 TEST_CASE_METHOD(WatcherFixture, "a response that is processed late doesn't confirm the servers at that time", "[stream][discoverywatcher]")
 {
     // Guards against taking servers for ended whose entries came back after the store had sent the response.
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     router.tick();
     const TimePoint callStart = clock.now();
     SECTION("a response without changes")
     {
-        discovery.updates.push_back(ServerUpdates { {}, 10 });
+        discovery.updates.push_back(ServerUpdates { {}, { 0, 10 } });
         discovery.onWatch = [this] { clock.advance(milliseconds(1500)); };
         watchServers();
         CHECK(router.viewStatus().serversConfirmedAt <= callStart + milliseconds(1000));
@@ -176,9 +176,9 @@
     {
         ServerUpdate update;
         update.listed = server(2);
-        update.listed->revision = 12;
-        update.revision = 12;
-        discovery.updates.push_back(ServerUpdates { { update }, 12 });
+        update.listed->position = { 0, 12 };
+        update.position = { 0, 12 };
+        discovery.updates.push_back(ServerUpdates { { update }, { 0, 12 } });
         discovery.onWatch = [this] {
             clock.advance(milliseconds(4000));
             router.tick();
@@ -190,9 +190,9 @@
 
 TEST_CASE_METHOD(WatcherFixture, "servers are listed again without delay after the store lost the history", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, { 0, 10 } });
     discovery.updates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
-    discovery.lists.push_back(ServerList { { server(2) }, {}, 40 });
+    discovery.lists.push_back(ServerList { { server(2) }, {}, { 0, 40 } });
     const TimePoint before = clock.now();
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "list", "watch 40" });
@@ -204,11 +204,11 @@
 TEST_CASE_METHOD(WatcherFixture, "calls are retried with growing delays during an outage, and its start and end are each published once",
     "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     for (int count = 0; count < 8; ++count) {
         discovery.updates.push_back(unavailable());
     }
-    discovery.updates.push_back(ServerUpdates { {}, 50 });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 50 } });
     const TimePoint before = clock.now();
     watchServers();
     const auto waited = clock.now() - before;
@@ -227,7 +227,7 @@
     // Every call to the store has a cost, also a rejected one, and the first instance that reaches the store informs the others.
     coordinator.count = GENERATE(1, 10, 78, 5000);
     CAPTURE(coordinator.count);
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     constexpr int failures = 20;
     for (int count = 0; count < failures; ++count) {
         discovery.updates.push_back(unavailable());
@@ -243,23 +243,23 @@
 
 TEST_CASE_METHOD(WatcherFixture, "an invalid configuration leaves the previous one in force", "[stream][discoverywatcher]")
 {
-    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, 10 });
-    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, 11 });
-    discovery.reads.push_back(ConfigurationRead { configuration(12), {}, 12 });
-    discovery.reads.push_back(ConfigurationRead { {}, {}, 14 });
+    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, { 0, 10 } });
+    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, { 0, 11 } });
+    discovery.reads.push_back(ConfigurationRead { configuration(12), {}, { 0, 12 } });
+    discovery.reads.push_back(ConfigurationRead { {}, {}, { 0, 14 } });
     watchConfiguration();
     CHECK(discovery.calls == std::vector<std::string> { "read", "watch 10", "watch 11", "watch 12", "watch 14" });
     CHECK(events.count("configuration_refused") == 1);
-    CHECK(router.configuration().revision == 12);
+    CHECK(router.configuration().position.revision() == 12);
 }
 
 TEST_CASE_METHOD(WatcherFixture, "an unreadable entry is reported and the servers stay listed", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text string" } }, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text string" } }, { 0, 10 } });
     ServerUpdate fault;
     fault.fault = DiscoveryFault { "i-1", "slots is 0" };
-    fault.revision = 11;
-    discovery.updates.push_back(ServerUpdates { { fault }, 11 });
+    fault.position = { 0, 11 };
+    discovery.updates.push_back(ServerUpdates { { fault }, { 0, 11 } });
     watchServers();
     CHECK(events.count("server_entry_refused") == 2);
     CHECK(router.directory().listed("pond").size() == 1);
@@ -272,7 +272,7 @@
     makeReady({ server(1) });
     coordinator.watches = false;
     coordinator.reads = 1;
-    discovery.updates.push_back(ServerUpdates { {}, 12 });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 12 } });
     watchServers();
     CHECK(discovery.calls == std::vector<std::string> { "watch 10" });
     CHECK(discovery.lastWait == milliseconds(0));
@@ -280,11 +280,85 @@
 
 TEST_CASE_METHOD(WatcherFixture, "changes are published with the revision that they follow", "[stream][discoverywatcher]")
 {
-    discovery.lists.push_back(ServerList { { server(1) }, {}, 10 });
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
     ServerUpdate removal;
     removal.unlisted = "i-1";
-    removal.revision = 13;
-    discovery.updates.push_back(ServerUpdates { { removal }, 13 });
+    removal.position = { 0, 13 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 0, 13 } });
     watchServers();
     CHECK(coordinator.published == std::vector<std::string> { "0 to 10", "10 to 13" });
 }
+
+TEST_CASE_METHOD(WatcherFixture, "after the store returned with lower revisions, servers are watched from the revision of the new list",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against a loop of 410 and complete lists that lasts until the store's revision has passed the old one.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 60 } });
+    discovery.updates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    StreamServer added = server(2);
+    added.position = { 1, 19 };
+    discovery.lists.push_back(ServerList { { added }, {}, { 1, 20 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 1, 22 } });
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 60", "list", "watch 20", "watch 22" });
+    CHECK(router.directory().findId("i-2") != nullptr);
+    CHECK(events.count("store_era_changed") == 1);
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a long poll that a returned store answers is followed by a complete list without delay",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against entries that are missed: once the revisions have passed the old one, the store answers without 410.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 60 } });
+    ServerUpdate removal;
+    removal.unlisted = "i-1";
+    removal.position = { 1, 63 };
+    discovery.updates.push_back(ServerUpdates { { removal }, { 1, 64 } });
+    StreamServer added = server(2);
+    added.position = { 1, 30 };
+    discovery.lists.push_back(ServerList { { added }, {}, { 1, 64 } });
+    const TimePoint before = clock.now();
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 60", "list", "watch 64" });
+    CHECK(clock.now() == before);
+    CHECK(router.directory().findId("i-2") != nullptr);
+    CHECK(coordinator.published == std::vector<std::string> { "0 to 60", "0 to 64" });
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a configuration that a returned store holds is read completely and watched from there",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against an added route that is not served: the store gives out the revisions below the old one again.
+    const std::vector<std::string> calls { "read", "watch 60", "read", "watch 20" };
+    StreamConfiguration written = configuration(60);
+    written.position = { 1, 19 };
+    written.version = configuration(50).version + 1;
+    discovery.reads.push_back(ConfigurationRead { configuration(50), {}, { 0, 60 } });
+    SECTION("the store lacks the revision")
+    {
+        discovery.reads.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    }
+    SECTION("the store has passed the revision")
+    {
+        discovery.reads.push_back(ConfigurationRead { {}, {}, { 1, 61 } });
+    }
+    discovery.reads.push_back(ConfigurationRead { written, {}, { 1, 20 } });
+    watchConfiguration();
+    CHECK(discovery.calls == calls);
+    CHECK(router.configuration() == written);
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a response of an earlier era than the known one is ignored and retried after a delay",
+    "[stream][discoverywatcher][era]")
+{
+    // Guards against a view that goes back when a peer has told of the returned store first and an old response arrives late.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 1, 20 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 0, 64 } });
+    discovery.updates.push_back(ServerUpdates { {}, { 1, 21 } });
+    const TimePoint before = clock.now();
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 20", "watch 20", "watch 21" });
+    CHECK(clock.now() > before);
+    CHECK(router.viewStatus().serversPosition == StorePosition(1, 21));
+    CHECK(events.count("store_call_failed") == 1);
+}
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -30,7 +30,7 @@
     PeerState stateFor(const GossipMessage &request) override
     {
         asked.push_back(request.sender.id);
-        PeerState state { .deployment = "dewnet", .sender = { .id = "entry-1" }, .view = { .serversRevision = 7 } };
+        PeerState state { .deployment = "dewnet", .sender = { .id = "entry-1" }, .view = { .serversPosition = { 0, 7 } } };
         for (std::uint32_t number = 0; number < routeCount; ++number) {
             const Endpoint address(0xc6120000 + number, 443);
             state.configuration.routes.emplace(address, StreamRoute { "r-" + std::to_string(number), address, { { "pond", 1 } } });
@@ -90,7 +90,7 @@
     const Result<PeerState> state = fetchAs("dewnet", servingAddress);
     REQUIRE(state);
     CHECK(state->sender.id == "entry-1");
-    CHECK(state->view.serversRevision == 7);
+    CHECK(state->view.serversPosition == StorePosition(0, 7));
     CHECK(source.asked == std::vector<std::string> { "entry-2" });
     CHECK(source.failures.empty());
 }
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -89,10 +89,10 @@
 
 ServerUpdate listed(StreamServer server, std::uint64_t revision)
 {
-    server.revision = revision;
+    server.position = { 0, revision };
     ServerUpdate update;
     update.listed = server;
-    update.revision = revision;
+    update.position = { 0, revision };
     return update;
 }
 
@@ -104,7 +104,7 @@
     // Guards against a failure domain that serves nothing because its instances restarted during an outage of the store.
     Node &first = add({});
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     Node &second = add({ Node::addressOf(0) });
     REQUIRE(runUntil([&] { return second.router.isReady(); }));
     CHECK(second.router.configuration() == first.router.configuration());
@@ -123,16 +123,16 @@
     REQUIRE(runUntil(all([this](const Node &node) { return node.synchronizer->directory().ranking(clock.now()).size() == 8; })));
     Node &source = reader();
     source.router.applyConfiguration(RouterFixture::configuration(4));
-    source.router.confirmConfiguration(4, clock.now());
-    source.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    source.router.confirmConfiguration({ 0, 4 }, clock.now());
+    source.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     source.synchronizer->publishConfiguration();
-    source.synchronizer->publishServerUpdates(0, { {}, 10 });
+    source.synchronizer->publishServerUpdates(0, { {}, { 0, 10 } });
     REQUIRE(runUntil(all([](const Node &node) { return node.router.isReady(); })));
 
-    const ServerUpdates updates { { listed(RouterFixture::server(2), 11) }, 11 };
+    const ServerUpdates updates { { listed(RouterFixture::server(2), 11) }, { 0, 11 } };
     source.router.applyServerUpdates(updates, clock.now());
     source.synchronizer->publishServerUpdates(10, updates);
-    REQUIRE(runUntil(all([](const Node &node) { return node.router.viewStatus().serversRevision == 11; })));
+    REQUIRE(runUntil(all([](const Node &node) { return node.router.viewStatus().serversPosition.revision() == 11; })));
     CHECK(std::all_of(nodes.begin(), nodes.end(), [](const Node &node) { return node.router.directory().listed("pond").size() == 2; }));
 }
 
@@ -141,12 +141,14 @@
     Node &first = add({});
     Node &second = add({ Node::addressOf(0) });
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady(); }));
     // The router is changed without a call to the synchronizer, so nothing is pushed.
-    first.router.applyServerUpdates({ { listed(RouterFixture::server(2), 12) }, 12 }, clock.now());
+    first.router.applyServerUpdates({ { listed(RouterFixture::server(2), 12) }, { 0, 12 } }, clock.now());
     first.router.applyConfiguration(RouterFixture::configuration(13));
-    REQUIRE(runUntil([&] { return second.router.viewStatus().serversRevision == 12 && second.router.configuration().revision == 13; }));
+    REQUIRE(runUntil([&] {
+        return second.router.viewStatus().serversPosition.revision() == 12 && second.router.configuration().position.revision() == 13;
+    }));
 }
 
 TEST_CASE_METHOD(
@@ -156,14 +158,15 @@
     Node &first = add({});
     Node &second = add({ Node::addressOf(0) });
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
     Node &source = reader();
     Node &receiver = &source == &first ? second : first;
     // Two instances read the store at the same time. The source knows revision 12 from the other one when its own call returns revision 11.
-    source.router.applyServerUpdates({ { listed(RouterFixture::server(2), 11), listed(RouterFixture::server(3), 12) }, 12 }, clock.now());
-    source.synchronizer->publishServerUpdates(10, { { listed(RouterFixture::server(2), 11) }, 11 });
-    REQUIRE(runUntil([&] { return receiver.router.viewStatus().serversRevision == 12; }));
+    source.router.applyServerUpdates(
+        { { listed(RouterFixture::server(2), 11), listed(RouterFixture::server(3), 12) }, { 0, 12 } }, clock.now());
+    source.synchronizer->publishServerUpdates(10, { { listed(RouterFixture::server(2), 11) }, { 0, 11 } });
+    REQUIRE(runUntil([&] { return receiver.router.viewStatus().serversPosition.revision() == 12; }));
     CHECK(receiver.router.directory().listed("pond").size() == 3);
 }
 
@@ -174,7 +177,7 @@
     ManualClock clock;
     Node node(context, clock, 0, {}, "dewnet");
     node.router.applyConfiguration(RouterFixture::configuration(4));
-    node.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    node.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     node.router.tick();
     for (int step = 0; step < 10; ++step) {
         context.poll(); // the node waits for messages
@@ -187,7 +190,7 @@
     for (std::uint64_t heartbeat = 1; heartbeat <= 3; ++heartbeat) {
         GossipMessage message { .deployment = "dewnet",
             .sender = { .id = "entry-9", .failureDomain = "a", .address = Node::addressOf(9), .startedAt = 1, .heartbeat = heartbeat } };
-        message.view = { .serversRevision = 10, .serversConfirmedAt = stoppedAt };
+        message.view = { .serversPosition = { 0, 10 }, .serversConfirmedAt = stoppedAt };
         const std::string bytes = GossipCodec::encode(message, stoppedAt);
         peer.send_to(asio::buffer(bytes), { asio::ip::address_v4(address.address()), address.port() });
     }
@@ -207,7 +210,7 @@
     Node &first = add({});
     Node &second = add({ Node::addressOf(0) });
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
     const std::uint32_t token = ServerDirectory::tokenOf(RouterFixture::server(1));
     first.router.recordProbeResult(token, ConnectResult::Refused, clock.now());
@@ -227,7 +230,7 @@
         servers.push_back(RouterFixture::server(number));
     }
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers(servers, {}, 10, clock.now());
+    first.router.replaceServers(servers, {}, { 0, 10 }, clock.now());
     REQUIRE(runUntil([&] { return second.router.isReady() && first.synchronizer->directory().ranking(clock.now()).size() == 2; }));
     for (const StreamServer &server : servers) {
         first.router.recordProbeResult(ServerDirectory::tokenOf(server), ConnectResult::Refused, clock.now());
@@ -256,7 +259,7 @@
     // Guards against routes and servers of another deployment being used because of a wrong seed address.
     Node &first = add({});
     first.router.applyConfiguration(RouterFixture::configuration(4));
-    first.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
     Node &second = add({ Node::addressOf(0) }, "tugan-kun");
     REQUIRE(runUntil([&] { return first.events.count("peer_request_refused") > 0 && second.events.count("peer_pull_failed") > 0; }));
     CHECK_FALSE(second.router.isReady());
@@ -276,3 +279,75 @@
     asio::write(caller, asio::buffer(bytes));
     REQUIRE(runUntil([&] { return node.events.count("peer_request_refused") == 1; }));
 }
+
+TEST_CASE_METHOD(SynchronizerFixture, "an instance that has read the returned store is followed, whoever has the higher revisions",
+    "[stream][peersynchronizer][era]")
+{
+    // Guards against a view that goes back: an instance that was frozen while the store returned has the higher revisions of before.
+    Node &slept = add({});
+    Node &current = add({ Node::addressOf(0) });
+    slept.router.applyConfiguration(RouterFixture::configuration(50));
+    StreamServer ended = RouterFixture::server(1);
+    ended.position = { 0, 55 };
+    slept.router.replaceServers({ ended }, {}, { 0, 60 }, clock.now());
+    slept.router.confirmConfiguration({ 0, 60 }, clock.now());
+    REQUIRE(runUntil([&] { return current.router.isReady(); }));
+    StreamServer added = RouterFixture::server(2);
+    added.position = { 1, 19 };
+    current.router.replaceServers({ added }, {}, { 1, 20 }, clock.now());
+    StreamConfiguration written = RouterFixture::configuration(50);
+    written.version += 1;
+    written.position = { 1, 18 };
+    written.routes.begin()->second.targets = { { "tile", 1 } };
+    current.router.applyConfiguration(written);
+    current.router.confirmConfiguration({ 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return slept.router.viewStatus().serversPosition == StorePosition(1, 20); }));
+    REQUIRE(runUntil([&] { return slept.router.configuration() == written; }));
+    CHECK(slept.router.directory().findId("i-2") != nullptr);
+    CHECK_FALSE(slept.router.directory().findId("i-1")->listed);
+    CHECK(current.router.configuration() == written);
+    CHECK(current.router.viewStatus().serversPosition == StorePosition(1, 20));
+    CHECK_FALSE(current.router.directory().findId("i-1")->listed);
+}
+
+TEST_CASE_METHOD(SynchronizerFixture, "the newer version of the configuration wins between instances, whichever store it is from",
+    "[stream][peersynchronizer][era]")
+{
+    // Guards against a starting instance that spreads the older version that the returned store still holds.
+    Node &running = add({});
+    Node &started = add({ Node::addressOf(0) });
+    StreamConfiguration newest = RouterFixture::configuration(50);
+    newest.routes.begin()->second.targets = { { "tile", 1 } };
+    running.router.applyConfiguration(newest);
+    running.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 60 }, clock.now());
+    StreamConfiguration older = RouterFixture::configuration(40);
+    older.position = { 1, 18 };
+    started.router.applyConfiguration(older);
+    started.router.replaceServers({ RouterFixture::server(1) }, {}, { 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return running.router.viewStatus().serversPosition.era() == 1; }));
+    REQUIRE(runUntil([&] { return started.router.configuration().version == newest.version; }));
+    CHECK(running.router.configuration() == newest);
+    CHECK(started.router.configuration() == newest);
+}
+
+TEST_CASE_METHOD(
+    SynchronizerFixture, "changes of the returned store reach instances that follow it as changes", "[stream][peersynchronizer][era]")
+{
+    // Guards against complete lists for each change, and against changes that are applied on top of a view from before the return.
+    Node &first = add({});
+    Node &second = add({ Node::addressOf(0) });
+    first.router.applyConfiguration(RouterFixture::configuration(4));
+    StreamServer copied = RouterFixture::server(1);
+    copied.position = { 1, 5 };
+    first.router.replaceServers({ copied }, {}, { 1, 20 }, clock.now());
+    REQUIRE(runUntil([&] { return second.router.isReady(); }));
+    REQUIRE(second.router.viewStatus().serversPosition == StorePosition(1, 20));
+    ServerUpdate update = listed(RouterFixture::server(2), 21);
+    update.position = { 1, 21 };
+    update.listed->position = { 1, 21 };
+    first.router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now());
+    first.synchronizer->publishServerUpdates(20, { { update }, { 1, 21 } });
+    REQUIRE(runUntil([&] { return second.router.viewStatus().serversPosition == StorePosition(1, 21); }));
+    CHECK(second.router.directory().listed("pond").size() == 2);
+    CHECK(second.router.directory().findId("i-2")->server.position == StorePosition(1, 21));
+}
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace Samphirepitch;
@@ -13,7 +14,7 @@
 TEST_CASE_METHOD(RouterFixture, "an instance without a configuration drops packets and resets nothing", "[stream][router]")
 {
     // Guards against a restarted instance that resets open flows because it has not read the routes yet.
-    router.replaceServers({ server(1) }, {}, 10, clock.now());
+    router.replaceServers({ server(1) }, {}, { 0, 10 }, clock.now());
     CHECK(send(ServerDirectory::tokenOf(RouterFixture::server(1)), 101, 900, 7).action == Action::Drop);
     CHECK(open().action == Action::Drop);
     CHECK(router.takeResets().empty());
@@ -140,7 +141,7 @@
     makeReady({ server(1), server(2) });
     StreamServer draining = server(1);
     draining.phase = ServerPhase::Draining;
-    draining.revision = 11;
+    draining.position = { 0, 11 };
     router.updateServer(draining);
     CHECK(send(ServerDirectory::tokenOf(RouterFixture::server(1)), 500, 900, 7).action == Action::Forward);
     for (std::uint16_t port = 1; port < 20; ++port) {
@@ -374,7 +375,7 @@
     REQUIRE(router.takeResets().empty());
     StreamServer draining = server(1);
     draining.phase = ServerPhase::Draining;
-    draining.revision = 11;
+    draining.position = { 0, 11 };
     router.updateServer(draining);
     advanceClock(milliseconds(8000));
     send(token, 101, 900, 55);
@@ -393,7 +394,7 @@
     successor.service = "tile";
     successor.address = server(1).address;
     successor.startedAt = 9000;
-    successor.revision = 12;
+    successor.position = { 0, 12 };
     router.updateServer(successor);
     CHECK(router.takeResets().size() == 1);
     CHECK(send(token, 101, 900, 55).action == Action::Reset);
@@ -413,7 +414,7 @@
     };
     SECTION("the store works all the time")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         advanceConfirmed(2);
         CHECK(router.takeResets().empty());
         CHECK(send(token, 101, 900, 55).action == Action::Forward);
@@ -422,7 +423,7 @@
     }
     SECTION("an unconfirmed view proves nothing")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         for (int second = 0; second < 20; ++second) {
             advanceClock(milliseconds(1000));
             router.tick();
@@ -433,12 +434,12 @@
     {
         advanceClock(milliseconds(9000));
         router.tick();
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         router.confirmServers(clock.now());
         advanceConfirmed(2);
         CHECK(router.takeResets().empty());
         StreamServer back = server(1);
-        back.revision = 14;
+        back.position = { 0, 14 };
         router.updateServer(back);
         advanceConfirmed(9);
         CHECK(router.takeResets().empty());
@@ -494,7 +495,7 @@
     restarted.startedAt = 5000;
     const std::uint32_t token = ServerDirectory::tokenOf(restarted);
     CHECK(send(token, 101, 900, 55).action == Action::Drop);
-    restarted.revision = 12;
+    restarted.position = { 0, 12 };
     router.updateServer(restarted);
     CHECK(send(token, 101, 900, 55).action == Action::Forward);
 }
@@ -508,7 +509,7 @@
     send(token, 101, 0, 55);
     StreamServer restarted = server(1);
     restarted.startedAt = 5000;
-    restarted.revision = 12;
+    restarted.position = { 0, 12 };
     router.updateServer(restarted);
     CHECK(router.takeResets().empty());
     const StreamDecision later = send(token, 101, 900, 55);
@@ -517,7 +518,7 @@
     CHECK(open(Endpoint(0x64400009, 1)).token == ServerDirectory::tokenOf(restarted));
 }
 
-TEST_CASE_METHOD(RouterFixture, "a configuration never goes back to an older revision, and a new one resets only flows without a route",
+TEST_CASE_METHOD(RouterFixture, "a configuration never goes back to an older version, and a new one resets only flows without a route",
     "[stream][router]")
 {
     makeReady({ server(1) });
@@ -531,6 +532,9 @@
     CHECK(router.applyConfiguration(without));
     CHECK(router.takeResets().size() == 1);
     CHECK_FALSE(router.applyConfiguration(configuration(7)));
+    StreamConfiguration rewritten = configuration(7);
+    rewritten.position = { 0, 9 };
+    CHECK_FALSE(router.applyConfiguration(rewritten));
     CHECK(open().outcome == StreamOutcome::NoRoute);
 }
 
@@ -554,7 +558,7 @@
 {
     // An old view explains why flows were placed on servers that have ended. A gauge shows the age only at the moment of the scrape.
     makeReady({ server(1) });
-    router.confirmConfiguration(10, clock.now());
+    router.confirmConfiguration({ 0, 10 }, clock.now());
     advanceClock(milliseconds(400));
     router.confirmServers(clock.now());
     advanceClock(milliseconds(300));
@@ -613,7 +617,7 @@
     makeReady({ server(1), server(2), server(3), server(4) });
     StreamServer leaving = server(4);
     leaving.phase = ServerPhase::Draining;
-    leaving.revision = 11;
+    leaving.position = { 0, 11 };
     router.updateServer(leaving);
     advanceClock(milliseconds(9000));
     std::set<std::string> ids;
@@ -628,7 +632,7 @@
     };
     SECTION("all entries are missing")
     {
-        router.replaceServers({}, {}, 20, clock.now());
+        router.replaceServers({}, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
         advanceClock(milliseconds(2600));
@@ -637,8 +641,8 @@
     SECTION("one server is listed again")
     {
         StreamServer back = server(1);
-        back.revision = 19;
-        router.replaceServers({ back }, {}, 20, clock.now());
+        back.position = { 0, 19 };
+        router.replaceServers({ back }, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2", "i-3" });
         advanceClock(milliseconds(2600));
@@ -648,13 +652,13 @@
     SECTION("one entry is missing, so its server has most likely ended")
     {
         StreamServer second = server(2);
-        router.replaceServers({ server(1), second }, {}, 20, clock.now());
+        router.replaceServers({ server(1), second }, {}, { 0, 20 }, clock.now());
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-2" });
     }
     SECTION("a server that refuses connections is not chosen")
     {
-        router.replaceServers({}, {}, 20, clock.now());
+        router.replaceServers({}, {}, { 0, 20 }, clock.now());
         finishProbe(ServerDirectory::tokenOf(server(2)), ConnectResult::Refused);
         placeSome(1);
         CHECK(ids == std::set<std::string> { "i-1", "i-3" });
@@ -673,7 +677,7 @@
     REQUIRE(router.takeDueProbes().size() == 1);
     StreamServer draining = server(1);
     draining.phase = ServerPhase::Draining;
-    draining.revision = 11;
+    draining.position = { 0, 11 };
     router.updateServer(draining);
     finishProbe(token, ConnectResult::Refused);
     CHECK(router.takeResets().empty());
@@ -767,9 +771,9 @@
     {
         StreamServer draining = server(1);
         draining.phase = ServerPhase::Draining;
-        draining.revision = 11;
+        draining.position = { 0, 11 };
         router.updateServer(draining);
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         for (std::uint32_t request = 0; request < 10; ++request) {
             send(token, 101 + request * 100, 100, 55 + request * 400);
             advanceClock(milliseconds(40));
@@ -784,7 +788,7 @@
     }
     SECTION("the host accepts connections after the removal")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         for (int second = 0; second < 10; ++second) {
             advanceConfirmed(ConnectResult::Accepted);
             CHECK(router.takeResets().empty());
@@ -798,7 +802,7 @@
     {
         send(token, 101, 100, 55);
         advanceClock(milliseconds(40));
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         advanceClock(milliseconds(40));
         send(token, 201, 0, 455);
         for (int second = 0; second < 3; ++second) {
@@ -809,11 +813,11 @@
     }
     SECTION("another server accepts connections at the address")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         StreamServer successor = server(2);
         successor.address = server(1).address;
         successor.startedAt = 9000;
-        successor.revision = 13;
+        successor.position = { 0, 13 };
         router.updateServer(successor);
         for (int second = 0; second < 3; ++second) {
             CHECK(router.takeResets().empty());
@@ -823,7 +827,7 @@
     }
     SECTION("nothing shows that the server still runs")
     {
-        router.removeServer("i-1", 12);
+        router.removeServer("i-1", { 0, 12 });
         for (int second = 0; second < 3; ++second) {
             CHECK(router.takeResets().empty());
             advanceConfirmed(ConnectResult::Unanswered);
@@ -831,3 +835,273 @@
         CHECK(router.takeResets().size() == 1);
     }
 }
+
+TEST_CASE_METHOD(
+    RouterFixture, "a version that is written after the store returned from an older copy is in force at once", "[stream][router][era]")
+{
+    // Guards against changes that are not in force in time: the revisions of a returned store are lower than those from before.
+    StreamConfiguration known = configuration(60);
+    makeReady({ server(1) });
+    REQUIRE(router.applyConfiguration(known));
+    router.confirmConfiguration({ 0, 61 }, clock.now());
+    StreamConfiguration written = known;
+    written.version = known.version + 1;
+    written.position = { 1, 12 };
+    written.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { "pond", 1 } } });
+    CHECK(router.applyConfiguration(written));
+    router.confirmConfiguration({ 1, 12 }, clock.now());
+    CHECK(router.route({ .client = client, .service = unsafeService, .opens = true }).action == Action::Forward);
+    CHECK(router.viewStatus().configurationCheckedPosition == StorePosition(1, 12));
+    CHECK(events.last("store_era_changed") == "view=configuration before=0 era=1 revision_before=61 revision=12");
+}
+
+TEST_CASE_METHOD(RouterFixture, "an older version in a returned store doesn't replace the one in force", "[stream][router][era]")
+{
+    // Guards against a configuration that goes back: the operator writes the lost versions again, with higher revisions than before.
+    makeReady({ server(1) });
+    StreamConfiguration newest = configuration(60);
+    REQUIRE(router.applyConfiguration(newest));
+    StreamConfiguration older = configuration(50);
+    older.position = { 1, 70 };
+    older.routes.clear();
+    advanceClock(milliseconds(400));
+    CHECK_FALSE(router.applyConfiguration(older));
+    router.confirmConfiguration({ 1, 71 }, clock.now());
+    CHECK(router.configuration() == newest);
+    CHECK(open().action == Action::Forward);
+    CHECK(events.last("configuration_ignored") == "version=150 in_force=180 era=1 revision=70");
+    // The instance watches the returned store from where it was read, and its view counts as confirmed.
+    CHECK(router.viewStatus().configurationCheckedPosition == StorePosition(1, 71));
+    CHECK(router.viewStatus().configurationConfirmedAt == clock.now());
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "of two configurations with the same version, the one at the newest position is in force", "[stream][router][era]")
+{
+    // Guards against instances that disagree: a version that was lost and written again with other content exists twice.
+    makeReady({ server(1) });
+    StreamConfiguration lost = configuration(60);
+    lost.routes.clear();
+    REQUIRE(router.applyConfiguration(lost));
+    StreamConfiguration written = configuration(60);
+    written.position = { 1, 20 };
+    CHECK(router.applyConfiguration(written));
+    CHECK_FALSE(router.applyConfiguration(lost));
+    CHECK(router.configuration() == written);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a drain that is written after the store returned takes effect", "[stream][router][era]")
+{
+    // Guards against flows that are placed on a draining server because the revision of its report is below that of the list.
+    makeReady({ server(1), server(2) });
+    router.replaceServers({ server(1), server(2) }, {}, { 0, 60 }, clock.now());
+    const auto atEra = [](StreamServer entry, std::uint64_t revision) {
+        entry.position = { 1, revision };
+        return entry;
+    };
+    router.replaceServers({ atEra(server(1), 5), atEra(server(2), 6) }, {}, { 1, 20 }, clock.now());
+    StreamServer draining = atEra(server(1), 21);
+    draining.phase = ServerPhase::Draining;
+    ServerUpdate update;
+    update.listed = draining;
+    update.position = { 1, 21 };
+    router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now());
+    for (std::uint16_t port = 1; port < 20; ++port) {
+        CHECK(open(Endpoint(0x64400009, port)).token == ServerDirectory::tokenOf(RouterFixture::server(2)));
+    }
+    CHECK(router.viewStatus().serversPosition == StorePosition(1, 21));
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "a server that was seen draining doesn't become ready because an old copy lists it so", "[stream][router][era]")
+{
+    // Guards against new flows at a server whose drain was acknowledged before the store returned.
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    makeReady({ draining, server(2) });
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    router.replaceServers({ copied, other }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    for (std::uint16_t port = 1; port < 20; ++port) {
+        CHECK(open(Endpoint(0x64400009, port)).token == ServerDirectory::tokenOf(RouterFixture::server(2)));
+    }
+    SECTION("its next incarnation is ready")
+    {
+        copied.startedAt = 5000;
+        copied.position = { 1, 10 };
+        router.updateServer(copied);
+        CHECK(router.directory().findId("i-1")->server.phase == ServerPhase::Ready);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "servers that a returned store lacks keep their flows until they have had time to be listed again",
+    "[stream][router][era]")
+{
+    // Guards against resets of open flows, and against refused new ones, when the copy is from before the registration of the servers and
+    // the store was away for less than an expiry takes.
+    makeReady({ server(1), server(2), server(3) });
+    router.replaceServers({ server(1), server(2), server(3) }, {}, { 0, 60 }, clock.now());
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    advanceClock(milliseconds(1000));
+    router.replaceServers({}, {}, { 1, 20 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 20));
+    CHECK(open(Endpoint(0x64400009, 1)).action == Action::Forward);
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    advanceConfirmed(2);
+    CHECK(router.takeResets().empty());
+    SECTION("the server registers again")
+    {
+        StreamServer back = router.directory().findToken(token)->server;
+        back.position = { 1, 25 };
+        router.updateServer(back);
+        advanceConfirmed(9);
+        CHECK(router.takeResets().empty());
+        CHECK(send(token, 101, 900, 55).action == Action::Forward);
+        CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+    }
+    SECTION("the server stays missing, so it has ended")
+    {
+        advanceConfirmed(1);
+        const std::vector<StreamReset> resets = router.takeResets();
+        CHECK(std::count_if(resets.begin(), resets.end(), [](const StreamReset &reset) { return reset.client == client; }) == 1);
+        CHECK(events.last("server_standing").find("evidence=entry_removed") != std::string::npos);
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a removal that is not confirmed when the store returns is confirmed against the returned store",
+    "[stream][router][era]")
+{
+    // Guards against the end of a server that was removed just before and that has not had time to register again.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    router.removeServer("i-1", { 0, 12 });
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    advanceConfirmed(2);
+    router.replaceServers({}, {}, { 1, 5 }, clock.now());
+    advanceConfirmed(2);
+    CHECK(router.takeResets().empty());
+    advanceConfirmed(1);
+    CHECK(router.takeResets().size() == 1);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server whose end was proven is not trusted only because an old copy lists it", "[stream][router][era]")
+{
+    // Guards against flows that are placed on a server that ended before the store returned.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    const auto onlyOther = [this] {
+        for (std::uint16_t port = 1; port < 20; ++port) {
+            if (open(Endpoint(0x64400009, port)).token != ServerDirectory::tokenOf(RouterFixture::server(2))) {
+                return false;
+            }
+        }
+        return true;
+    };
+    SECTION("its connection was refused")
+    {
+        finishProbe(token, ConnectResult::Refused);
+        router.removeServer("i-1", { 0, 12 });
+    }
+    SECTION("its entry was removed, and the removal was confirmed")
+    {
+        router.removeServer("i-1", { 0, 12 });
+        advanceConfirmed(4);
+    }
+    REQUIRE(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    router.replaceServers({ copied, other }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    CHECK(onlyOther());
+    // A probe that is accepted corrects a false proof.
+    advanceConfirmed(1);
+    const std::vector<ProbeTarget> probes = router.takeDueProbes();
+    CHECK(std::any_of(probes.begin(), probes.end(), [token](const ProbeTarget &target) { return target.token == token; }));
+    finishProbe(token, ConnectResult::Accepted);
+    advanceConfirmed(4);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "a server whose end was proven is trusted again when it registers in the returned store", "[stream][router][era]")
+{
+    // Guards against a server that stays without flows: only its own registration shows that the proof was wrong.
+    makeReady({ server(1), server(2) });
+    router.replaceServers({ server(1), server(2) }, {}, { 0, 60 }, clock.now());
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    router.removeServer("i-1", { 0, 62 });
+    for (int second = 0; second < 4; ++second) {
+        advanceClock(milliseconds(1000));
+        router.confirmServers(clock.now());
+        router.tick();
+    }
+    REQUIRE(router.failureDetector().status(token, clock.now()) == ServerStatus::Gone);
+    StreamServer other = server(2);
+    other.position = { 1, 6 };
+    router.replaceServers({ other }, {}, { 1, 9 }, clock.now());
+    StreamServer back = server(1);
+    back.position = { 1, 11 };
+    router.updateServer(back);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+    CHECK(router.directory().listed("pond").size() == 2);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server whose address was reused is not listed again by an old copy", "[stream][router][era]")
+{
+    // Guards against flows at the address of another service: the copy may be from before the registration of the address's new owner.
+    makeReady({ server(1) });
+    StreamServer successor = server(2);
+    successor.service = "tile";
+    successor.address = server(1).address;
+    successor.startedAt = 9000;
+    successor.position = { 0, 12 };
+    router.updateServer(successor);
+    StreamServer copied = server(1);
+    copied.position = { 1, 5 };
+    router.replaceServers({ copied }, {}, { 1, 9 }, clock.now());
+    REQUIRE(router.viewStatus().serversPosition == StorePosition(1, 9));
+    CHECK(router.directory().listed("pond").empty());
+    CHECK(open().outcome == StreamOutcome::NoServer);
+}
+
+TEST_CASE_METHOD(RouterFixture, "changes of another era don't continue a list of servers", "[stream][router][era]")
+{
+    // Guards against a view with gaps: what was written before the changes in the newer era is not part of them.
+    makeReady({ server(1) });
+    StreamServer added = server(2);
+    added.position = { 1, 21 };
+    ServerUpdate update;
+    update.listed = added;
+    update.position = { 1, 21 };
+    router.applyServerUpdates({ { update }, { 1, 21 } }, clock.now() + milliseconds(100));
+    CHECK(router.viewStatus().serversPosition == StorePosition(0, 10));
+    CHECK(router.viewStatus().serversConfirmedAt == clock.now());
+    CHECK(router.directory().listed("pond").size() == 1);
+}
