Let the soak's store return from an older copy

Cause: the platform's store may come back from a copy some seconds old. It then gives out the same revisions again, and Store-Era rises by one in all its responses. The soak's store could only refuse and drop its history.

Change: each response has the header Store-Era, which starts at 1. StoreStandin::restore(age) returns to the objects, history and revision of that time, also to those of an era that has ended since. A watch from a revision above the present one gets 410, and a waiting one ends with it. Once the counter has passed the lost revision again, a new watch from there succeeds. A put that changes nothing keeps the revision, as the platform's page says; without that, each server that writes again would cause an event.

--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -93,7 +93,7 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_context(1)
-    , m_store(m_context.get_executor())
+    , m_store(m_context.get_executor(), m_clock)
 {
     std::filesystem::create_directories(m_options.folder);
 }
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/random.h"
 #include "soak/faultproxy.h"
 #include "soak/instanceprocess.h"
@@ -81,6 +82,7 @@
 
     SoakOptions m_options;
     SeededRandom m_random;
+    SteadyClock m_clock;
     asio::io_context m_context;
     InvariantChecker m_checker;
     StoreStandin m_store;
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -3,6 +3,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Samphirepitch::Soak
@@ -14,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds watchPollInterval { 5 }; // between checks for changes of a waiting watch
+constexpr std::uint64_t initialRevision = 1;
 const std::string objectsPath = "/v1/objects/";
 
 HttpResponse jsonResponse(const Json &body, int status = 200)
@@ -23,8 +25,9 @@
 
 } // namespace
 
-StoreStandin::StoreStandin(asio::any_io_executor executor)
+StoreStandin::StoreStandin(asio::any_io_executor executor, const Clock &clock)
     : m_executor(executor)
+    , m_clock(clock)
     , m_server(HttpServer::listen(std::move(executor), Endpoint(0x7f000001, 0), *this).value())
 {
 }
@@ -36,10 +39,11 @@
 
 std::uint64_t StoreStandin::put(const std::string &kind, const std::string &name, Json spec)
 {
-    const Json object { { "meta", { { "name", name }, { "revision", m_revision + 1 } } }, { "spec", std::move(spec) } };
-    m_objects[kind][name] = object;
-    record(kind, false, object);
-    return m_revision;
+    const auto &objects = m_objects[kind];
+    if (const auto found = objects.find(name); found == objects.end() || found->second["spec"] != spec) {
+        record(kind, false, { { "meta", { { "name", name }, { "revision", revision() + 1 } } }, { "spec", std::move(spec) } });
+    }
+    return revision();
 }
 
 void StoreStandin::remove(const std::string &kind, const std::string &name)
@@ -49,20 +53,51 @@
         return;
     }
     Json object = found->second;
-    object["meta"]["revision"] = m_revision + 1;
-    m_objects[kind].erase(found);
+    object["meta"]["revision"] = revision() + 1;
     record(kind, true, std::move(object));
 }
 
 void StoreStandin::record(const std::string &kind, bool deleted, Json object)
 {
-    m_history.push_back({ ++m_revision, kind, deleted, std::move(object) });
+    m_history.changes.push_back({ m_clock.now(), revision() + 1, kind, deleted, std::move(object) });
+    apply(m_history.changes.back());
+}
+
+void StoreStandin::apply(const Change &change)
+{
+    const auto name = change.object["meta"]["name"].get<std::string>();
+    if (change.deleted) {
+        m_objects[change.kind].erase(name);
+    } else {
+        m_objects[change.kind][name] = change.object;
+    }
+}
+
+std::uint64_t StoreStandin::revision() const
+{
+    return m_history.changes.empty() ? initialRevision : m_history.changes.back().revision;
 }
 
 void StoreStandin::compact()
 {
-    m_history.clear();
-    m_historyStart = m_revision;
+    m_history.compactions.push_back({ m_clock.now(), revision() });
+}
+
+void StoreStandin::restore(std::chrono::milliseconds age)
+{
+    const TimePoint point = m_clock.now() - age;
+    m_history.endedAt = m_clock.now();
+    m_endedEras.push_back(m_history);
+    // The copy may be from before an earlier restore, and then has the changes which that one lost.
+    m_history = *std::find_if(m_endedEras.begin(), m_endedEras.end(), [point](const History &era) { return era.endedAt >= point; });
+    const auto isLater = [point](const auto &entry) { return entry.at > point; };
+    std::erase_if(m_history.changes, isLater);
+    std::erase_if(m_history.compactions, isLater);
+    m_objects.clear();
+    for (const Change &change : m_history.changes) {
+        apply(change);
+    }
+    m_restoredRevision = revision();
 }
 
 void StoreStandin::setUnavailable(bool unavailable)
@@ -71,6 +106,13 @@
 }
 
 asio::awaitable<std::optional<HttpResponse>> StoreStandin::handle(HttpRequest request)
+{
+    HttpResponse response = co_await respond(std::move(request));
+    response.headers.add("Store-Era", std::to_string(m_endedEras.size() + 1));
+    co_return response;
+}
+
+asio::awaitable<HttpResponse> StoreStandin::respond(HttpRequest request)
 {
     const std::string path(request.path());
     if (m_unavailable || request.method != "GET" || path.rfind(objectsPath, 0) != 0) {
@@ -83,13 +125,16 @@
     }
     asio::steady_timer timer(m_executor);
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(request.queryNumber("wait_ms").value_or(0));
+    const std::size_t era = m_endedEras.size();
+    // A later change may have got the lost revision before this is checked.
+    const auto isLost = [&] { return m_endedEras.size() != era && *watch > m_restoredRevision; };
     std::optional<HttpResponse> found = changes(kind, *watch, false);
     while (!found && !m_unavailable && std::chrono::steady_clock::now() < deadline) {
         timer.expires_after(watchPollInterval);
         co_await timer.async_wait(asio::use_awaitable);
-        found = changes(kind, *watch, false);
+        found = isLost() ? HttpResponse::empty(410) : changes(kind, *watch, false);
     }
-    co_return found ? found : changes(kind, *watch, true);
+    co_return found ? *std::move(found) : changes(kind, *watch, true).value();
 }
 
 HttpResponse StoreStandin::list(const std::string &kind) const
@@ -100,16 +145,17 @@
             items.push_back(object);
         }
     }
-    return jsonResponse({ { "items", items }, { "has_more", false }, { "store_revision", m_revision } });
+    return jsonResponse({ { "items", items }, { "has_more", false }, { "store_revision", revision() } });
 }
 
 std::optional<HttpResponse> StoreStandin::changes(const std::string &kind, std::uint64_t after, bool includeEmpty) const
 {
-    if (after < m_historyStart) {
+    const bool compacted = !m_history.compactions.empty() && after < m_history.compactions.back().revision;
+    if (compacted || after > revision()) {
         return HttpResponse::empty(410);
     }
     Json events = Json::array();
-    for (const Change &change : m_history) {
+    for (const Change &change : m_history.changes) {
         if (change.revision > after && change.kind == kind) {
             events.push_back({ { "deleted", change.deleted }, { "object", change.object } });
         }
@@ -117,7 +163,7 @@
     if (events.empty() && !includeEmpty) {
         return std::nullopt;
     }
-    return jsonResponse({ { "events", events }, { "store_revision", m_revision } });
+    return jsonResponse({ { "events", events }, { "store_revision", revision() } });
 }
 
 } // namespace Samphirepitch::Soak
