Add returns of the store from older copies to the soak

Cause: no schedule had a store that loses what it acknowledged, and no invariant covered the configuration: clients only use routes that never change.

The operator then writes again within 1 s, the servers within 2 s, and entries without a server expire again. The faults come from a random stream of their own.

Each version of the configuration adds a route and drops one. A RouteProbe for each instance opens flows to them and so learns the version in force. The new invariants are that an undisturbed instance applies a version 3 s after its acknowledgement (and 4 s after faults), and that no process goes back by more than 250 ms (2 s within 4 s of a fault of its own).

--- a/soak/faultproxy.cpp
+++ b/soak/faultproxy.cpp
@@ -93,6 +93,11 @@
     }
 }
 
+FaultProxy::Mode FaultProxy::mode() const
+{
+    return m_mode;
+}
+
 void FaultProxy::reset(const Socket &socket)
 {
     std::error_code ignored;
--- a/soak/faultproxy.h
+++ b/soak/faultproxy.h
@@ -43,6 +43,7 @@
 
     /** Sets the fault, which applies to open connections as well. */
     void setMode(Mode mode);
+    Mode mode() const;
 
 private:
     using Socket = std::shared_ptr<asio::ip::tcp::socket>;
--- a/soak/invariantchecker.cpp
+++ b/soak/invariantchecker.cpp
@@ -28,6 +28,40 @@
     ++m_failed;
 }
 
+void InvariantChecker::recordAppliedVersion(const std::string &process, std::uint64_t version, Time at)
+{
+    AppliedVersion &applied = m_appliedVersions[process];
+    if (version > applied.version) {
+        applied = { version, at };
+    }
+}
+
+void InvariantChecker::recordOlderVersion(
+    const std::string &process, std::uint64_t version, Time openedAt, Time dueAt, std::chrono::milliseconds rollbackSlack)
+{
+    const std::string what = process + " has a configuration older than version " + std::to_string(version);
+    const auto found = m_appliedVersions.find(process);
+    if (found != m_appliedVersions.end() && found->second.version >= version && openedAt > found->second.since + rollbackSlack) {
+        addViolationOnce(what + ", which it applied before", openedAt - found->second.since);
+    } else if (openedAt > dueAt) {
+        addViolationOnce(what + ", which was due", openedAt - dueAt);
+    }
+}
+
+void InvariantChecker::addViolationOnce(const std::string &what, std::chrono::steady_clock::duration age)
+{
+    if (m_reported.insert(what).second) {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age);
+        addViolation(what + ", first seen after " + std::to_string(milliseconds.count()) + " ms");
+    }
+}
+
+std::uint64_t InvariantChecker::appliedVersion(const std::string &process) const
+{
+    const auto found = m_appliedVersions.find(process);
+    return found == m_appliedVersions.end() ? 0 : found->second.version;
+}
+
 const std::vector<std::string> &InvariantChecker::violations() const
 {
     return m_violations;
--- a/soak/invariantchecker.h
+++ b/soak/invariantchecker.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -15,6 +16,8 @@
 class InvariantChecker
 {
 public:
+    using Time = std::chrono::steady_clock::time_point;
+
     /** Records the violation of an invariant, described by @p what. */
     void addViolation(const std::string &what);
 
@@ -27,13 +30,42 @@
     /** Records that a client gave up @p request, or a flow that did not open. */
     void recordFailed(std::uint64_t request);
 
+    /**
+     * Records that an instance treats flows as @p version of the configuration or a newer one requires.
+     * @param process name of the instance's process; differs after a restart
+     * @param at when a client or server observed it
+     */
+    void recordAppliedVersion(const std::string &process, std::uint64_t version, Time at);
+
+    /**
+     * Records that a process treated a new flow as only configurations older than @p version allow. That is a violation if the flow
+     * was opened after @p dueAt, or more than @p rollbackSlack after the process applied the version.
+     * @param openedAt when the client opened the flow
+     * @param dueAt time from which all instances have to apply the version
+     */
+    void recordOlderVersion(
+        const std::string &process, std::uint64_t version, Time openedAt, Time dueAt, std::chrono::milliseconds rollbackSlack);
+
+    /** Returns the newest version that @p process was seen to apply, or 0. */
+    std::uint64_t appliedVersion(const std::string &process) const;
+
     const std::vector<std::string> &violations() const;
     std::uint64_t servedCount() const;
     std::uint64_t failedCount() const;
 
 private:
+    struct AppliedVersion {
+        std::uint64_t version = 0;
+        Time since; // when it was first observed
+    };
+
+    /** Records a violation, with the time @p age since the invariant began to hold, unless the same one was recorded before. */
+    void addViolationOnce(const std::string &what, std::chrono::steady_clock::duration age);
+
     std::vector<std::string> m_violations;
     std::map<std::uint64_t, int> m_runs;
+    std::map<std::string, AppliedVersion> m_appliedVersions; // by process
+    std::set<std::string> m_reported;
     std::uint64_t m_served = 0;
     std::uint64_t m_failed = 0;
 };
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -34,6 +34,12 @@
 constexpr std::uint32_t clientGroup = 3;
 constexpr std::uint32_t routeGroup = 4;
 constexpr std::uint32_t announcedGroup = 5;
+constexpr std::uint32_t probeGroup = 6;
+
+// Last bytes of the addresses of routes.
+constexpr std::uint32_t extraRouteHost = 3;
+constexpr std::uint32_t addedRouteHost = 4;
+constexpr std::uint32_t droppedRouteHost = 5;
 
 constexpr std::uint32_t clientHosts = 6;
 constexpr std::uint32_t usersPerRoute = 2; // on each client host
@@ -49,6 +55,16 @@
 constexpr std::uint64_t faultSpacing = 700; // milliseconds; upper bound between the begins of faults, short enough for them to overlap
 constexpr std::uint64_t peerFaultSpacing = 3000; // milliseconds; the same for the links between instances
 constexpr std::uint64_t peerFaultStream = 1; // random stream of its own, so that link faults do not change the rest of a seed's schedule
+constexpr std::uint64_t storeRestoreStream = 2; // the same for the store's returns from older copies
+constexpr milliseconds restoreObservation { 9000 }; // after the last return; as long as the bound for a drain that is written again
+constexpr milliseconds operatorRewriteTime { 1000 }; // in which the operator writes again after a return
+constexpr milliseconds serverRewriteTime { 2000 }; // the same for servers
+constexpr milliseconds configurationBound { 3000 }; // from the acknowledgement of a configuration until all instances apply it
+constexpr milliseconds stabilityWindow { 4000 }; // time bounds do not hold for this long after a fault
+constexpr milliseconds rollbackSlack { 250 }; // reordering of flows around a change of the configuration
+constexpr milliseconds disturbedRollbackSlack { 2000 }; // the same within the stability window
+constexpr milliseconds configurationCheckInterval { 200 };
+constexpr std::uint64_t markedVersions = 64; // more than a run writes
 constexpr double minServedRatio = 0.9; // of the requests in the 2 seconds after the recovery time
 
 std::string hex(std::uint64_t value)
@@ -62,29 +78,45 @@
 
 /** An instance with the proxies before the store and before the instance, and its state as the fabric and the supervisor see it. */
 struct SoakRun::Node {
-    Node(const asio::any_io_executor &executor, Endpoint store, Endpoint announced, Endpoint peerAddress, const SoakOptions &options,
-        std::uint32_t index)
+    Node(const asio::any_io_executor &executor, Endpoint store, Endpoint announced, Endpoint peerAddress, Endpoint probeAddress,
+        const SoakOptions &options, std::uint32_t index)
         : number(index)
         , settings(options.folder + "/entry-" + std::to_string(index) + ".toml")
         , peer(peerAddress)
         , proxy(executor, Endpoint(0x7f000001, 0), store)
         , peerProxy(executor, announced, peerAddress)
+        , probe(executor, probeAddress)
         , process(options.program, settings, options.folder + "/entry-" + std::to_string(index) + ".log")
     {
         peerProxy.forwardDatagrams();
     }
 
+    /** Returns a name that differs for each process of the instance. */
+    std::string processName() const
+    {
+        return "entry-" + std::to_string(number) + " (process " + std::to_string(starts) + ")";
+    }
+
+    bool isDisturbed() const
+    {
+        return !process.isRunning() || stopping || paused || proxy.mode() != FaultProxy::Mode::Pass
+            || peerProxy.mode() != FaultProxy::Mode::Pass;
+    }
+
     std::uint32_t number;
     std::string settings;
     Endpoint peer;
     FaultProxy proxy; // connections of the instance to the store
     FaultProxy peerProxy; // messages of other instances to the instance
+    RouteProbe probe;
     InstanceProcess process;
     Endpoint data;
     Endpoint health;
     int missedChecks = 2; // failed readiness checks in a row; from 2 on, the fabric sends no packets to the instance
     bool stopping = false; // after SIGTERM
     bool paused = false;
+    int starts = 1;
+    Time disturbedAt {}; // last time at which isDisturbed() was seen
     Time killAt {};
     Time restartAt {};
 };
@@ -121,12 +153,22 @@
     }
     startClients();
     scheduleFaults();
-    runFor(m_options.faultDuration + m_options.recoveryTime);
+    if (m_options.storeRestores) {
+        for (const auto &node : m_nodes) {
+            asio::co_spawn(m_context, checkConfiguration(*node), asio::detached);
+        }
+    }
+    runFor(m_lastFault + (m_options.storeRestores ? restoreObservation : m_options.recoveryTime));
     checkRecovery();
     m_finished = true;
     return m_checker.violations();
 }
 
+Endpoint SoakRun::markerRoute(std::uint32_t host, std::uint64_t version) const
+{
+    return address(routeGroup, host, static_cast<std::uint16_t>(2000 + version));
+}
+
 Endpoint SoakRun::address(std::uint32_t group, std::uint32_t number, std::uint16_t port) const
 {
     return { 0x7f400000 + (m_options.network << 16) + (group << 8) + number, port };
@@ -136,7 +178,7 @@
 {
     for (std::uint32_t number = 1; number <= m_options.instances; ++number) {
         auto node = std::make_unique<Node>(m_context.get_executor(), m_store.address(), address(announcedGroup, number, peerPort),
-            address(instanceGroup, number, peerPort), m_options, number);
+            address(instanceGroup, number, peerPort), address(probeGroup, number, dataPort), m_options, number);
         node->data = address(instanceGroup, number, dataPort);
         node->health = address(instanceGroup, number, healthPort);
         writeSettings(*node);
@@ -175,10 +217,10 @@
 
 void SoakRun::writeServer(const std::shared_ptr<SoakServer> &server, const std::string &failureDomain, bool draining)
 {
-    m_store.put("servers", server->id(),
-        { { "service", server->service() }, { "address", server->address().toString() }, { "zone", failureDomain }, { "version", "v1" },
-            { "slots", 2 }, { "state", draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "sequence", 1 },
-            { "born", server->startedAt() } });
+    m_serverSpecs[server->id()] = { { "service", server->service() }, { "address", server->address().toString() },
+        { "zone", failureDomain }, { "version", "v1" }, { "slots", 2 }, { "state", draining ? "draining" : "ready" },
+        { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", server->startedAt() } };
+    m_store.put("servers", server->id(), m_serverSpecs[server->id()]);
 }
 
 void SoakRun::writeConfiguration()
@@ -193,11 +235,21 @@
         add("r-" + std::to_string(index), m_routes[index].address, m_routes[index].service, m_routes[index].idempotent);
     }
     for (std::uint32_t extraRoute = 0; extraRoute < m_extraRoutes; ++extraRoute) {
-        add("x-" + std::to_string(extraRoute), address(routeGroup, 3, static_cast<std::uint16_t>(1000 + extraRoute)), "tile", true);
+        add("x-" + std::to_string(extraRoute), address(routeGroup, extraRouteHost, static_cast<std::uint16_t>(1000 + extraRoute)), "tile",
+            true);
+    }
+    ++m_version;
+    if (m_options.storeRestores) {
+        // Each version adds one route and drops one, so that the routes of an instance show its version.
+        for (std::uint64_t version = 1; version <= markedVersions; ++version) {
+            add("v-" + std::to_string(version), markerRoute(version <= m_version ? addedRouteHost : droppedRouteHost, version), "tile",
+                true);
+        }
     }
-    m_store.put("config", "main",
-        { { "version", ++m_version }, { "routes", routes }, { "services", { { { "name", "pond" } }, { { "name", "tile" } } } },
-            { "limits", { { "idle_timeout_ms", 15000 } } } });
+    m_configuration = { { "version", m_version }, { "routes", routes }, { "services", { { { "name", "pond" } }, { { "name", "tile" } } } },
+        { "limits", { { "idle_timeout_ms", 15000 } } } };
+    m_store.put("config", "main", m_configuration);
+    m_acknowledgedAt[m_version] = std::chrono::steady_clock::now();
 }
 
 void SoakRun::startClients()
@@ -236,9 +288,15 @@
     if (m_options.peerLinks) {
         schedulePeerFaults();
     }
+    m_lastFault = m_options.faultDuration;
+    if (m_options.storeRestores) {
+        scheduleStoreRestores();
+    }
     // Ends the faults that are still active, for the recovery time.
     scheduleAction(m_options.faultDuration, "all faults end", [this] {
-        m_store.setUnavailable(false);
+        m_faultsEnded = true;
+        m_storeRefuses = false;
+        updateStoreAvailability();
         for (const auto &node : m_nodes) {
             node->proxy.setMode(FaultProxy::Mode::Pass);
             node->peerProxy.setMode(FaultProxy::Mode::Pass);
@@ -249,12 +307,7 @@
 void SoakRun::scheduleAction(milliseconds at, const std::string &what, std::function<void()> action)
 {
     m_schedule.push_back(std::to_string(at.count()) + " ms: " + what);
-    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, at));
-    m_timers.back()->async_wait([action = std::move(action)](std::error_code error) {
-        if (!error) {
-            action();
-        }
-    });
+    startTimer(at, std::move(action));
 }
 
 void SoakRun::scheduleInstanceFault(milliseconds at)
@@ -314,8 +367,12 @@
     const bool forAll = m_random.below(2) == 0;
     const std::size_t randomValue = m_random.below(m_nodes.size());
     if (m_random.below(4) == 0) {
-        scheduleAction(at, "the store responds with 503", [this] { m_store.setUnavailable(true); });
-        scheduleAction(at + time, "the store responds normally again", [this] { m_store.setUnavailable(false); });
+        const auto set = [this](bool refuses) {
+            m_storeRefuses = refuses;
+            updateStoreAvailability();
+        };
+        scheduleAction(at, "the store responds with 503", [set] { set(true); });
+        scheduleAction(at + time, "the store responds normally again", [set] { set(false); });
         return;
     }
     if (m_random.below(4) == 0) {
@@ -364,6 +421,75 @@
     scheduleAction(at + time, "peer messages to " + affected + " are forwarded again", [set] { set(FaultProxy::Mode::Pass); });
 }
 
+void SoakRun::scheduleStoreRestores()
+{
+    SeededRandom random(mix64(m_options.seed, storeRestoreStream));
+    // One return among the other faults, and one after them, when the bounds for planned changes can be checked.
+    scheduleStoreRestore(milliseconds(2000 + random.below(5000)), random);
+    m_lastFault = scheduleStoreRestore(m_options.faultDuration + milliseconds(random.below(1500)), random);
+}
+
+milliseconds SoakRun::scheduleStoreRestore(milliseconds at, RandomSource &random)
+{
+    const milliseconds returnsAt = at + milliseconds(1000 + random.below(1001));
+    // The first servers and the first configuration, which were written before the schedule, are in each copy.
+    const milliseconds age = std::min(milliseconds(2000 + random.below(7001)), returnsAt);
+    const milliseconds operatorDelay(random.below(operatorRewriteTime.count()));
+    const std::uint64_t randomValue = random.next();
+    scheduleAction(at, "the store is away", [this] {
+        m_storeAway = true;
+        updateStoreAvailability();
+    });
+    scheduleAction(returnsAt, "the store returns from a copy that is " + std::to_string(age.count()) + " ms old",
+        [this, age, operatorDelay, randomValue] { restoreStore(age, operatorDelay, randomValue); });
+    for (int change = 0; change < 2; ++change) {
+        scheduleAction(
+            returnsAt + milliseconds(random.below(3000)), "a route is added and another one dropped", [this] { writeConfiguration(); });
+    }
+    scheduleAction(returnsAt + milliseconds(random.below(1000)), "a server drains and stays",
+        [this, randomValue] { drainServerAfterRestore(randomValue); });
+    return returnsAt;
+}
+
+void SoakRun::restoreStore(milliseconds age, milliseconds operatorDelay, std::uint64_t randomValue)
+{
+    m_store.restore(age);
+    m_storeAway = false;
+    m_storeDisturbedAt = std::chrono::steady_clock::now();
+    updateStoreAvailability();
+    startTimer(operatorDelay, [this] {
+        const std::uint64_t revision = m_store.revision();
+        if (m_store.put("config", "main", m_configuration) != revision) {
+            m_acknowledgedAt[m_version] = std::chrono::steady_clock::now();
+        }
+    });
+    for (const auto &server : m_servers) {
+        randomValue = mix64(randomValue, server->address().address());
+        startTimer(milliseconds(randomValue % static_cast<std::uint64_t>(serverRewriteTime.count())), [this, server] {
+            if (!server->isRunning()) {
+                return;
+            }
+            const std::uint64_t revision = m_store.revision();
+            if (m_store.put("servers", server->id(), m_serverSpecs[server->id()]) != revision && !isReady(*server)) {
+                server->setDrainDeadline(std::chrono::steady_clock::now() + drainDuration + drainToleranceNow());
+            }
+        });
+        // Entries that were removed before the return expire again.
+        startTimer(heartbeatTimeout, [this, server] {
+            const bool running = std::any_of(m_servers.begin(), m_servers.end(),
+                [&server](const auto &other) { return other->id() == server->id() && other->isRunning(); });
+            if (!running) {
+                m_store.remove("servers", server->id());
+            }
+        });
+    }
+}
+
+void SoakRun::updateStoreAvailability()
+{
+    m_store.setUnavailable(m_storeRefuses || m_storeAway);
+}
+
 void SoakRun::scheduleServerFault(milliseconds at)
 {
     const std::uint64_t randomValue = m_random.next();
@@ -437,11 +563,108 @@
     });
 }
 
+void SoakRun::drainServerAfterRestore(std::uint64_t randomValue)
+{
+    constexpr int minReadyServers = 3; // of the service, so that others can take its flows
+    std::vector<std::shared_ptr<SoakServer>> candidates;
+    for (const auto &server : m_servers) {
+        const auto ready = std::count_if(m_servers.begin(), m_servers.end(),
+            [&](const auto &other) { return other->service() == server->service() && isReady(*other); });
+        if (isReady(*server) && ready >= minReadyServers) {
+            candidates.push_back(server);
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    const auto &server = candidates[randomValue % candidates.size()];
+    writeServer(server, m_serverSpecs[server->id()]["zone"], true);
+    server->setDrainDeadline(std::chrono::steady_clock::now() + drainDuration + drainToleranceNow());
+}
+
+bool SoakRun::isReady(const SoakServer &server) const
+{
+    return server.isRunning() && m_serverSpecs.at(server.id()).at("state") == "ready";
+}
+
+milliseconds SoakRun::drainToleranceNow() const
+{
+    return m_faultsEnded ? stabilityWindow : drainTolerance;
+}
+
+void SoakRun::startTimer(milliseconds delay, std::function<void()> action)
+{
+    m_timers.push_back(std::make_unique<asio::steady_timer>(m_context, delay));
+    m_timers.back()->async_wait([action = std::move(action)](std::error_code error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+void SoakRun::recordDisturbances(Time now)
+{
+    if (m_storeRefuses || m_storeAway) {
+        m_storeDisturbedAt = now;
+    }
+    for (const auto &node : m_nodes) {
+        if (node->isDisturbed()) {
+            node->disturbedAt = now;
+        }
+    }
+}
+
+asio::awaitable<void> SoakRun::checkConfiguration(Node &node)
+{
+    asio::steady_timer timer(m_context);
+    while (!m_finished) {
+        const std::uint64_t applied = m_checker.appliedVersion(node.processName());
+        co_await checkVersion(node, m_version);
+        if (applied != 0 && applied != m_version) {
+            co_await checkVersion(node, applied);
+        }
+        timer.expires_after(configurationCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> SoakRun::checkVersion(Node &node, std::uint64_t version)
+{
+    using Response = RouteProbe::Response;
+    const std::string process = node.processName();
+    const Endpoint permanentRoute = m_routes.back().address;
+    const Response before = co_await node.probe.open(node.data, permanentRoute);
+    const Time addedOpenedAt = std::chrono::steady_clock::now();
+    const Response added = co_await node.probe.open(node.data, markerRoute(addedRouteHost, version));
+    const Time addedSeenAt = std::chrono::steady_clock::now();
+    const Response dropped = co_await node.probe.open(node.data, markerRoute(droppedRouteHost, version));
+    const Response after = co_await node.probe.open(node.data, permanentRoute);
+    if (process != node.processName()) {
+        co_return;
+    }
+    const auto recordOlder = [&](Time openedAt) {
+        const Time calmAt = node.disturbedAt + stabilityWindow;
+        const Time dueAt = std::max({ m_acknowledgedAt[version] + configurationBound, calmAt, m_storeDisturbedAt + stabilityWindow });
+        m_checker.recordOlderVersion(process, version, openedAt, dueAt, openedAt > calmAt ? rollbackSlack : disturbedRollbackSlack);
+    };
+    if (added == Response::Accepted) {
+        m_checker.recordAppliedVersion(process, version, addedSeenAt);
+    }
+    // An instance also resets flows for which no server is left; then it refuses the permanent route of the same service too.
+    if (added == Response::Refused && before == Response::Accepted && after == Response::Accepted) {
+        recordOlder(addedOpenedAt);
+    }
+    if (dropped == Response::Accepted) {
+        recordOlder(addedSeenAt);
+    }
+}
+
 asio::awaitable<void> SoakRun::superviseInstances()
 {
     asio::steady_timer timer(m_context);
     while (!m_finished) {
         const Time now = std::chrono::steady_clock::now();
+        recordDisturbances(now);
         for (const auto &node : m_nodes) {
             if (const auto code = node->process.reap()) {
                 const bool killed = *code == 128 + SIGKILL;
@@ -459,6 +682,8 @@
             }
             if (!node->process.isRunning() && now >= node->restartAt) {
                 node->process.start();
+                ++node->starts;
+                node->disturbedAt = now;
             }
             asio::co_spawn(m_context, checkReadiness(*node), asio::detached);
         }
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -5,6 +5,7 @@
 #include "soak/faultproxy.h"
 #include "soak/instanceprocess.h"
 #include "soak/invariantchecker.h"
+#include "soak/routeprobe.h"
 #include "soak/soakclient.h"
 #include "soak/soakserver.h"
 #include "soak/storestandin.h"
@@ -12,6 +13,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +30,7 @@
     std::chrono::milliseconds faultDuration { 9000 }; /**< length of the phase in which faults begin */
     std::chrono::milliseconds recoveryTime { 6000 }; /**< time without faults after it; at its end, requests have to succeed again */
     bool peerLinks = false; /**< whether to inject faults into the links between instances too */
+    bool storeRestores = false; /**< whether the store also returns from older copies; adds some seconds to the run */
     std::string program; /**< path of samphirepitchd */
     std::string folder; /**< folder for settings and logs of the instances */
     std::uint32_t network = 0; /**< number of a /16 network from 127.64.0.0 on, 0 to 31; parallel runs need different ones */
@@ -57,6 +60,7 @@
     using Time = std::chrono::steady_clock::time_point;
 
     Endpoint address(std::uint32_t group, std::uint32_t number, std::uint16_t port) const;
+    Endpoint markerRoute(std::uint32_t host, std::uint64_t version) const;
     void createInstances();
     void writeSettings(const Node &node) const;
     void createServers();
@@ -70,13 +74,24 @@
     void scheduleStoreFault(std::chrono::milliseconds at);
     void schedulePeerFaults();
     void schedulePeerFault(std::chrono::milliseconds at, RandomSource &random);
+    void scheduleStoreRestores();
+    std::chrono::milliseconds scheduleStoreRestore(std::chrono::milliseconds at, RandomSource &random);
+    void restoreStore(std::chrono::milliseconds age, std::chrono::milliseconds operatorDelay, std::uint64_t randomValue);
+    void updateStoreAvailability();
     void scheduleServerFault(std::chrono::milliseconds at);
     void scheduleConfigChange(std::chrono::milliseconds at);
     void crashServer(std::uint64_t randomValue, bool sameId);
     void drainServer(std::uint64_t randomValue);
+    void drainServerAfterRestore(std::uint64_t randomValue);
+    bool isReady(const SoakServer &server) const;
+    void startTimer(std::chrono::milliseconds delay, std::function<void()> action);
+    std::chrono::milliseconds drainToleranceNow() const;
     std::shared_ptr<SoakServer> pickRunningServer(std::uint64_t randomValue) const;
     asio::awaitable<void> superviseInstances();
     asio::awaitable<void> checkReadiness(Node &node);
+    void recordDisturbances(Time now);
+    asio::awaitable<void> checkConfiguration(Node &node);
+    asio::awaitable<void> checkVersion(Node &node, std::uint64_t version);
     void checkRecovery();
     void runFor(std::chrono::milliseconds time);
 
@@ -92,9 +107,17 @@
     std::vector<SoakRoute> m_routes;
     std::vector<std::string> m_schedule;
     std::vector<std::unique_ptr<asio::steady_timer>> m_timers;
+    std::map<std::string, nlohmann::json> m_serverSpecs; // by id: what each server wrote last
+    nlohmann::json m_configuration; // what the operator wrote last
+    std::map<std::uint64_t, Time> m_acknowledgedAt; // by version of the configuration
+    std::chrono::milliseconds m_lastFault {}; // end of the last scheduled fault
+    Time m_storeDisturbedAt {}; // last time at which the store was seen refusing or away
     std::uint64_t m_version = 1;
     std::uint64_t m_nextServer = 1;
     std::uint32_t m_extraRoutes = 0;
+    bool m_storeRefuses = false;
+    bool m_storeAway = false;
+    bool m_faultsEnded = false; // of the schedule without restores
     bool m_finished = false;
 };
 
