Count the view in a fetched state from the request, not the arrival

A state that an instance fetches may take up to 3 s to arrive on a slow link, and its view counted as of the arrival. Entries of servers that had come back during the transfer then counted as missing for the grace period, and open flows of servers that serve were reset.

The view now counts from the request, before which the state can't have been encoded. The test of messages that waited now uses the same fixture.

--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -395,7 +395,8 @@
         m_events.record(EventSeverity::Warning, "peer_pull_failed", { { "peer", peer.toString() }, { "error", state.error().describe() } });
         co_return;
     }
-    const std::chrono::nanoseconds delay = m_clock.now() - m_router.earliestArrival(requestedAt);
+    // The ages refer to the time at which the state was encoded, which may be shortly after the request. The transfer may take seconds.
+    const std::chrono::nanoseconds delay = m_clock.now() - requestedAt;
     state->view.serversConfirmedAt -= delay;
     state->view.configurationConfirmedAt -= delay;
     merge(state->sender);
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -1,3 +1,4 @@
+#include "peer/framecodec.h"
 #include "stream/peersynchronizer.h"
 #include "stream/routerfixture.h"
 
@@ -7,6 +8,7 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <deque>
 #include <functional>
 
@@ -87,6 +89,87 @@
     std::deque<Node> nodes;
 };
 
+/** One instance by a clock that the test advances, and a peer whose messages the test sends. */
+class ControlledFixture
+{
+public:
+    /** Gives the instance a configuration and the list of servers at revision 10. */
+    void makeReady()
+    {
+        node.router.applyConfiguration(RouterFixture::configuration(4));
+        node.router.confirmConfiguration({ 0, 4 }, clock.now());
+        node.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
+        advance(milliseconds(10));
+        context.run_for(milliseconds(5)); // the instance waits for messages
+    }
+
+    /** Advances the clock in steps in which the instance runs. */
+    void advance(milliseconds time)
+    {
+        for (const TimePoint end = clock.now() + time; clock.now() < end;) {
+            clock.advance(std::min<std::chrono::nanoseconds>(milliseconds(100), end - clock.now()));
+            node.router.tick();
+        }
+    }
+
+    /** Returns a view of the configuration of makeReady() and of the servers at a revision. */
+    static ViewStatus viewAt(std::uint64_t serversRevision, TimePoint confirmedAt)
+    {
+        const StreamConfiguration configuration = RouterFixture::configuration(4);
+        ViewStatus view;
+        view.serversPosition = { 0, serversRevision };
+        view.configurationVersion = configuration.version;
+        view.configurationPosition = configuration.position;
+        view.configurationCheckedPosition = configuration.position;
+        view.serversConfirmedAt = confirmedAt;
+        view.configurationConfirmedAt = confirmedAt;
+        return view;
+    }
+
+    /** Returns an id that ranks before the instance, or after it. */
+    std::string idRankedFirst(bool first, const std::string &prefix = "entry-") const
+    {
+        for (int number = 100;; ++number) {
+            PeerDirectory directory(node.synchronizer->directory().self());
+            directory.merge({ .id = prefix + std::to_string(number), .address = peer.address, .startedAt = 1 }, clock.now());
+            if (directory.isReader(clock.now()) != first) {
+                return prefix + std::to_string(number);
+            }
+        }
+    }
+
+    void sendFrom(PeerRecord &sender, GossipMessage message)
+    {
+        ++sender.heartbeat;
+        message.deployment = "dewnet";
+        message.sender = sender;
+        const Endpoint to = Node::addressOf(0);
+        const std::string bytes = GossipCodec::encode(message, clock.now());
+        m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(to.address()), to.port() });
+    }
+
+    /** Runs the instance until @p done returns true or the time limit has passed. @return whether @p done returned true */
+    bool runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint limit = m_systemClock.now() + waitLimit;
+        bool isDone = done();
+        while (!isDone && m_systemClock.now() < limit) {
+            context.run_one_for(milliseconds(5));
+            isDone = done();
+        }
+        return isDone;
+    }
+
+    asio::io_context context;
+    ManualClock clock;
+    Node node { context, clock, 0, {}, "dewnet" };
+    PeerRecord peer { .id = "entry-9", .failureDomain = "a", .address = Node::addressOf(9), .startedAt = 1 };
+
+private:
+    SteadyClock m_systemClock;
+    asio::ip::udp::socket m_socket { context, asio::ip::udp::v4() };
+};
+
 ServerUpdate listed(StreamServer server, std::uint64_t revision)
 {
     server.position = { 0, revision };
@@ -170,39 +253,47 @@
     CHECK(receiver.router.directory().listed("pond").size() == 3);
 }
 
-TEST_CASE("messages that waited while the process was stopped don't confirm a view at the time of reading", "[stream][peersynchronizer]")
+TEST_CASE_METHOD(ControlledFixture, "messages that waited while the process was stopped don't confirm a view at the time of reading",
+    "[stream][peersynchronizer]")
 {
     // Guards against resets of open flows: after a stop, removed entries of servers that had come back meanwhile counted as confirmed.
-    asio::io_context context;
-    ManualClock clock;
-    Node node(context, clock, 0, {}, "dewnet");
-    node.router.applyConfiguration(RouterFixture::configuration(4));
-    node.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
-    node.router.tick();
-    for (int step = 0; step < 10; ++step) {
-        context.poll(); // the node waits for messages
-    }
-    clock.advance(milliseconds(100));
-    node.router.tick();
+    makeReady();
+    advance(milliseconds(100));
     const TimePoint stoppedAt = clock.now();
-    asio::ip::udp::socket peer(context, asio::ip::udp::v4());
-    const Endpoint address = Node::addressOf(0);
-    for (std::uint64_t heartbeat = 1; heartbeat <= 3; ++heartbeat) {
-        GossipMessage message { .deployment = "dewnet",
-            .sender = { .id = "entry-9", .failureDomain = "a", .address = Node::addressOf(9), .startedAt = 1, .heartbeat = heartbeat } };
-        message.view = { .serversPosition = { 0, 10 }, .serversConfirmedAt = stoppedAt };
-        const std::string bytes = GossipCodec::encode(message, stoppedAt);
-        peer.send_to(asio::buffer(bytes), { asio::ip::address_v4(address.address()), address.port() });
+    for (int count = 0; count < 3; ++count) {
+        sendFrom(peer, { .view = viewAt(10, stoppedAt) });
     }
     clock.advance(std::chrono::seconds(4));
-    for (int step = 0; step < 1000 && node.synchronizer->directory().aliveCount(clock.now()) < 2; ++step) {
-        context.run_one_for(milliseconds(5));
-    }
+    runUntil([this] { return node.synchronizer->directory().aliveCount(clock.now()) == 2; });
     node.router.tick();
+    context.run_for(milliseconds(20));
+    CHECK(node.router.viewStatus().serversConfirmedAt <= stoppedAt);
+}
+
+TEST_CASE_METHOD(
+    ControlledFixture, "a state that took seconds to arrive doesn't confirm a view at the time of arrival", "[stream][peersynchronizer]")
+{
+    // Guards against resets of open flows: an entry that had come back during the transfer counted as missing all that time.
+    makeReady();
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4(peer.address.address()), peer.address.port() });
+    acceptor.non_blocking(true);
+    asio::ip::tcp::socket connection(context);
+    const TimePoint requestedAt = clock.now();
+    sendFrom(peer, { .view = viewAt(12, requestedAt) });
+    REQUIRE(runUntil([&] {
+        std::error_code error;
+        acceptor.accept(connection, error);
+        return !error;
+    }));
+    PeerState state { .deployment = "dewnet", .sender = peer, .view = viewAt(12, requestedAt) };
+    state.changes = { listed(RouterFixture::server(1), 12) };
+    const std::string frame = FrameCodec::encode(GossipCodec::encode(state, requestedAt)).value();
     for (int step = 0; step < 20; ++step) {
-        context.poll();
+        advance(milliseconds(100));
     }
-    CHECK(node.router.viewStatus().serversConfirmedAt <= stoppedAt);
+    asio::write(connection, asio::buffer(frame));
+    REQUIRE(runUntil([this] { return node.router.viewStatus().serversPosition.revision() == 12; }));
+    CHECK(node.router.viewStatus().serversConfirmedAt <= requestedAt);
 }
 
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
