Keep the reader while messages of others show that it reads

An instance that lacks the newest state confirms neither of its views, and took its own slow transfer for the silence of the reader.

The ages in messages of other instances show that somebody reads the store even if this instance lacks the state that they name. Found by the review; the test failed before with 4 readers passed over instead of 0, and a second section holds that a reader which stops reading is still replaced.

--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -186,6 +186,7 @@
 {
     const ViewStatus mine = m_router.viewStatus();
     const ViewStatus &theirs = message.view;
+    m_peerConfirmedAt = std::max(m_peerConfirmedAt, std::min(theirs.serversConfirmedAt, theirs.configurationConfirmedAt));
     // Changes continue a view only within an era, and a view from before the store's return from an older copy confirms nothing.
     const bool isSameEra = theirs.serversPosition.era() == mine.serversPosition.era();
     bool complete = true;
@@ -303,7 +304,8 @@
         m_events.record(EventSeverity::Info, isReader ? "reading_begun" : "reading_ended",
             { { "reader", reader }, { "peers", std::to_string(m_directory.aliveCount(now) - 1) } });
     }
-    const TimePoint lastConfirmed = std::min(view.serversConfirmedAt, view.configurationConfirmedAt);
+    // While this instance fetches a state, messages of others still show that somebody reads the store.
+    const TimePoint lastConfirmed = std::max(m_peerConfirmedAt, std::min(view.serversConfirmedAt, view.configurationConfirmedAt));
     if (!isReader && lastConfirmed != TimePoint() && now > lastConfirmed + readerTimeout && now >= m_nextReaderCheck) {
         m_nextReaderCheck = now + readerTakeoverTime;
         m_events.record(EventSeverity::Warning, "reader_passed_over",
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -124,6 +124,7 @@
     TimePoint m_seedPullDeadline {}; // until then, running pulls from seeds delay reads of the store
     TimePoint m_nextGossip {};
     TimePoint m_lastPush {};
+    TimePoint m_peerConfirmedAt {}; // when the view of any other instance was last complete, according to its messages
     TimePoint m_nextReaderCheck {};
     bool m_wasReader = false;
     std::uint64_t m_messagesSent = 0;
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -296,6 +296,37 @@
     CHECK(node.router.viewStatus().serversConfirmedAt <= requestedAt);
 }
 
+TEST_CASE_METHOD(ControlledFixture, "an instance that waits for a state keeps the reader while messages show that it reads",
+    "[stream][peersynchronizer]")
+{
+    // Guards against instances that all become readers while a large configuration spreads over slow links.
+    makeReady();
+    peer.id = idRankedFirst(true);
+    const TimePoint begun = clock.now();
+    bool isReading = true;
+    const auto run = [&] {
+        for (int step = 0; step < 8; ++step) {
+            GossipMessage message { .view = viewAt(10, isReading ? clock.now() : begun) };
+            message.view.configurationVersion = 99; // this instance can't fetch it
+            message.view.configurationPosition = { 0, 50 };
+            sendFrom(peer, message);
+            context.run_for(milliseconds(60)); // at least one check of the reader
+            advance(milliseconds(400));
+        }
+    };
+    SECTION("the reader reads")
+    {
+        run();
+        CHECK(node.events.count("reader_passed_over") == 0);
+    }
+    SECTION("the reader sends messages but no longer reads")
+    {
+        isReading = false;
+        run();
+        CHECK(node.events.count("reader_passed_over") > 0);
+    }
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
 {
     Node &first = add({});
