Pass on changes of servers while a configuration is being fetched

A drain or the return of an entry reached the instances below one that lacked the configuration only by gossip and a fetch of their own, which may take seconds. That instance had applied the change but did not forward it, since its view was incomplete.

It now starts the fetch and forwards what it applied. Found by the review; the test failed before: no message had the change.

--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -168,7 +168,6 @@
     }
     if (!applyView(message)) {
         startPull(message.sender.address);
-        return;
     }
     const ViewStatus after = m_router.viewStatus();
     if (!message.pushed) {
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -327,6 +327,33 @@
     }
 }
 
+TEST_CASE_METHOD(
+    ControlledFixture, "changes of servers are passed on by an instance that lacks the configuration", "[stream][peersynchronizer]")
+{
+    // Guards against drains that reach instances late because one between them and the reader waits for a large configuration.
+    makeReady();
+    peer.id = idRankedFirst(false);
+    PeerRecord child { .id = idRankedFirst(false, "child-"), .failureDomain = "a", .address = Node::addressOf(8), .startedAt = 1 };
+    asio::ip::udp::socket socket(context, { asio::ip::address_v4(child.address.address()), child.address.port() });
+    socket.non_blocking(true);
+    GossipMessage message { .view = viewAt(11, clock.now()) };
+    message.view.configurationVersion = 99;
+    message.view.configurationPosition = { 0, 50 };
+    message.pushed = true;
+    message.baseRevision = 10;
+    message.changes = { listed(RouterFixture::server(2), 11) };
+    message.records = { child };
+    sendFrom(peer, message);
+    const bool passedOn = runUntil([&] {
+        std::array<char, 2048> buffer {};
+        std::error_code error;
+        const std::size_t size = socket.receive(asio::buffer(buffer), 0, error);
+        const Result<GossipMessage> received = GossipCodec::decodeMessage({ buffer.data(), error ? 0 : size }, clock.now());
+        return received && received->changes.size() == 1;
+    });
+    CHECK(passedOn);
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
 {
     Node &first = add({});
