Treat stalls of the process in a row as one

A message that had arrived during the first of two stalls and was processed after the second counted from the start of the second, and could confirm an old view as newer than it was. A starved instance has such pairs of stalls.

Stalls with less than the threshold between them count from the start of the first.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -533,7 +533,9 @@
 {
     const TimePoint now = m_clock.now();
     if (m_lastTick != TimePoint() && now > m_lastTick + stallThreshold) {
-        m_stallStart = m_lastTick;
+        // Between two stalls in a row there may have been no time to process everything that had arrived.
+        const bool continues = m_stallEnd != TimePoint() && m_lastTick < m_stallEnd + stallThreshold;
+        m_stallStart = continues ? m_stallStart : m_lastTick;
         m_stallEnd = now;
         m_events.record(EventSeverity::Warning, "process_stalled",
             { { "stalled_ms",
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -352,6 +352,22 @@
     CHECK(resets == 1);
 }
 
+TEST_CASE_METHOD(RouterFixture, "what arrived between two stalls may have waited since the first one", "[stream][router]")
+{
+    // Guards against old messages that count as new: after the first stall there was no time to process them.
+    router.tick();
+    const TimePoint start = clock.now();
+    advanceClock(milliseconds(2000));
+    router.tick();
+    CHECK(router.earliestArrival(start) == start);
+    advanceClock(milliseconds(2000));
+    router.tick();
+    CHECK(router.earliestArrival(start) == start);
+    advanceClock(milliseconds(25));
+    router.tick();
+    CHECK(router.earliestArrival(clock.now() - milliseconds(10)) == clock.now());
+}
+
 TEST_CASE_METHOD(RouterFixture, "a draining server is not probed", "[stream][router]")
 {
     StreamServer draining = server(1);
