Probe a lost server as soon as the comparison allows

Requests of flows on a server that was lost without a word waited 0.8 s longer for a reset than before. The first probe follows an overdue response and is not compared with another server's, and after the second timeout the next probe came only 700 ms later. With all probe slots taken, or no trusted server left in the service, no probe was compared at all.

The short delay now holds until the timeouts that count decide, for three timeouts at most. One slot is kept for the other server's probe, which may belong to any service. Found by the review; the tests failed before ("1 == 2" probes, unreachable instead of silent, and no trusted server among the probes). The test of repeated probes states the third probe after 50 ms and the fourth after 700 ms; before it was the second and the third.

--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -121,7 +121,8 @@
     if (result == ConnectResult::Accepted) {
         state.nextProbe = now + minProbeInterval;
     } else {
-        state.nextProbe = now + (state.consecutiveTimeouts == 1 ? secondProbeDelay : failedProbeInterval);
+        const bool mayDecide = state.comparedTimeouts < timeoutsUntilSilent && state.consecutiveTimeouts <= timeoutsUntilSilent;
+        state.nextProbe = now + (mayDecide ? secondProbeDelay : failedProbeInterval);
     }
     return status(token, now) != before;
 }
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -51,9 +51,9 @@
     static constexpr std::chrono::milliseconds suspicionTime { 1200 };
     /** Shortest time between two probes of one server: a tenth of the time that a client waits for a flow to open. */
     static constexpr std::chrono::milliseconds minProbeInterval { 150 };
-    /** Time between probes of a server that is gone, or after the second timeout in a row. */
+    /** Time between probes of a server that is gone or silent, or after the third timeout in a row. */
     static constexpr std::chrono::milliseconds failedProbeInterval { 700 };
-    /** Time from the first probe that timed out to the next one, which decides whether the server is silent. */
+    /** Time from a probe that timed out to the next one, as long as that may decide whether the server is silent. */
     static constexpr std::chrono::milliseconds secondProbeDelay { 50 };
     /**
      * Probe timeouts without a response in between that make a server silent, if also a client retransmits or its end was reported. A
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -382,7 +382,8 @@
 std::vector<ProbeTarget> StreamRouter::takeDueProbes(std::size_t maxCount)
 {
     std::vector<ProbeTarget> targets;
-    for (const std::uint32_t token : m_failureDetector.takeDueProbes(m_clock.now(), maxCount)) {
+    const std::size_t maxDue = std::max<std::size_t>(maxCount, 1) - (maxCount > 1 ? 1 : 0); // leaves room for the other server's probe
+    for (const std::uint32_t token : m_failureDetector.takeDueProbes(m_clock.now(), std::min(maxCount, maxDue))) {
         const DirectoryRecord *const record = m_directory.findToken(token);
         if (record == nullptr || record->token != token) {
             continue;
@@ -408,7 +409,8 @@
 const DirectoryRecord *StreamRouter::findReferenceServer(const ProbeTarget &suspected)
 {
     const std::string &service = m_directory.findToken(suspected.token)->server.service;
-    for (const auto *const servers : { &m_directory.listedIn(m_failureDomain, service), &m_directory.listed(service) }) {
+    const std::vector<const DirectoryRecord *> all = m_directory.all();
+    for (const auto *const servers : { &m_directory.listedIn(m_failureDomain, service), &m_directory.listed(service), &all }) {
         const std::size_t first = servers->empty() ? 0 : m_random.below(servers->size());
         for (std::size_t index = 0; index < std::min(servers->size(), maxReferenceChecks); ++index) {
             const DirectoryRecord *const record = (*servers)[(first + index) % servers->size()];
--- a/tests/stream/serverfailuredetectortests.cpp
+++ b/tests/stream/serverfailuredetectortests.cpp
@@ -211,13 +211,39 @@
     CHECK(detector.takeDueProbes(start + milliseconds(169)).empty());
     CHECK(detector.takeDueProbes(start + milliseconds(170)).size() == 1);
     detector.recordProbeResult(server, ConnectResult::Unanswered, start + milliseconds(290), start + milliseconds(290));
-    CHECK(detector.takeDueProbes(start + milliseconds(900)).empty());
-    CHECK(detector.takeDueProbes(start + milliseconds(1000)).size() == 1);
+    CHECK(detector.takeDueProbes(start + milliseconds(339)).empty());
+    CHECK(detector.takeDueProbes(start + milliseconds(340)).size() == 1);
+    detector.recordProbeResult(server, ConnectResult::Unanswered, start + milliseconds(460), start + milliseconds(460));
+    CHECK(detector.takeDueProbes(start + milliseconds(1159)).empty());
+    CHECK(detector.takeDueProbes(start + milliseconds(1160)).size() == 1);
     detector.recordProbeResult(server, ConnectResult::Accepted, start + milliseconds(1400), start + milliseconds(1400));
     CHECK(detector.status(server, start + milliseconds(1400)) == ServerStatus::Trusted);
     CHECK(detector.takeDueProbes(start + milliseconds(3000)).empty());
 }
 
+TEST_CASE("a timeout that can't be compared doesn't delay the probes that decide about silence", "[stream][failuredetector]")
+{
+    // Guards against requests that wait for a lost server: the first probe follows an overdue response, before any client repeats a packet.
+    ServerFailureDetector detector;
+    detector.requestProbe(server);
+    REQUIRE(detector.takeDueProbes(start) == std::vector<std::uint32_t> { server });
+    detector.recordProbeResult(server, ConnectResult::Unanswered, start, start + milliseconds(120));
+    detector.recordRetransmission(server, start + milliseconds(150));
+    int probes = 0;
+    for (int time = 151; time < 700 && detector.status(server, start + milliseconds(time)) != ServerStatus::Silent; ++time) {
+        const TimePoint probeStart = start + milliseconds(time);
+        if (detector.takeDueProbes(probeStart).empty()) {
+            continue;
+        }
+        ++probes;
+        time += 120;
+        detector.recordProbeResult(otherServer, ConnectResult::Accepted, probeStart, probeStart + milliseconds(1));
+        detector.recordProbeResult(server, ConnectResult::Unanswered, probeStart, start + milliseconds(time));
+    }
+    CHECK(probes == 2);
+    CHECK(detector.status(server, start + milliseconds(700)) == ServerStatus::Silent);
+}
+
 TEST_CASE("a new incarnation starts without the status record of the earlier one", "[stream][failuredetector]")
 {
     ServerFailureDetector detector;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -352,6 +352,28 @@
     CHECK(resets == 1);
 }
 
+TEST_CASE_METHOD(RouterFixture, "a trusted server is probed however many servers are suspected", "[stream][router]")
+{
+    // Guards against servers that never turn silent: after the loss of a failure domain more probes are due than may run at once.
+    std::vector<StreamServer> servers;
+    for (std::uint64_t number = 1; number <= 21; ++number) {
+        servers.push_back(server(number));
+    }
+    servers.back().service = "tile"; // the only trusted server belongs to another service
+    makeReady(servers);
+    const auto sendToAll = [&] {
+        for (std::uint16_t index = 0; index < 20; ++index) {
+            send(ServerDirectory::tokenOf(servers[index]), 101, 900, 55, Endpoint(0x64400008, index));
+        }
+    };
+    sendToAll();
+    advanceClock(milliseconds(200));
+    sendToAll();
+    const std::vector<ProbeTarget> targets = router.takeDueProbes(8);
+    REQUIRE(targets.size() == 8);
+    CHECK(targets.back().id == "i-15");
+}
+
 TEST_CASE_METHOD(RouterFixture, "what arrived between two stalls may have waited since the first one", "[stream][router]")
 {
     // Guards against old messages that count as new: after the first stall there was no time to process them.
