Ignore the handler of a socket deadline that was extended

Instances logged failed pulls with "Operation aborted" for transfers that made progress, and fetched the same state again.

If the process was stalled, data of a transfer and its deadline are handled in the same pass of the event loop. The data extended the deadline, but the handler of the expired wait was queued already and can't be cancelled any more, so it closed the socket.

Each deadline now has a generation, and a handler does nothing if a later deadline was set. A transfer whose total time has passed doesn't extend its deadline, so that the handler of the last one still closes the socket while data keep arriving.

The new test queues the extension between the expiry and the handler without any wait. It failed before: "CHECK( socket.is_open() )" with "false".

--- a/src/objectstore/internal/socketdeadline.cpp
+++ b/src/objectstore/internal/socketdeadline.cpp
@@ -20,9 +20,10 @@
 
 void SocketDeadline::arm(std::chrono::nanoseconds remaining)
 {
-    m_timer.expires_after(remaining); // cancels the previous wait
-    m_timer.async_wait([state = m_state](const std::error_code &error) {
-        if (error || state->socket == nullptr) {
+    const std::uint64_t generation = ++m_state->generation;
+    m_timer.expires_after(remaining); // cancels the previous wait unless it has already expired
+    m_timer.async_wait([state = m_state, generation](const std::error_code &error) {
+        if (error || state->socket == nullptr || state->generation != generation) {
             return;
         }
         state->expired = true;
--- a/src/objectstore/internal/socketdeadline.h
+++ b/src/objectstore/internal/socketdeadline.h
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 
 namespace Samphirepitch
@@ -32,6 +33,7 @@
     struct State {
         asio::ip::tcp::socket *socket = nullptr;
         bool expired = false;
+        std::uint64_t generation = 0; // of the deadline in force; a handler that was queued for a replaced one does nothing
     };
 
     void arm(std::chrono::nanoseconds remaining);
--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -68,7 +68,10 @@
 
     void recordProgress()
     {
-        m_limit.extend(std::min<std::chrono::nanoseconds>(progressTimeout, m_end - m_clock.now()));
+        const std::chrono::nanoseconds remaining = m_end - m_clock.now();
+        if (remaining.count() > 0) { // a deadline that has passed must not be replaced, which would discard its handler
+            m_limit.extend(std::min<std::chrono::nanoseconds>(progressTimeout, remaining));
+        }
     }
 
 private:
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -6,6 +6,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -143,6 +144,20 @@
     CHECK(fetchAs("dewnet", servingAddress));
 }
 
+TEST_CASE("a deadline that is extended after it expired and before its handler ran keeps the socket open", "[stream][peerstatetransfer]")
+{
+    // Guards against the abort of a transfer whose data and deadline are handled together, for example after a stall of the process.
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context, asio::ip::tcp::v4());
+    SocketDeadline deadline(socket, milliseconds(0));
+    asio::post(context, [&deadline] { deadline.extend(std::chrono::hours(1)); });
+    for (int step = 0; step < 10; ++step) {
+        context.poll();
+    }
+    CHECK_FALSE(deadline.expired());
+    CHECK(socket.is_open());
+}
+
 TEST_CASE("a socket whose deadline is extended stays open", "[stream][peerstatetransfer]")
 {
     // A transfer that makes progress over a slow link must not be aborted.
