Let others fetch a large state while a slow peer still receives it

A configuration reached other instances up to 3 s late if one of them read it slowly: the sender refused the others as RateLimited until the slow transfer had ended.

One large state was sent at a time, without a limit for the time that a transfer holds this right. A peer that reads 16 KB every 400 ms kept it for the whole transfer time.

The slot now has a deadline of 500 ms, after which the next transfer may start while the first one goes on. The end of a transfer frees the slot only if no other transfer has taken it since: two transfers never store the same deadline.

The new test reads a state slowly and fetches it from the same instance. It failed before, since the fetch succeeded only after the slow reader had everything: "528938 (0x8122a) < 528938 (0x8122a)".

--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -33,8 +33,8 @@
 // Bounds the time for which a peer that reads or writes slowly holds a connection. A configuration must be in force after 3 s.
 constexpr milliseconds transferTimeout { 3000 };
 
-// A state above smallStateSize is sent to one peer at a time. Several at once would delay the packets of clients on a slow link by as many
-// times the transfer time, and would all arrive late.
+// A state above smallStateSize is sent to one peer at a time, unless that one is slow. Several at once would delay the packets of clients
+// on a slow link by as many times the transfer time, and would all arrive late.
 constexpr std::size_t smallStateSize = 16 * 1024; // bytes
 constexpr milliseconds sendCheckInterval { 5 };
 
@@ -42,6 +42,9 @@
 // then.
 constexpr milliseconds sendQueueTimeout { 300 };
 
+// Time for which a large state keeps others waiting. A peer that reads slowly would otherwise delay a configuration for all others.
+constexpr milliseconds sendSlotTimeout { 500 };
+
 // Delay after a failed accept. File descriptors become free as connections end, which takes at most the transfer timeout.
 constexpr milliseconds acceptRetryDelay { 50 };
 
@@ -181,7 +184,7 @@
 asio::awaitable<void> PeerStateTransfer::sendState(tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline)
 {
     Result<std::string> response = encodeStateFor(request);
-    if (response && response->size() > smallStateSize && m_isSendingLargeState) {
+    if (response && response->size() > smallStateSize && !isSendSlotFree()) {
         response->clear(); // many requests may wait at once
         const bool isFree = co_await awaitSendSlot();
         if (!isFree) {
@@ -196,10 +199,15 @@
         co_return;
     }
     const bool isLarge = response->size() > smallStateSize;
-    m_isSendingLargeState = m_isSendingLargeState || isLarge;
+    const TimePoint slotDeadline = m_clock.now() + sendSlotTimeout;
+    if (isLarge) {
+        m_sendSlotDeadline = slotDeadline;
+    }
     deadline.recordProgress();
     const std::error_code error = co_await writeParts(socket, *response, deadline);
-    m_isSendingLargeState = m_isSendingLargeState && !isLarge;
+    if (isLarge && m_sendSlotDeadline == slotDeadline) { // otherwise another transfer has the slot
+        m_sendSlotDeadline = TimePoint();
+    }
     if (error) {
         m_source.reportFailure("peer_state_unsent", request.sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
     }
@@ -214,11 +222,16 @@
 {
     const TimePoint queueDeadline = m_clock.now() + sendQueueTimeout;
     asio::steady_timer timer(m_executor);
-    while (m_isSendingLargeState && m_clock.now() < queueDeadline) {
+    while (!isSendSlotFree() && m_clock.now() < queueDeadline) {
         timer.expires_after(sendCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    co_return !m_isSendingLargeState;
+    co_return isSendSlotFree();
+}
+
+bool PeerStateTransfer::isSendSlotFree() const
+{
+    return m_clock.now() >= m_sendSlotDeadline;
 }
 
 Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes, TimePoint arrivedAt) const
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -35,7 +35,8 @@
 
 /**
  * Transfers states between instances over TCP. Each connection carries one request and one response. Large states are sent one at a time:
- * if many instances request one at once, each gets it in a short time, and the next ones can get it from those.
+ * if many instances request one at once, each gets it in a short time, and the next ones can get it from those. A transfer that takes long
+ * no longer keeps others waiting after a short time.
  */
 class PeerStateTransfer
 {
@@ -75,6 +76,7 @@
     asio::awaitable<void> sendState(asio::ip::tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline);
     Result<std::string> encodeStateFor(const GossipMessage &request);
     asio::awaitable<bool> awaitSendSlot();
+    bool isSendSlotFree() const;
 
     asio::any_io_executor m_executor;
     const Clock &m_clock;
@@ -82,7 +84,7 @@
     PeerStateSource &m_source;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_activeConnections = 0; // accepted connections that are still open
-    bool m_isSendingLargeState = false;
+    TimePoint m_sendSlotDeadline {}; // until then, a large state is being sent and others wait
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -10,6 +10,10 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <functional>
+
 using namespace Samphirepitch;
 
 using std::chrono::milliseconds;
@@ -74,6 +78,9 @@
         const TimePoint limit = clock.now() + waitLimit;
         while (!condition() && clock.now() < limit) {
             context.run_one_for(milliseconds(5));
+            if (onStep) {
+                onStep();
+            }
         }
     }
 
@@ -81,6 +88,7 @@
     asio::io_context context;
     FixedSource source;
     FixedSource ignored;
+    std::function<void()> onStep; // called repeatedly while the context runs; may be empty
     PeerStateTransfer transfer { context.get_executor(), clock, "dewnet", source };
 };
 
@@ -144,6 +152,35 @@
     CHECK(fetchAs("dewnet", servingAddress));
 }
 
+TEST_CASE_METHOD(
+    TransferFixture, "a slow reader of a large state doesn't hold up others until its transfer ends", "[stream][peerstatetransfer]")
+{
+    // Guards against a configuration that reaches the other instances late, because one of them reads it over a slow link.
+    source.routeCount = 20000;
+    asio::ip::tcp::socket slow(context, asio::ip::tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(4096));
+    slow.connect({ asio::ip::address_v4(servingAddress.address()), servingAddress.port() });
+    const std::string request
+        = FrameCodec::encode(GossipCodec::encode(GossipMessage { .deployment = "dewnet", .sender = { .id = "entry-3" } }, clock.now()))
+              .value();
+    asio::write(slow, asio::buffer(request));
+    slow.non_blocking(true);
+    std::array<char, 1024> part {};
+    std::size_t received = 0;
+    onStep = [&] {
+        std::error_code ignoredError;
+        received += slow.read_some(asio::buffer(part), ignoredError);
+    };
+    runUntil([&] { return received > 0; });
+    bool isFetched = false;
+    for (int attempt = 0; attempt < 20 && !isFetched; ++attempt) {
+        isFetched = fetchAs("dewnet", servingAddress).has_value();
+    }
+    CHECK(isFetched);
+    CHECK(std::count(source.failures.begin(), source.failures.end(), "peer_state_unsent input_output") == 0);
+    CHECK(received < FrameCodec::encode(GossipCodec::encode(source.stateFor({}), clock.now())).value().size());
+}
+
 TEST_CASE("a deadline that is extended after it expired and before its handler ran keeps the socket open", "[stream][peerstatetransfer]")
 {
     // Guards against the abort of a transfer whose data and deadline are handled together, for example after a stall of the process.
