Pull from another instance while a slow pull is running

A configuration took effect up to 3 s late at an instance whose pull was answered slowly. A starting instance requested the same state from every instance whose message arrived while its seeds had not answered.

An instance ignored all newer peers while a pull was running, without a limit for its time. While pulls from seeds were pending, there was no limit for the number of pulls.

A pull now keeps others from starting for 600 ms. While pulls from seeds are pending, at most one more pull than there are seeds runs at once. There is still at most one pull from each peer.

The two new tests failed before: the other peer's state came only after the slow pull had failed ("1 == 0" for peer_pull_failed), and the number of pulls of a starting instance was not the expected 2.

--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -47,6 +47,9 @@
 constexpr milliseconds startupDelayPerRank { 10 };
 constexpr milliseconds maxStartupDelay { 2000 };
 
+// Time for which a running pull keeps others from starting. A peer that sends slowly would otherwise delay a configuration.
+constexpr milliseconds exclusivePullTime { 600 };
+
 constexpr std::size_t maxDatagramSize = 2048; // bytes; larger than any message
 
 } // namespace
@@ -370,11 +373,12 @@
 void PeerSynchronizer::startPull(Endpoint peer)
 {
     // Several pulls at once would fetch the same state. While one is running, other messages of newer instances keep arriving.
+    // A starting instance pulls from all its seeds, of which some may not run, and from one other instance.
+    const TimePoint now = m_clock.now();
     const bool isStarting = m_pendingSeedPulls > 0;
-    if (!isStarting && !m_activePulls.empty()) {
-        return;
-    }
-    if (m_activePulls.insert(peer).second) {
+    const bool mustWait = isStarting ? m_activePulls.size() > m_network.seeds.size() : !m_activePulls.empty() && now < m_nextPull;
+    if (!mustWait && m_activePulls.insert(peer).second) {
+        m_nextPull = now + exclusivePullTime;
         asio::co_spawn(m_executor, pull(peer), asio::detached);
     }
 }
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -120,6 +120,7 @@
     asio::ip::udp::socket m_socket;
     PeerStateTransfer m_stateTransfer;
     std::set<Endpoint> m_activePulls; // peers from which a pull is running
+    TimePoint m_nextPull {}; // from then on, a pull may start although another one is running
     std::size_t m_pendingSeedPulls = 0; // number of pulls from seeds that have not finished
     TimePoint m_seedPullDeadline {}; // until then, running pulls from seeds delay reads of the store
     TimePoint m_nextGossip {};
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -1,3 +1,5 @@
+#include "daemon/expositionwriter.h"
+#include "peer/framecodec.h"
 #include "stream/peersynchronizer.h"
 #include "stream/routerfixture.h"
 
@@ -7,6 +9,7 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 
@@ -54,6 +57,29 @@
     std::unique_ptr<PeerSynchronizer> synchronizer;
 };
 
+/** A peer that accepts connections and sends no state. */
+struct SilentPeer {
+    SilentPeer(asio::io_context &context, std::uint32_t number)
+        : record { .id = "entry-" + std::to_string(number), .failureDomain = "a", .address = Node::addressOf(number), .startedAt = 1 }
+        , acceptor(context, { asio::ip::address_v4(record.address.address()), record.address.port() })
+        , socket(context, asio::ip::udp::v4())
+    {
+    }
+
+    /** Sends a message whose view is newer than that of a starting instance. */
+    void sendNewerView(Endpoint to, TimePoint now)
+    {
+        GossipMessage message { .deployment = "dewnet", .sender = record };
+        message.view = { .serversRevision = 2, .serversConfirmedAt = now };
+        const std::string bytes = GossipCodec::encode(message, now);
+        socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(to.address()), to.port() });
+    }
+
+    PeerRecord record;
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::udp::socket socket;
+};
+
 class SynchronizerFixture
 {
 public:
@@ -202,6 +228,48 @@
     CHECK(node.router.viewStatus().serversConfirmedAt <= stoppedAt);
 }
 
+TEST_CASE_METHOD(SynchronizerFixture, "a slow peer doesn't hold up the state of another one", "[stream][peersynchronizer]")
+{
+    // Guards against a configuration that takes effect late, because an instance waits for a peer that sends it over a slow link.
+    constexpr std::size_t bodySize = 1000000; // bytes
+    SilentPeer slow(context, 20);
+    Node &node = add({});
+    slow.sendNewerView(Node::addressOf(0), clock.now());
+    asio::ip::tcp::socket connection(context);
+    bool isAccepted = false;
+    slow.acceptor.async_accept(connection, [&isAccepted](const std::error_code &error) { isAccepted = !error; });
+    REQUIRE(runUntil([&isAccepted] { return isAccepted; }));
+    std::string body = FrameCodec::encode(std::string(bodySize, 'x')).value();
+    connection.non_blocking(true);
+    std::size_t sent = 0;
+    Node &second = add({ Node::addressOf(0) });
+    second.router.applyConfiguration(RouterFixture::configuration(4));
+    second.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
+    CHECK(runUntil([&] {
+        std::error_code ignored;
+        sent += connection.write_some(asio::buffer(body.data() + sent, std::min<std::size_t>(512, body.size() - sent)), ignored);
+        return node.router.isReady();
+    }));
+    CHECK(node.events.count("peer_pull_failed") == 0);
+    CHECK(sent < body.size());
+}
+
+TEST_CASE_METHOD(
+    SynchronizerFixture, "a starting instance that waits for its seed doesn't pull from each newer sender", "[stream][peersynchronizer]")
+{
+    // Guards against a start that fetches the same large state from many instances at once.
+    const SilentPeer seed(context, 20);
+    std::deque<SilentPeer> others;
+    Node &node = add({ Node::addressOf(20) });
+    for (std::uint32_t number = 21; number < 26; ++number) {
+        others.emplace_back(context, number).sendNewerView(Node::addressOf(0), clock.now());
+    }
+    REQUIRE(runUntil([&] { return node.synchronizer->directory().aliveCount(clock.now()) == 6; }));
+    ExpositionWriter writer;
+    node.synchronizer->writeMetrics(writer);
+    CHECK(writer.text().find("samphirepitch_peer_pulls_total 2\n") != std::string::npos);
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "the report that a server has ended reaches the other instances", "[stream][peersynchronizer]")
 {
     Node &first = add({});
