Decide whether a state request waits before its state is encoded

When all instances requested a large configuration at once, an instance encoded it for each of them, and most were then refused or encoded a second time. This took processor time and memory from the packets of clients on small instances.

Requests were encoded before they queued, since the size of the response decided whether they wait. Waiting requests kept the capacity of their buffers, and any number could wait.

The instance now remembers what the state in transfer contains. A request that lacks the same configuration, or at least the same changes of servers, waits before it is encoded. A state that turns out to be large only when encoded is discarded before it waits. At most 16 requests wait; others are refused at once as RateLimited, so that their senders ask another instance.

The new test sends 20 requests while a state is being sent.

--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -42,6 +42,9 @@
 // then.
 constexpr milliseconds sendQueueTimeout { 300 };
 
+// Requests that wait at once. More than these can't be served within sendQueueTimeout.
+constexpr std::size_t maxWaitingRequests = 16;
+
 // Time for which a large state keeps others waiting. A peer that reads slowly would otherwise delay a configuration for all others.
 constexpr milliseconds sendSlotTimeout { 500 };
 
@@ -183,55 +186,74 @@
 
 asio::awaitable<void> PeerStateTransfer::sendState(tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline)
 {
-    Result<std::string> response = encodeStateFor(request);
-    if (response && response->size() > smallStateSize && !isSendSlotFree()) {
-        response->clear(); // many requests may wait at once
-        const bool isFree = co_await awaitSendSlot();
-        if (!isFree) {
-            m_source.reportFailure(
-                "peer_state_unsent", request.sender.id, Error(ErrorKind::RateLimited, "state", "other instances are being served"));
-            co_return;
-        }
-        response = encodeStateFor(request);
+    bool isAdmitted = true;
+    if (!isSendSlotFree() && needsLargeState(request.view)) {
+        isAdmitted = co_await awaitSendSlot();
+    }
+    Result<EncodedState> response = encodeIf(isAdmitted, request);
+    if (response && response->frame.size() > smallStateSize && !isSendSlotFree()) {
+        response = failure(ErrorKind::RateLimited, "state", "the state waits"); // releases its memory
+        isAdmitted = co_await awaitSendSlot();
+        response = encodeIf(isAdmitted, request);
     }
     if (!response) {
         m_source.reportFailure("peer_state_unsent", request.sender.id, response.error());
         co_return;
     }
-    const bool isLarge = response->size() > smallStateSize;
+    const bool isLarge = response->frame.size() > smallStateSize;
     const TimePoint slotDeadline = m_clock.now() + sendSlotTimeout;
     if (isLarge) {
-        m_sendSlotDeadline = slotDeadline;
+        const bool hasConfiguration = request.view.configurationRevision < response->configurationRevision;
+        m_sendSlot
+            = { slotDeadline, hasConfiguration ? response->configurationRevision : 0, hasConfiguration ? 0 : request.view.serversRevision };
     }
     deadline.recordProgress();
-    const std::error_code error = co_await writeParts(socket, *response, deadline);
-    if (isLarge && m_sendSlotDeadline == slotDeadline) { // otherwise another transfer has the slot
-        m_sendSlotDeadline = TimePoint();
+    const std::error_code error = co_await writeParts(socket, response->frame, deadline);
+    if (isLarge && m_sendSlot.deadline == slotDeadline) { // otherwise another transfer has the slot
+        m_sendSlot.deadline = TimePoint();
     }
     if (error) {
         m_source.reportFailure("peer_state_unsent", request.sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
     }
 }
 
-Result<std::string> PeerStateTransfer::encodeStateFor(const GossipMessage &request)
+Result<PeerStateTransfer::EncodedState> PeerStateTransfer::encodeIf(bool isAdmitted, const GossipMessage &request)
 {
-    return FrameCodec::encode(GossipCodec::encode(m_source.stateFor(request), m_clock.now()));
+    if (!isAdmitted) {
+        return failure(ErrorKind::RateLimited, "state", "other instances are being served");
+    }
+    const PeerState state = m_source.stateFor(request);
+    Result<std::string> frame = FrameCodec::encode(GossipCodec::encode(state, m_clock.now()));
+    if (!frame) {
+        return tl::unexpected(frame.error());
+    }
+    return EncodedState { *std::move(frame), state.view.configurationRevision };
 }
 
 asio::awaitable<bool> PeerStateTransfer::awaitSendSlot()
 {
+    if (m_waitingRequests >= maxWaitingRequests) {
+        co_return false;
+    }
+    ++m_waitingRequests;
     const TimePoint queueDeadline = m_clock.now() + sendQueueTimeout;
     asio::steady_timer timer(m_executor);
     while (!isSendSlotFree() && m_clock.now() < queueDeadline) {
         timer.expires_after(sendCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    --m_waitingRequests;
     co_return isSendSlotFree();
 }
 
+bool PeerStateTransfer::needsLargeState(const ViewStatus &known) const
+{
+    return known.configurationRevision < m_sendSlot.configurationRevision || known.serversRevision <= m_sendSlot.serversRevision;
+}
+
 bool PeerStateTransfer::isSendSlotFree() const
 {
-    return m_clock.now() >= m_sendSlotDeadline;
+    return m_clock.now() >= m_sendSlot.deadline;
 }
 
 Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes, TimePoint arrivedAt) const
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -8,6 +8,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -72,10 +73,23 @@
     Result<GossipMessage> readMessage(std::string_view bytes, TimePoint arrivedAt) const;
 
 private:
+    struct EncodedState {
+        std::string frame;
+        std::uint64_t configurationRevision = 0; // of the sender
+    };
+
+    // The large state that was last sent. A request that lacks the same content is taken for one that needs a large state, too.
+    struct SendSlot {
+        TimePoint deadline {}; // until then, the state is being sent and others wait
+        std::uint64_t configurationRevision = 0; // of the configuration in the state; 0 if it has none
+        std::uint64_t serversRevision = 0; // that the changes of servers follow; 0 if the state has a configuration
+    };
+
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
     asio::awaitable<void> sendState(asio::ip::tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline);
-    Result<std::string> encodeStateFor(const GossipMessage &request);
+    Result<EncodedState> encodeIf(bool isAdmitted, const GossipMessage &request);
     asio::awaitable<bool> awaitSendSlot();
+    bool needsLargeState(const ViewStatus &known) const;
     bool isSendSlotFree() const;
 
     asio::any_io_executor m_executor;
@@ -84,7 +98,8 @@
     PeerStateSource &m_source;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_activeConnections = 0; // accepted connections that are still open
-    TimePoint m_sendSlotDeadline {}; // until then, a large state is being sent and others wait
+    SendSlot m_sendSlot;
+    std::size_t m_waitingRequests = 0; // requests that wait for the slot
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <functional>
 
 using namespace Samphirepitch;
@@ -181,6 +182,37 @@
     CHECK(received < FrameCodec::encode(GossipCodec::encode(source.stateFor({}), clock.now())).value().size());
 }
 
+TEST_CASE_METHOD(TransferFixture, "requests that wait for a large state are limited and not encoded before", "[stream][peerstatetransfer]")
+{
+    // Guards against memory and processor time for states that are never sent, when all instances request a large configuration at once.
+    constexpr std::size_t requestCount = 20; // 4 more than may wait
+    const Endpoint address(0x7f390003, 7720);
+    ManualClock standing; // requests wait until the slot is free
+    PeerStateTransfer limited(context.get_executor(), standing, "dewnet", source);
+    REQUIRE(limited.bind(address));
+    asio::co_spawn(context, limited.serve(), asio::detached);
+    source.routeCount = 20000;
+    std::deque<asio::ip::tcp::socket> callers;
+    const auto request = [&](const std::string &id) {
+        callers.emplace_back(context, asio::ip::tcp::v4()).set_option(asio::socket_base::receive_buffer_size(4096));
+        callers.back().connect({ asio::ip::address_v4(address.address()), address.port() });
+        const GossipMessage message { .deployment = "dewnet", .sender = { .id = id } };
+        asio::write(callers.back(), asio::buffer(FrameCodec::encode(GossipCodec::encode(message, clock.now())).value()));
+    };
+    request("holder");
+    runUntil([this] { return !source.asked.empty(); });
+    for (std::size_t number = 0; number < requestCount; ++number) {
+        request("entry-" + std::to_string(number));
+    }
+    const auto refusedCount
+        = [this] { return std::count(source.failures.begin(), source.failures.end(), "peer_state_unsent rate_limited"); };
+    runUntil([&] { return refusedCount() == 4 || source.failures.size() > requestCount; });
+    CHECK(refusedCount() == 4);
+    CHECK(source.asked.size() + 4 <= requestCount + 1);
+    std::sort(source.asked.begin(), source.asked.end());
+    CHECK(std::adjacent_find(source.asked.begin(), source.asked.end()) == source.asked.end());
+}
+
 TEST_CASE("a deadline that is extended after it expired and before its handler ran keeps the socket open", "[stream][peerstatetransfer]")
 {
     // Guards against the abort of a transfer whose data and deadline are handled together, for example after a stall of the process.
