Count the wait for a state from the end of its request

Pulls failed at instances that were slow to connect or whose process was stalled, although the other instance answered in time.

A fetch recorded no progress after its request was sent, so connecting, up to 300 ms in the queue of the other instance, encoding and the first part of the response shared 400 ms.

Progress is now recorded when the request has been written. The total time of a transfer still limits all parts together.

The new test stalls the fetch before the request is written. It failed before: "CHECK( state->has_value() )" with "false".

--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -137,6 +137,7 @@
     if (error) {
         co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
     }
+    deadline.recordProgress(); // the peer may let the request wait before it answers
     std::function<void()> onProgress = [&deadline] { deadline.recordProgress(); };
     const Result<std::string> response = co_await readFrame(socket, FrameCodec::maxBody, onProgress);
     if (!response) {
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -54,6 +54,22 @@
     std::vector<std::string> failures;
 };
 
+/** Stalls its second caller for longer than a transfer may take without progress: a fetch that encodes its request. */
+class StallingClock : public SteadyClock
+{
+public:
+    TimePoint now() const override
+    {
+        const bool mustStall = ++m_calls == 2;
+        const TimePoint end = SteadyClock::now() + milliseconds(450);
+        while (mustStall && SteadyClock::now() < end) { }
+        return SteadyClock::now();
+    }
+
+private:
+    mutable int m_calls = 0;
+};
+
 class TransferFixture
 {
 public:
@@ -213,6 +229,21 @@
     CHECK(std::adjacent_find(source.asked.begin(), source.asked.end()) == source.asked.end());
 }
 
+TEST_CASE_METHOD(TransferFixture, "a stall before the request is sent doesn't count against the response", "[stream][peerstatetransfer]")
+{
+    // Guards against failed pulls at instances that are slow to connect: the time before the request was taken from the wait in the
+    // queue of the other instance.
+    StallingClock stalling;
+    PeerStateTransfer asking(context.get_executor(), stalling, "dewnet", ignored);
+    std::optional<Result<PeerState>> state;
+    asio::co_spawn(context,
+        Tests::storeResult(asking.fetch(servingAddress, { .deployment = "dewnet", .sender = { .id = "entry-2" } }), state),
+        [](const std::exception_ptr &) {});
+    runUntil([&state] { return state.has_value(); });
+    REQUIRE(state.has_value());
+    CHECK(state->has_value());
+}
+
 TEST_CASE("a deadline that is extended after it expired and before its handler ran keeps the socket open", "[stream][peerstatetransfer]")
 {
     // Guards against the abort of a transfer whose data and deadline are handled together, for example after a stall of the process.
