Replace the default argument of readFrame by an overload

GCC 12 miscompiles a braced temporary in a co_await expression, which crashed here before. The default argument "= {}" put one into each call of readFrame without a callback, where it can't be seen. No crash by this place is known, so that no test fails before.

The overload passes a named variable and isn't a coroutine itself. The existing tests of state transfers and of peers cover it.

--- a/src/peer/internal/framestream.cpp
+++ b/src/peer/internal/framestream.cpp
@@ -8,6 +8,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Samphirepitch
 {
@@ -47,4 +48,10 @@
     co_return body;
 }
 
+asio::awaitable<Result<std::string>> readFrame(asio::ip::tcp::socket &socket, std::size_t limit)
+{
+    std::function<void()> noReport;
+    return readFrame(socket, limit, std::move(noReport));
+}
+
 } // namespace Samphirepitch
