Pace the slow peers of the transfer tests by the clock

On a busy machine the slow peers of two tests could have made too little progress, so that their transfers failed for another reason than the one under test. They read or wrote a small part whenever the event loop had run a handler.

They now read or write at a rate that always makes progress within 400 ms and never transfers the whole state within 3 s.

--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -182,11 +182,15 @@
               .value();
     asio::write(slow, asio::buffer(request));
     slow.non_blocking(true);
-    std::array<char, 1024> part {};
+    std::array<char, 4096> part {};
     std::size_t received = 0;
+    TimePoint nextRead {}; // slower than the whole state may take, but always with progress
     onStep = [&] {
-        std::error_code ignoredError;
-        received += slow.read_some(asio::buffer(part), ignoredError);
+        if (clock.now() >= nextRead) {
+            nextRead = clock.now() + milliseconds(40);
+            std::error_code ignoredError;
+            received += slow.read_some(asio::buffer(part), ignoredError);
+        }
     };
     runUntil([&] { return received > 0; });
     bool isFetched = false;
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -242,12 +242,16 @@
     std::string body = FrameCodec::encode(std::string(bodySize, 'x')).value();
     connection.non_blocking(true);
     std::size_t sent = 0;
+    TimePoint nextPart {}; // slower than the whole body may take, but always with progress
     Node &second = add({ Node::addressOf(0) });
     second.router.applyConfiguration(RouterFixture::configuration(4));
     second.router.replaceServers({ RouterFixture::server(1) }, {}, 10, clock.now());
     CHECK(runUntil([&] {
-        std::error_code ignored;
-        sent += connection.write_some(asio::buffer(body.data() + sent, std::min<std::size_t>(512, body.size() - sent)), ignored);
+        if (clock.now() >= nextPart) {
+            nextPart = clock.now() + milliseconds(100);
+            std::error_code ignored;
+            sent += connection.write_some(asio::buffer(body.data() + sent, std::min<std::size_t>(16 * 1024, body.size() - sent)), ignored);
+        }
         return node.router.isReady();
     }));
     CHECK(node.events.count("peer_pull_failed") == 0);
