--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -33,8 +33,8 @@
 // Bounds the time for which a peer that reads or writes slowly holds a connection. A configuration must be in force after 3 s.
 constexpr milliseconds transferTimeout { 3000 };
 
-// A state above smallStateSize is sent to one peer at a time. Several at once would delay the packets of clients on a slow link by as many
-// times the transfer time, and would all arrive late.
+// A state above smallStateSize is sent to one peer at a time, unless that one is slow. Several at once would delay the packets of clients
+// on a slow link by as many times the transfer time, and would all arrive late.
 constexpr std::size_t smallStateSize = 16 * 1024; // bytes
 constexpr milliseconds sendCheckInterval { 5 };
 
@@ -42,6 +42,12 @@
 // then.
 constexpr milliseconds sendQueueTimeout { 300 };
 
+// Requests that wait at once. More than these can't be served within sendQueueTimeout.
+constexpr std::size_t maxWaitingRequests = 16;
+
+// Time for which a large state keeps others waiting. A peer that reads slowly would otherwise delay a configuration for all others.
+constexpr milliseconds sendSlotTimeout { 500 };
+
 // Delay after a failed accept. File descriptors become free as connections end, which takes at most the transfer timeout.
 constexpr milliseconds acceptRetryDelay { 50 };
 
@@ -68,7 +74,10 @@
 
     void recordProgress()
     {
-        m_limit.extend(std::min<std::chrono::nanoseconds>(progressTimeout, m_end - m_clock.now()));
+        const std::chrono::nanoseconds remaining = m_end - m_clock.now();
+        if (remaining.count() > 0) { // a deadline that has passed must not be replaced, which would discard its handler
+            m_limit.extend(std::min<std::chrono::nanoseconds>(progressTimeout, remaining));
+        }
     }
 
 private:
@@ -128,6 +137,7 @@
     if (error) {
         co_return failure(ErrorKind::Unavailable, peer.toString(), error.message());
     }
+    deadline.recordProgress(); // the peer may let the request wait before it answers
     std::function<void()> onProgress = [&deadline] { deadline.recordProgress(); };
     const Result<std::string> response = co_await readFrame(socket, FrameCodec::maxBody, onProgress);
     if (!response) {
@@ -177,45 +187,73 @@
 
 asio::awaitable<void> PeerStateTransfer::sendState(tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline)
 {
-    Result<std::string> response = encodeStateFor(request);
-    if (response && response->size() > smallStateSize && m_isSendingLargeState) {
-        response->clear(); // many requests may wait at once
-        const bool isFree = co_await awaitSendSlot();
-        if (!isFree) {
-            m_source.reportFailure(
-                "peer_state_unsent", request.sender.id, Error(ErrorKind::RateLimited, "state", "other instances are being served"));
-            co_return;
-        }
-        response = encodeStateFor(request);
+    bool isAdmitted = true;
+    if (!isSendSlotFree() && needsLargeState(request.view)) {
+        isAdmitted = co_await awaitSendSlot();
+    }
+    Result<EncodedState> response = encodeIf(isAdmitted, request);
+    if (response && response->frame.size() > smallStateSize && !isSendSlotFree()) {
+        response = failure(ErrorKind::RateLimited, "state", "the state waits"); // releases its memory
+        isAdmitted = co_await awaitSendSlot();
+        response = encodeIf(isAdmitted, request);
     }
     if (!response) {
         m_source.reportFailure("peer_state_unsent", request.sender.id, response.error());
         co_return;
     }
-    const bool isLarge = response->size() > smallStateSize;
-    m_isSendingLargeState = m_isSendingLargeState || isLarge;
+    const bool isLarge = response->frame.size() > smallStateSize;
+    const TimePoint slotDeadline = m_clock.now() + sendSlotTimeout;
+    if (isLarge) {
+        m_sendSlot = { slotDeadline, response->view, request.view };
+    }
     deadline.recordProgress();
-    const std::error_code error = co_await writeParts(socket, *response, deadline);
-    m_isSendingLargeState = m_isSendingLargeState && !isLarge;
+    const std::error_code error = co_await writeParts(socket, response->frame, deadline);
+    if (isLarge && m_sendSlot.deadline == slotDeadline) { // otherwise another transfer has the slot
+        m_sendSlot.deadline = TimePoint();
+    }
     if (error) {
         m_source.reportFailure("peer_state_unsent", request.sender.id, Error(ErrorKind::InputOutput, "state", error.message()));
     }
 }
 
-Result<std::string> PeerStateTransfer::encodeStateFor(const GossipMessage &request)
+Result<PeerStateTransfer::EncodedState> PeerStateTransfer::encodeIf(bool isAdmitted, const GossipMessage &request)
 {
-    return FrameCodec::encode(GossipCodec::encode(m_source.stateFor(request), m_clock.now()));
+    if (!isAdmitted) {
+        return failure(ErrorKind::RateLimited, "state", "other instances are being served");
+    }
+    const PeerState state = m_source.stateFor(request);
+    Result<std::string> frame = FrameCodec::encode(GossipCodec::encode(state, m_clock.now()));
+    if (!frame) {
+        return tl::unexpected(frame.error());
+    }
+    return EncodedState { *std::move(frame), state.view };
 }
 
 asio::awaitable<bool> PeerStateTransfer::awaitSendSlot()
 {
+    if (m_waitingRequests >= maxWaitingRequests) {
+        co_return false;
+    }
+    ++m_waitingRequests;
     const TimePoint queueDeadline = m_clock.now() + sendQueueTimeout;
     asio::steady_timer timer(m_executor);
-    while (m_isSendingLargeState && m_clock.now() < queueDeadline) {
+    while (!isSendSlotFree() && m_clock.now() < queueDeadline) {
         timer.expires_after(sendCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    co_return !m_isSendingLargeState;
+    --m_waitingRequests;
+    co_return isSendSlotFree();
+}
+
+bool PeerStateTransfer::needsLargeState(const ViewStatus &known) const
+{
+    const bool hasConfiguration = m_sendSlot.view.hasNewerConfiguration(m_sendSlot.known);
+    return hasConfiguration ? m_sendSlot.view.hasNewerConfiguration(known) : known.serversPosition <= m_sendSlot.known.serversPosition;
+}
+
+bool PeerStateTransfer::isSendSlotFree() const
+{
+    return m_clock.now() >= m_sendSlot.deadline;
 }
 
 Result<GossipMessage> PeerStateTransfer::readMessage(std::string_view bytes, TimePoint arrivedAt) const
--- a/src/stream/peerstatetransfer.h
+++ b/src/stream/peerstatetransfer.h
@@ -8,6 +8,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -35,7 +36,8 @@
 
 /**
  * Transfers states between instances over TCP. Each connection carries one request and one response. Large states are sent one at a time:
- * if many instances request one at once, each gets it in a short time, and the next ones can get it from those.
+ * if many instances request one at once, each gets it in a short time, and the next ones can get it from those. A transfer that takes long
+ * no longer keeps others waiting after a short time.
  */
 class PeerStateTransfer
 {
@@ -71,10 +73,24 @@
     Result<GossipMessage> readMessage(std::string_view bytes, TimePoint arrivedAt) const;
 
 private:
+    struct EncodedState {
+        std::string frame;
+        ViewStatus view; // of the sender
+    };
+
+    // The large state that was last sent. A request that lacks the same content is taken for one that needs a large state, too.
+    struct SendSlot {
+        TimePoint deadline {}; // until then, the state is being sent and others wait
+        ViewStatus view; // of the sender
+        ViewStatus known; // of the instance that requested the state
+    };
+
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
     asio::awaitable<void> sendState(asio::ip::tcp::socket &socket, const GossipMessage &request, TransferDeadline &deadline);
-    Result<std::string> encodeStateFor(const GossipMessage &request);
+    Result<EncodedState> encodeIf(bool isAdmitted, const GossipMessage &request);
     asio::awaitable<bool> awaitSendSlot();
+    bool needsLargeState(const ViewStatus &known) const;
+    bool isSendSlotFree() const;
 
     asio::any_io_executor m_executor;
     const Clock &m_clock;
@@ -82,7 +98,8 @@
     PeerStateSource &m_source;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_activeConnections = 0; // accepted connections that are still open
-    bool m_isSendingLargeState = false;
+    SendSlot m_sendSlot;
+    std::size_t m_waitingRequests = 0; // requests that wait for the slot
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/peerstatetransfertests.cpp
+++ b/tests/stream/peerstatetransfertests.cpp
@@ -6,9 +6,15 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+
 using namespace Samphirepitch;
 
 using std::chrono::milliseconds;
@@ -48,6 +54,22 @@
     std::vector<std::string> failures;
 };
 
+/** Stalls its second caller for longer than a transfer may take without progress: a fetch that encodes its request. */
+class StallingClock : public SteadyClock
+{
+public:
+    TimePoint now() const override
+    {
+        const bool mustStall = ++m_calls == 2;
+        const TimePoint end = SteadyClock::now() + milliseconds(450);
+        while (mustStall && SteadyClock::now() < end) { }
+        return SteadyClock::now();
+    }
+
+private:
+    mutable int m_calls = 0;
+};
+
 class TransferFixture
 {
 public:
@@ -73,6 +95,9 @@
         const TimePoint limit = clock.now() + waitLimit;
         while (!condition() && clock.now() < limit) {
             context.run_one_for(milliseconds(5));
+            if (onStep) {
+                onStep();
+            }
         }
     }
 
@@ -80,6 +105,7 @@
     asio::io_context context;
     FixedSource source;
     FixedSource ignored;
+    std::function<void()> onStep; // called repeatedly while the context runs; may be empty
     PeerStateTransfer transfer { context.get_executor(), clock, "dewnet", source };
 };
 
@@ -143,6 +169,99 @@
     CHECK(fetchAs("dewnet", servingAddress));
 }
 
+TEST_CASE_METHOD(
+    TransferFixture, "a slow reader of a large state doesn't hold up others until its transfer ends", "[stream][peerstatetransfer]")
+{
+    // Guards against a configuration that reaches the other instances late, because one of them reads it over a slow link.
+    source.routeCount = 20000;
+    asio::ip::tcp::socket slow(context, asio::ip::tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(4096));
+    slow.connect({ asio::ip::address_v4(servingAddress.address()), servingAddress.port() });
+    const std::string request
+        = FrameCodec::encode(GossipCodec::encode(GossipMessage { .deployment = "dewnet", .sender = { .id = "entry-3" } }, clock.now()))
+              .value();
+    asio::write(slow, asio::buffer(request));
+    slow.non_blocking(true);
+    std::array<char, 4096> part {};
+    std::size_t received = 0;
+    TimePoint nextRead {}; // slower than the whole state may take, but always with progress
+    onStep = [&] {
+        if (clock.now() >= nextRead) {
+            nextRead = clock.now() + milliseconds(40);
+            std::error_code ignoredError;
+            received += slow.read_some(asio::buffer(part), ignoredError);
+        }
+    };
+    runUntil([&] { return received > 0; });
+    bool isFetched = false;
+    for (int attempt = 0; attempt < 20 && !isFetched; ++attempt) {
+        isFetched = fetchAs("dewnet", servingAddress).has_value();
+    }
+    CHECK(isFetched);
+    CHECK(std::count(source.failures.begin(), source.failures.end(), "peer_state_unsent input_output") == 0);
+    CHECK(received < FrameCodec::encode(GossipCodec::encode(source.stateFor({}), clock.now())).value().size());
+}
+
+TEST_CASE_METHOD(TransferFixture, "requests that wait for a large state are limited and not encoded before", "[stream][peerstatetransfer]")
+{
+    // Guards against memory and processor time for states that are never sent, when all instances request a large configuration at once.
+    constexpr std::size_t requestCount = 20; // 4 more than may wait
+    const Endpoint address(0x7f390003, 7720);
+    ManualClock standing; // requests wait until the slot is free
+    PeerStateTransfer limited(context.get_executor(), standing, "dewnet", source);
+    REQUIRE(limited.bind(address));
+    asio::co_spawn(context, limited.serve(), asio::detached);
+    source.routeCount = 20000;
+    std::deque<asio::ip::tcp::socket> callers;
+    const auto request = [&](const std::string &id) {
+        callers.emplace_back(context, asio::ip::tcp::v4()).set_option(asio::socket_base::receive_buffer_size(4096));
+        callers.back().connect({ asio::ip::address_v4(address.address()), address.port() });
+        const GossipMessage message { .deployment = "dewnet", .sender = { .id = id } };
+        asio::write(callers.back(), asio::buffer(FrameCodec::encode(GossipCodec::encode(message, clock.now())).value()));
+    };
+    request("holder");
+    runUntil([this] { return !source.asked.empty(); });
+    for (std::size_t number = 0; number < requestCount; ++number) {
+        request("entry-" + std::to_string(number));
+    }
+    const auto refusedCount
+        = [this] { return std::count(source.failures.begin(), source.failures.end(), "peer_state_unsent rate_limited"); };
+    runUntil([&] { return refusedCount() == 4 || source.failures.size() > requestCount; });
+    CHECK(refusedCount() == 4);
+    CHECK(source.asked.size() + 4 <= requestCount + 1);
+    std::sort(source.asked.begin(), source.asked.end());
+    CHECK(std::adjacent_find(source.asked.begin(), source.asked.end()) == source.asked.end());
+}
+
+TEST_CASE_METHOD(TransferFixture, "a stall before the request is sent doesn't count against the response", "[stream][peerstatetransfer]")
+{
+    // Guards against failed pulls at instances that are slow to connect: the time before the request was taken from the wait in the
+    // queue of the other instance.
+    StallingClock stalling;
+    PeerStateTransfer asking(context.get_executor(), stalling, "dewnet", ignored);
+    std::optional<Result<PeerState>> state;
+    asio::co_spawn(context,
+        Tests::storeResult(asking.fetch(servingAddress, { .deployment = "dewnet", .sender = { .id = "entry-2" } }), state),
+        [](const std::exception_ptr &) {});
+    runUntil([&state] { return state.has_value(); });
+    REQUIRE(state.has_value());
+    CHECK(state->has_value());
+}
+
+TEST_CASE("a deadline that is extended after it expired and before its handler ran keeps the socket open", "[stream][peerstatetransfer]")
+{
+    // Guards against the abort of a transfer whose data and deadline are handled together, for example after a stall of the process.
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context, asio::ip::tcp::v4());
+    SocketDeadline deadline(socket, milliseconds(0));
+    asio::post(context, [&deadline] { deadline.extend(std::chrono::hours(1)); });
+    for (int step = 0; step < 10; ++step) {
+        context.poll();
+    }
+    CHECK_FALSE(deadline.expired());
+    CHECK(socket.is_open());
+}
+
 TEST_CASE("a socket whose deadline is extended stays open", "[stream][peerstatetransfer]")
 {
     // A transfer that makes progress over a slow link must not be aborted.
