Search the reference of a probe without copying the list of servers

findReferenceServer built the list of all servers for each suspected one, also if a trusted server of the service was found before. With 74,000 servers that is a cost in an outage, when probes are most frequent. No decision is changed.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -382,8 +382,8 @@
 std::vector<ProbeTarget> StreamRouter::takeDueProbes(std::size_t maxCount)
 {
     std::vector<ProbeTarget> targets;
-    const std::size_t maxDue = std::max<std::size_t>(maxCount, 1) - (maxCount > 1 ? 1 : 0); // leaves room for the other server's probe
-    for (const std::uint32_t token : m_failureDetector.takeDueProbes(m_clock.now(), std::min(maxCount, maxDue))) {
+    const std::size_t maxDue = maxCount > 1 ? maxCount - 1 : maxCount; // leaves room for the other server's probe
+    for (const std::uint32_t token : m_failureDetector.takeDueProbes(m_clock.now(), maxDue)) {
         const DirectoryRecord *const record = m_directory.findToken(token);
         if (record == nullptr || record->token != token) {
             continue;
@@ -408,19 +408,21 @@
 
 const DirectoryRecord *StreamRouter::findReferenceServer(const ProbeTarget &suspected)
 {
-    const std::string &service = m_directory.findToken(suspected.token)->server.service;
-    const std::vector<const DirectoryRecord *> all = m_directory.all();
-    for (const auto *const servers : { &m_directory.listedIn(m_failureDomain, service), &m_directory.listed(service), &all }) {
-        const std::size_t first = servers->empty() ? 0 : m_random.below(servers->size());
-        for (std::size_t index = 0; index < std::min(servers->size(), maxReferenceChecks); ++index) {
-            const DirectoryRecord *const record = (*servers)[(first + index) % servers->size()];
+    const auto findTrusted = [this, &suspected](const std::vector<const DirectoryRecord *> &servers) -> const DirectoryRecord * {
+        const std::size_t first = servers.empty() ? 0 : m_random.below(servers.size());
+        for (std::size_t index = 0; index < std::min(servers.size(), maxReferenceChecks); ++index) {
+            const DirectoryRecord *const record = servers[(first + index) % servers.size()];
             const bool isTrusted = m_failureDetector.status(record->token, m_clock.now()) == ServerStatus::Trusted;
             if (isTrusted && record->server.phase == ServerPhase::Ready && !record->tokenTaken && record->token != suspected.token) {
                 return record;
             }
         }
-    }
-    return nullptr;
+        return nullptr;
+    };
+    const std::string &service = m_directory.findToken(suspected.token)->server.service;
+    const DirectoryRecord *reference = findTrusted(m_directory.listedIn(m_failureDomain, service));
+    reference = reference == nullptr ? findTrusted(m_directory.listed(service)) : reference;
+    return reference == nullptr ? findTrusted(m_directory.all()) : reference;
 }
 
 void StreamRouter::recordProbeResult(std::uint32_t token, ConnectResult result, TimePoint probeStart)
