Keep the shortest interval for probes of the reference server

The trusted server whose answer shows that the instance's link works could be probed by several suspicions at the same time. Two such probes count one short loss as two timeouts, so that with one repeated packet that server turned silent and its open flows were reset.

A server is taken as the reference only if its next probe may start, and another one otherwise. Found by reading; the test failed before: a server was probed again after 25 ms.

--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -187,6 +187,18 @@
     return due;
 }
 
+bool ServerFailureDetector::startProbe(std::uint32_t token, TimePoint now)
+{
+    State &state = m_states[token];
+    if (now < state.nextProbe) {
+        return false;
+    }
+    state.probeRequested = false;
+    state.lastProbe = now;
+    state.nextProbe = now + minProbeInterval;
+    return true;
+}
+
 bool ServerFailureDetector::needsComparison(std::uint32_t token) const
 {
     const State *const state = find(token);
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -107,6 +107,9 @@
     /** Returns up to @p maxCount servers whose probes are due and marks these probes as started. The other probes stay due. */
     std::vector<std::uint32_t> takeDueProbes(TimePoint now, std::size_t maxCount = std::numeric_limits<std::size_t>::max());
 
+    /** Marks a probe of a server that is not due as started. @return false if its next probe may not start yet */
+    bool startProbe(std::uint32_t token, TimePoint now);
+
     /** Returns whether a server seems not to respond, so that its probe should be compared with that of another server. */
     bool needsComparison(std::uint32_t token) const;
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -413,7 +413,8 @@
         for (std::size_t index = 0; index < std::min(servers.size(), maxReferenceChecks); ++index) {
             const DirectoryRecord *const record = servers[(first + index) % servers.size()];
             const bool isTrusted = m_failureDetector.status(record->token, m_clock.now()) == ServerStatus::Trusted;
-            if (isTrusted && record->server.phase == ServerPhase::Ready && !record->tokenTaken && record->token != suspected.token) {
+            const bool mayServe = isTrusted && record->server.phase == ServerPhase::Ready && !record->tokenTaken;
+            if (mayServe && record->token != suspected.token && m_failureDetector.startProbe(record->token, m_clock.now())) {
                 return record;
             }
         }
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -352,6 +352,27 @@
     CHECK(resets == 1);
 }
 
+TEST_CASE_METHOD(RouterFixture, "a trusted server is not probed again for each suspected one", "[stream][router]")
+{
+    // Guards against resets of its open flows: two probes at the same time would count one short loss as two timeouts.
+    makeReady({ server(1), server(2, "b"), server(3) });
+    const auto sendTo = [this](std::uint64_t number) {
+        send(ServerDirectory::tokenOf(server(number)), 101, 900, 55, Endpoint(0x64400008, static_cast<std::uint16_t>(number)));
+    };
+    sendTo(1);
+    sendTo(2);
+    advanceClock(milliseconds(160));
+    sendTo(1);
+    const std::vector<ProbeTarget> first = router.takeDueProbes();
+    REQUIRE(first.size() == 2);
+    CHECK(first.back().id == "i-3"); // of the own failure domain
+    advanceClock(milliseconds(25));
+    sendTo(2);
+    const std::vector<ProbeTarget> second = router.takeDueProbes();
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().id == "i-2");
+}
+
 TEST_CASE_METHOD(RouterFixture, "a trusted server is probed however many servers are suspected", "[stream][router]")
 {
     // Guards against servers that never turn silent: after the loss of a failure domain more probes are due than may run at once.
