Ignore probe timeouts of a server that began to drain during the probe

Found by reading; the test, which now tries both results, failed before: unreachable instead of trusted.

--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -434,7 +434,7 @@
         return;
     }
     // Like in takeDueProbes(): a server that has begun to drain may have closed its listener while it still has flows.
-    if (result == ConnectResult::Refused && record->server.phase != ServerPhase::Ready) {
+    if (result != ConnectResult::Accepted && record->server.phase != ServerPhase::Ready) {
         result = ConnectResult::Inconclusive;
     }
     const bool changed = m_failureDetector.recordProbeResult(token, result, probeStart, m_clock.now());
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -725,7 +725,7 @@
 }
 
 TEST_CASE_METHOD(
-    RouterFixture, "a refused connection proves nothing about a server that began to drain during the probe", "[stream][router]")
+    RouterFixture, "a failed connection proves nothing about a server that began to drain during the probe", "[stream][router]")
 {
     // Guards against resets of open flows: a draining server may close its listener before its flows have ended.
     makeReady({ server(1) });
@@ -738,7 +738,9 @@
     draining.phase = ServerPhase::Draining;
     draining.position = { 0, 11 };
     router.updateServer(draining);
-    finishProbe(token, ConnectResult::Refused);
+    const ConnectResult result = GENERATE(ConnectResult::Refused, ConnectResult::Unanswered);
+    finishProbe(token, result);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
     CHECK(router.takeResets().empty());
     CHECK(router.takeEndedServers().empty());
     CHECK(send(token, 101, 900, 55).action == Action::Forward);
