Count the wait of a state request from its arrival at the sender

An instance could close a connection whose request waited for others, although the wait was within its limit: the 400 ms ran from the accepted connection and covered the arrival of the request as well.

--- a/src/stream/peerstatetransfer.cpp
+++ b/src/stream/peerstatetransfer.cpp
@@ -176,6 +176,7 @@
     socket.set_option(asio::socket_base::send_buffer_size(sendBufferSize), ignored);
     TransferDeadline deadline(socket, m_clock);
     const Result<std::string> request = co_await readFrame(socket, maxRequestSize);
+    deadline.recordProgress(); // the request may wait until others are served
     const Result<GossipMessage> message = request ? readMessage(*request, m_clock.now()) : tl::unexpected(request.error());
     if (message) {
         co_await sendState(socket, *message, deadline);
