--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -59,8 +59,8 @@
     }
     const bool mayBeOldCopy = !m_position.isUnset() && position.era() > m_position.era();
     const auto relisted = mayBeOldCopy ? DirectoryChange::Kind::Restored : DirectoryChange::Kind::Added;
-    if (m_position.isUnset()) {
-        m_forgottenPosition = position; // the list does not name the servers that were removed before
+    if (position > m_position) {
+        m_forgottenPosition = position; // the list doesn't name servers that were removed before, which may have no record here
     }
     m_position = position;
     std::set<std::string_view> present(unreadable.begin(), unreadable.end());
@@ -94,10 +94,17 @@
 {
     DirectoryChanges changes;
     const auto found = m_records.find(id);
-    if (found == m_records.end() || !found->second->listed || found->second->server.position > position) {
+    if (found == m_records.end()) {
+        m_forgottenPosition = std::max(m_forgottenPosition, position); // no record holds this removal for other instances
+        return changes;
+    }
+    if (found->second->server.position > position) {
         return changes;
     }
     found->second->server.position = position;
+    if (!found->second->listed) {
+        return changes;
+    }
     unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
     refreshIndexes();
     return changes;
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -246,6 +246,35 @@
     CHECK(source.changesAfter({ 0, 10 })->size() == 1);
 }
 
+TEST_CASE("a directory returns no changes from before a later complete list", "[stream][directory]")
+{
+    // Guards against an ended server that stays listed at other instances: it was added and removed between two lists.
+    ServerDirectory source;
+    source.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    source.replaceAll({ RouterFixture::server(1) }, {}, { 0, 20 }, start);
+    CHECK_FALSE(source.changesAfter({ 0, 15 }).has_value());
+    CHECK(source.changesAfter({ 0, 20 }).has_value());
+}
+
+TEST_CASE("the removal of a server that a directory doesn't list is not lost for others", "[stream][directory]")
+{
+    // Guards against an ended server that stays listed at an instance that asks for the changes.
+    ServerDirectory source;
+    source.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    SECTION("the server is unknown")
+    {
+        source.remove("i-2", { 0, 12 }, start);
+        CHECK_FALSE(source.changesAfter({ 0, 11 }).has_value());
+    }
+    SECTION("the server is unlisted already")
+    {
+        source.remove("i-1", { 0, 11 }, start);
+        source.remove("i-1", { 0, 13 }, start);
+        REQUIRE(source.changesAfter({ 0, 12 }).has_value());
+        CHECK(source.changesAfter({ 0, 12 })->size() == 1);
+    }
+}
+
 TEST_CASE("a complete list of a newer era replaces one with higher revisions, and never the other way round", "[stream][directory][era]")
 {
     // Guards against drains, restarts and new servers that are missed after the store returned from an older copy.
