Keep an ended incarnation unlisted in all lists of an era

After the store had returned from an older copy, a second complete list, for example after a 410, listed an ended incarnation again, whose address belonged to another server. Only the first list of an era ignored it. The record now takes the position of the list that was ignored, so that the entry of the copy counts as older. Found by reading; the test failed before.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -68,6 +68,8 @@
         present.insert(server.id);
         if (!mayBeOldCopy || !isSuperseded(server)) {
             put(server, relisted, now, changes);
+        } else {
+            m_records.at(server.id)->server.position = position; // further lists of this era may still contain the entry
         }
     }
     for (auto &[id, record] : m_records) {
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -275,6 +275,24 @@
     }
 }
 
+TEST_CASE("a second list of an era doesn't list an ended incarnation again", "[stream][directory][era]")
+{
+    // Guards against flows at the address of another server after a further complete list of the copy.
+    ServerDirectory directory;
+    StreamServer successor = withRevision(RouterFixture::server(2), 55);
+    successor.address = RouterFixture::server(1).address;
+    successor.startedAt = 2000;
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 50) }, {}, { 0, 52 }, start);
+    directory.update(successor, start);
+    REQUIRE_FALSE(directory.findId("i-1")->listed);
+    StreamServer copied = RouterFixture::server(1);
+    copied.position = { 1, 5 };
+    directory.replaceAll({ copied }, {}, { 1, 20 }, start);
+    CHECK_FALSE(directory.findId("i-1")->listed);
+    directory.replaceAll({ copied }, {}, { 1, 21 }, start);
+    CHECK_FALSE(directory.findId("i-1")->listed);
+}
+
 TEST_CASE("a complete list of a newer era replaces one with higher revisions, and never the other way round", "[stream][directory][era]")
 {
     // Guards against drains, restarts and new servers that are missed after the store returned from an older copy.
