Read entries, routes and responses of the store one by one

Cause: one value that the build didn't know or couldn't read cost much more than itself. A number beyond a double or invalid UTF-8 in one entry of a server made the whole response unreadable, for every instance, as long as the entry stood. Slots, start times and cold times wrapped around. A name above 256 bytes or an empty service in an entry made the state that an instance sends to its peers unreadable, or a removal.

What is left out of a configuration is logged and counted once a version. A route without a usable target refuses new flows and keeps its open ones. A list that can't be continued is an error, names in request targets are encoded, changes that are too large are followed by a complete list, and changes that don't fit a datagram are pulled as a state.

Responses of the store carry no id of their call. One that can't be that of the call, such as a late copy of an earlier one, now closes its connection, and one without changes before the end of the wait confirms nothing.

Two checks were wrong and are replaced: a configuration with one invalid part is no longer refused as a whole (the store has accepted it; each former case is now a case of "an unknown or invalid value in a configuration costs at most its own route", which also checks that the other routes are unchanged), and a state with a route without targets is passed on, since such routes now exist.

--- a/src/stream/discovery.h
+++ b/src/stream/discovery.h
@@ -44,6 +44,7 @@
 struct ServerUpdates {
     std::vector<ServerUpdate> updates; /**< oldest first; empty if nothing changed during the wait */
     StorePosition position; /**< from which to request the next updates */
+    bool endedEarly = false; /**< nothing changed and the wait was not over, so that the response may be older than the call */
 };
 
 /** The result of reading the configuration, or of waiting for a newer one. */
@@ -51,6 +52,8 @@
     std::optional<StreamConfiguration> configuration; /**< not set if nothing changed, none exists or the newest one is invalid */
     std::optional<DiscoveryFault> fault; /**< why the newest configuration is invalid */
     StorePosition position; /**< from which to wait for the next change */
+    std::vector<DiscoveryFault> ignored; /**< the unknown or invalid parts of the configuration; each costs at most its own route */
+    bool endedEarly = false; /**< nothing changed and the wait was not over, so that the response may be older than the call */
 };
 
 /**
--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -34,6 +34,9 @@
 // Delay of the next long poll after a change, so that one call returns several changes that happen at about the same time.
 constexpr milliseconds batchDelay { 40 };
 
+// Lines for the parts of one version of the configuration that can't be used. A line with their number follows.
+constexpr std::size_t maxIgnoredLines = 8;
+
 } // namespace
 
 DiscoveryWatcher::DiscoveryWatcher(Dependencies dependencies, LongPollWaits longPollWaits)
@@ -123,6 +126,9 @@
         co_return;
     }
     recordSuccess(m_servers);
+    if (updates->endedEarly) {
+        co_return;
+    }
     const bool changed = !updates->updates.empty();
     const TimePoint confirmedAt = confirmationTime(callStart, wait, changed);
     apply(*std::move(updates), from.revision(), confirmedAt);
@@ -163,6 +169,9 @@
         co_return;
     }
     recordSuccess(m_configuration);
+    if (read->endedEarly) {
+        co_return;
+    }
     const TimePoint confirmedAt = confirmationTime(callStart, wait, read->configuration || read->fault);
     apply(*std::move(read), confirmedAt);
 }
@@ -191,6 +200,7 @@
         recordFault("configuration_refused", *read.fault);
     }
     if (read.configuration) {
+        recordIgnored(*read.configuration, read.ignored);
         m_router.applyConfiguration(*std::move(read.configuration));
     }
     m_router.confirmConfiguration(read.position, confirmedAt);
@@ -251,6 +261,8 @@
                 { "revision", std::to_string(feed.askedFrom.revision()) } });
         return;
     }
+    // A response with many changes may be above the limit each time. A complete read has pages of bounded size.
+    feed.historyGone = feed.historyGone || error.kind() == ErrorKind::TooLarge;
     if (feed.reachable) {
         feed.reachable = false;
         feed.unreachableSince = m_clock.now();
@@ -278,6 +290,23 @@
     m_events.record(EventSeverity::Warning, name, { { "subject", fault.subject }, { "reason", fault.reason } });
 }
 
+void DiscoveryWatcher::recordIgnored(const StreamConfiguration &configuration, const std::vector<DiscoveryFault> &ignored)
+{
+    // The same version is read again after the store has lost its history.
+    if (ignored.empty() || configuration.position == m_reportedConfiguration) {
+        return;
+    }
+    m_reportedConfiguration = configuration.position;
+    m_ignoredCount += ignored.size();
+    const std::string version = std::to_string(configuration.version);
+    for (std::size_t index = 0; index < std::min(ignored.size(), maxIgnoredLines); ++index) {
+        m_events.record(EventSeverity::Warning, "configuration_value_ignored",
+            { { "version", version }, { "subject", ignored[index].subject }, { "reason", ignored[index].reason } });
+    }
+    m_events.record(
+        EventSeverity::Warning, "configuration_partly_used", { { "version", version }, { "ignored", std::to_string(ignored.size()) } });
+}
+
 void DiscoveryWatcher::writeMetrics(MetricWriter &writer) const
 {
     for (const Feed *const feed : { &m_servers, &m_configuration }) {
@@ -287,6 +316,8 @@
         writer.gauge("samphirepitch_store_reachable", "1 if the last call to the store succeeded, otherwise 0, by feed.",
             { { "feed", feed->name } }, feed->reachable ? 1 : 0);
     }
+    writer.counter("samphirepitch_configuration_ignored_values_total",
+        "Unknown or invalid values of configurations that were read, counted once for each version.", {}, m_ignoredCount);
     writer.counter("samphirepitch_discovery_faults_total", "Invalid server entries and configurations that were read.", {}, m_faultCount);
 }
 
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace Samphirepitch
 {
@@ -111,6 +112,7 @@
     void recordFailure(Feed &feed, const Error &error);
     asio::awaitable<void> backOff(Feed &feed);
     void recordFault(std::string_view name, const DiscoveryFault &fault);
+    void recordIgnored(const StreamConfiguration &configuration, const std::vector<DiscoveryFault> &ignored);
 
     const Clock &m_clock;
     Timer &m_timer;
@@ -123,6 +125,8 @@
     Feed m_servers { .name = "servers" };
     Feed m_configuration { .name = "configuration" };
     std::uint64_t m_faultCount = 0;
+    std::uint64_t m_ignoredCount = 0; // unknown or invalid parts of all versions of the configuration
+    StorePosition m_reportedConfiguration; // of the last version whose ignored parts were counted and logged
 };
 
 } // namespace Samphirepitch
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -2,6 +2,7 @@
 
 #include "peer/internal/fieldreader.h"
 #include "peer/internal/fieldwriter.h"
+#include "stream/streamlimits.h"
 
 #include <algorithm>
 #include <map>
@@ -12,8 +13,8 @@
 namespace
 {
 
-constexpr std::size_t maxTextSize = 256; // bytes of an id or a name
-constexpr std::size_t maxTargets = 64; // of one route
+using StreamLimits::maxNameSize;
+constexpr std::uint64_t maxIdleTimeout = std::chrono::milliseconds(StreamLimits::maxIdleTimeout).count();
 constexpr std::size_t maxDepth = 8; // levels of nested arrays
 constexpr std::uint64_t neverConfirmed = 0xffffffff; // the age, in milliseconds, that stands for a view that was never confirmed
 
@@ -26,8 +27,8 @@
 template<typename Visitor, MaybeConst<PeerRecord> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.id, maxTextSize);
-    visitor.text(value.failureDomain, maxTextSize);
+    visitor.text(value.id, maxNameSize);
+    visitor.text(value.failureDomain, maxNameSize);
     visitor.endpoint(value.address);
     visitor.number(value.startedAt);
     visitor.number(value.heartbeat);
@@ -37,24 +38,24 @@
 template<typename Visitor, MaybeConst<EndedServer> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.id, maxTextSize);
+    visitor.text(value.id, maxNameSize);
     visitor.number(value.startedAt);
 }
 
 template<typename Visitor, MaybeConst<RouteTarget> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.service, maxTextSize);
+    visitor.text(value.service, maxNameSize);
     visitor.number(value.weight);
 }
 
 template<typename Visitor, MaybeConst<StreamRoute> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.name, maxTextSize);
+    visitor.text(value.name, maxNameSize);
     visitor.endpoint(value.address);
     visitor.boolean(value.idempotent);
-    visitor.list(value.targets, maxTargets, eachRecord);
+    visitor.list(value.targets, StreamLimits::maxRouteTargets, eachRecord);
 }
 
 namespace
@@ -77,7 +78,7 @@
 
     TimePoint fromAge(std::uint64_t age) const
     {
-        return age == neverConfirmed ? TimePoint() : m_now - std::chrono::milliseconds(age);
+        return age == neverConfirmed ? TimePoint() : m_now - bounded(age);
     }
 
     /** Returns the milliseconds until @p time; 0 if it has passed. */
@@ -88,7 +89,7 @@
 
     TimePoint fromRemaining(std::uint64_t remaining) const
     {
-        return remaining == 0 ? TimePoint() : m_now + std::chrono::milliseconds(remaining);
+        return remaining == 0 ? TimePoint() : m_now + bounded(remaining);
     }
 
 private:
@@ -98,6 +99,12 @@
         return static_cast<std::uint64_t>(std::clamp<std::int64_t>(count, 0, static_cast<std::int64_t>(neverConfirmed) - 1));
     }
 
+    /** Returns a received time, bounded to what is ever sent, so that it can be added to a point in time. */
+    static std::chrono::milliseconds bounded(std::uint64_t count)
+    {
+        return std::chrono::milliseconds(std::min(count, neverConfirmed - 1));
+    }
+
     TimePoint m_now;
 };
 
@@ -170,11 +177,11 @@
 template<typename Visitor, MaybeConst<WireServer> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.id, maxTextSize);
+    visitor.text(value.id, maxNameSize);
     visitor.number(value.number);
-    visitor.text(value.service, maxTextSize);
+    visitor.text(value.service, maxNameSize);
     visitor.endpoint(value.address);
-    visitor.text(value.failureDomain, maxTextSize);
+    visitor.text(value.failureDomain, maxNameSize);
     visitor.number(value.slots);
     visitor.enumeration(value.phase, ServerPhase::Draining);
     visitor.number(value.coldRemaining);
@@ -185,7 +192,7 @@
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.deployment, maxTextSize);
+    visitor.text(value.deployment, maxNameSize);
     visitor.nested(value.sender);
     visitor.nested(value.view);
     visitor.boolean(value.pushed);
@@ -198,7 +205,7 @@
 template<typename Visitor, MaybeConst<WireState> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
-    visitor.text(value.deployment, maxTextSize);
+    visitor.text(value.deployment, maxNameSize);
     visitor.nested(value.sender);
     visitor.nested(value.view);
     visitor.number(value.baseRevision);
@@ -292,7 +299,7 @@
 {
     // The msgpack unpacker reports errors only by exceptions.
     try {
-        const msgpack::unpack_limit limit(maxElements, 0, maxTextSize, 0, 0, maxDepth);
+        const msgpack::unpack_limit limit(maxElements, 0, maxNameSize, 0, 0, maxDepth);
         std::size_t offset = 0;
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size() || handle->type != msgpack::type::ARRAY) {
@@ -364,11 +371,8 @@
     state.records = wire->records;
     state.configuration.version = wire->version;
     state.configuration.position = state.view.configurationPosition;
-    state.configuration.idleTimeout = std::chrono::milliseconds(wire->idleTimeout);
+    state.configuration.idleTimeout = std::chrono::milliseconds(std::min(wire->idleTimeout, maxIdleTimeout));
     for (const StreamRoute &route : wire->routes) {
-        if (route.targets.empty()) {
-            return failure(ErrorKind::Malformed, "peer", "the route " + route.name + " has no target");
-        }
         state.configuration.routes.emplace(route.address, route);
     }
     return result;
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -94,8 +94,7 @@
     /**
      * Decodes a state.
      * @param now the time of arrival, to which ages and remaining times refer
-     * @return the state; Malformed if a field is missing or has a wrong type or value, or if a route has no target; TooLarge if a field
-     *  exceeds its limit
+     * @return the state; Malformed if a field is missing or has a wrong type or value, or TooLarge if a field exceeds its limit
      */
     static Result<PeerState> decodeState(std::string_view bytes, TimePoint now);
 };
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -241,6 +241,10 @@
     if (changes.size() <= GossipCodec::maxChanges) {
         message.baseRevision = from;
         message.changes = changes;
+        if (GossipCodec::encode(message, m_lastPush).size() > GossipCodec::maxMessageSize) {
+            message.baseRevision = 0;
+            message.changes.clear(); // long names; the receivers pull the changes as a state
+        }
     }
     for (const Endpoint child : m_directory.children(m_clock.now())) {
         send(message, child);
--- a/src/stream/streamconfiguration.h
+++ b/src/stream/streamconfiguration.h
@@ -24,7 +24,7 @@
 struct StreamRoute {
     std::string name;
     Endpoint address; /**< the destination address of clients' packets */
-    std::vector<RouteTarget> targets; /**< at least one; the total weight is above 0 */
+    std::vector<RouteTarget> targets; /**< the total weight is above 0; without targets, new flows are refused and open ones go on */
     bool idempotent = false; /**< whether clients may repeat a request after any failure */
 
     friend bool operator==(const StreamRoute &, const StreamRoute &) = default;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -90,6 +90,10 @@
         excludedToken = *unopenedServer;
         m_failureDetector.requestProbe(excludedToken);
     }
+    if (route.targets.empty()) {
+        m_flows.remove(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::NoServer);
+    }
     const std::string &service = m_placement.targetService(route);
     const std::optional<FlowPlacement::Choice> choice = m_placement.choose(service, excludedToken, m_confirmationGapEnd);
     if (!choice) {
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -5,8 +5,14 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,6 +63,55 @@
     std::optional<std::string> m_era;
 };
 
+/** Sends scripted responses, one for each request on any connection, however wrong they are. */
+class ScriptedResponses
+{
+public:
+    explicit ScriptedResponses(asio::io_context &context)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    Endpoint address() const
+    {
+        return { 0x7f000001, m_acceptor.local_endpoint().port() };
+    }
+
+    std::deque<std::string> bodies;
+    int connections = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++connections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        std::string request;
+        std::error_code error;
+        while (true) {
+            const std::size_t size = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+            if (error || bodies.empty()) {
+                co_return;
+            }
+            request.erase(0, size);
+            const std::string body = std::move(bodies.front());
+            bodies.pop_front();
+            const std::string response = "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
 class StoreFixture
 {
 public:
@@ -105,7 +160,7 @@
 
     ScriptedStore store;
 
-private:
+protected:
     TimePoint deadline() const
     {
         return m_clock.now() + callTime;
@@ -125,10 +180,37 @@
 
     asio::io_context m_context;
     SteadyClock m_clock;
+
+private:
     std::unique_ptr<HttpServer> m_server;
     StoreDiscovery m_discovery;
 };
 
+class LateResponseFixture : public StoreFixture
+{
+public:
+    LateResponseFixture()
+        : responses(m_context)
+        , m_discovery(m_context.get_executor(), m_clock, responses.address())
+    {
+    }
+
+    Result<ServerList> servers()
+    {
+        return run(m_discovery.listServers(deadline()));
+    }
+
+    Result<ServerUpdates> updates(std::uint64_t revision, milliseconds wait)
+    {
+        return run(m_discovery.awaitServerUpdates(revision, wait, deadline()));
+    }
+
+    ScriptedResponses responses;
+
+private:
+    StoreDiscovery m_discovery;
+};
+
 } // namespace
 
 TEST_CASE_METHOD(StoreFixture, "a list of servers is read page by page and has the revision of the first page", "[adapter][storediscovery]")
@@ -148,6 +230,98 @@
     CHECK(list->faults[0].subject == "i-2");
 }
 
+TEST_CASE_METHOD(StoreFixture, "an entry that can't be read doesn't hide the others in a list", "[adapter][storediscovery][odd]")
+{
+    // Another writer may leave any value among the entries. The whole response was unreadable then, for every instance, as long as it
+    // stood.
+    const auto odd = GENERATE(std::string("1e400"), std::string("\"\xff\xfe\""), std::string(200000, '[') + std::string(200000, ']'),
+        std::string("[1e400,{\"slots\":-1e999}]"));
+    store.answer("/v1/objects/servers",
+        R"({"items":[)" + object("i-1", 4, serverSpec()) + "," + object("i-2", 5, odd) + "," + object("i-3", 6, serverSpec())
+            + R"(],"has_more":false,"store_revision":30})");
+    const auto list = servers();
+    REQUIRE(list.has_value());
+    REQUIRE(list->servers.size() == 2);
+    CHECK(list->servers[0].id == "i-1");
+    CHECK(list->servers[1].id == "i-3");
+    REQUIRE(list->faults.size() == 1);
+    CHECK(list->faults[0].subject == "i-2");
+    CHECK(list->position == StorePosition(0, 30));
+}
+
+TEST_CASE_METHOD(
+    StoreFixture, "a change that can't be read doesn't hide the others, and the watch moves on", "[adapter][storediscovery][odd]")
+{
+    const auto odd = GENERATE(std::string("1e400"), std::string("\"\xff\xfe\""), std::string(200000, '[') + std::string(200000, ']'));
+    store.answer("/v1/objects/servers?watch=30&wait_ms=4000",
+        R"({"events":[{"deleted":false,"object":)" + object("i-1", 31, odd) + R"(},{"deleted":true,"object":)" + object("i-2", 32, odd)
+            + R"(},{"deleted":false,"object":)" + object("i-3", 33, serverSpec()) + R"(},)" + odd + R"(],"store_revision":34})");
+    const auto changes = updates(30);
+    REQUIRE(changes.has_value());
+    CHECK(changes->position == StorePosition(0, 34));
+    REQUIRE(changes->updates.size() == 4);
+    CHECK(changes->updates[0].fault.has_value());
+    CHECK(changes->updates[1].unlisted == std::optional<std::string>("i-2"));
+    CHECK(changes->updates[2].listed.has_value());
+    CHECK(changes->updates[3].fault.has_value());
+}
+
+TEST_CASE_METHOD(StoreFixture, "10,000 entries that can't be read leave the server among them listed", "[adapter][storediscovery][odd]")
+{
+    std::string items = object("i-1", 4, serverSpec());
+    for (int index = 0; index < 10000; ++index) {
+        items += "," + object("x-" + std::to_string(index), 5, "{\"slots\":1e400}");
+    }
+    store.answer("/v1/objects/servers", R"({"items":[)" + items + R"(],"has_more":false,"store_revision":30})");
+    const auto list = servers();
+    REQUIRE(list.has_value());
+    CHECK(list->servers.size() == 1);
+    CHECK(list->faults.size() == 10000);
+}
+
+TEST_CASE_METHOD(StoreFixture, "a list continues after a name of any characters", "[adapter][storediscovery][odd]")
+{
+    store.answer("/v1/objects/servers",
+        R"({"items":[)" + object("i-1", 4, serverSpec()) + "," + object(R"(x\r\n&a=%/\u00e9)", 5, "7")
+            + R"(],"has_more":true,"store_revision":30})");
+    store.answer("/v1/objects/servers?after=x%0D%0A%26a%3D%25%2F%C3%A9",
+        R"({"items":[)" + object("z-3", 6, serverSpec()) + R"(],"has_more":false,"store_revision":33})");
+    const auto list = servers();
+    REQUIRE(list.has_value());
+    CHECK(list->servers.size() == 2);
+}
+
+TEST_CASE_METHOD(StoreFixture, "a list that can't be continued is an error and not a short list", "[adapter][storediscovery][odd]")
+{
+    // Guards against servers that count as removed because their page was never read.
+    store.answer("/v1/objects/servers",
+        R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(,{"meta":{"name":7}}],"has_more":true,"store_revision":30})");
+    const auto unnamed = servers();
+    REQUIRE_FALSE(unnamed.has_value());
+    CHECK(unnamed.error().kind() == ErrorKind::Malformed);
+    store.answer("/v1/objects/servers", R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(],"has_more":true,"store_revision":30})");
+    store.answer(
+        "/v1/objects/servers?after=i-1", R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(],"has_more":true,"store_revision":30})");
+    const auto repeated = servers();
+    REQUIRE_FALSE(repeated.has_value());
+    CHECK(repeated.error().kind() == ErrorKind::Malformed);
+}
+
+TEST_CASE_METHOD(StoreFixture, "a configuration with an unknown kind of request is in force", "[adapter][storediscovery][odd]")
+{
+    store.answer("/v1/objects/config",
+        R"({"items":[)"
+            + object("main", 6,
+                R"({"version":7,"routes":[{"name":"r-1","hostname":"198.18.0.1","path_prefix":"/443/","kind":"relay","service":"pond"}],)"
+                R"("services":[{"name":"pond"}],"limits":{"idle_timeout_ms":15000}})")
+            + R"(],"has_more":false,"store_revision":30})");
+    const auto read = configuration();
+    REQUIRE(read.has_value());
+    REQUIRE(read->configuration.has_value());
+    CHECK(read->configuration->routes.size() == 1);
+    CHECK(read->ignored.size() == 1);
+}
+
 TEST_CASE_METHOD(StoreFixture, "changes of servers are returned in order", "[adapter][storediscovery]")
 {
     store.answer("/v1/objects/servers?watch=30&wait_ms=4000",
@@ -216,6 +390,51 @@
     CHECK(kindOf(R"({"events":[],"store_revision":30})", 200) == "success");
 }
 
+TEST_CASE_METHOD(
+    LateResponseFixture, "a second, late copy of a response is not taken for that of the next call", "[adapter][storediscovery][late]")
+{
+    // The store sends an earlier response again on a connection in use. Each further call would then get the response of the one before.
+    const std::string list = R"({"items":[)" + object("i-1", 4, serverSpec()) + R"(],"has_more":false,"store_revision":30})";
+    const std::string change = R"({"events":[{"deleted":false,"object":)" + object("i-2", 31, serverSpec()) + R"(}],"store_revision":31})";
+    const std::string nothing = R"({"events":[],"store_revision":31})";
+    responses.bodies = { list };
+    REQUIRE(servers().has_value());
+    SECTION("the copy of a list")
+    {
+        responses.bodies = { list };
+        REQUIRE_FALSE(updates(30, milliseconds(0)).has_value());
+        CHECK(responses.connections == 1);
+    }
+    SECTION("the copy of changes that were asked for before")
+    {
+        responses.bodies = { change };
+        REQUIRE(updates(30, milliseconds(0)).has_value());
+        responses.bodies = { change };
+        const auto copy = updates(31, milliseconds(0));
+        REQUIRE_FALSE(copy.has_value());
+        CHECK(copy.error().kind() == ErrorKind::Malformed);
+    }
+    SECTION("the copy of a response with an earlier revision")
+    {
+        responses.bodies = { nothing };
+        REQUIRE_FALSE(updates(40, milliseconds(0)).has_value());
+    }
+    SECTION("the copy of a response without changes, before the wait is over")
+    {
+        responses.bodies = { nothing };
+        const auto copy = updates(30, milliseconds(60000));
+        REQUIRE(copy.has_value());
+        CHECK(copy->endedEarly);
+    }
+    // The next call doesn't use the connection on which the response of the one before may still arrive.
+    responses.bodies = { change };
+    const auto next = updates(30, milliseconds(0));
+    REQUIRE(next.has_value());
+    CHECK(next->updates.size() == 1);
+    CHECK_FALSE(next->endedEarly);
+    CHECK(responses.connections == 2);
+}
+
 TEST_CASE_METHOD(StoreFixture, "a lost response is reported as an unknown outcome", "[adapter][storediscovery]")
 {
     const auto lost = servers();
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -188,6 +188,22 @@
     }
 }
 
+TEST_CASE_METHOD(
+    WatcherFixture, "a response without changes that comes before the end of the wait confirms nothing", "[stream][discoverywatcher][late]")
+{
+    // It may be a late copy of an earlier response, which says nothing about the time since then.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
+    ServerUpdates early { {}, { 0, 10 } };
+    early.endedEarly = true;
+    discovery.updates.push_back(early);
+    const TimePoint listed = clock.now();
+    discovery.onWatch = [this] { clock.advance(milliseconds(300)); };
+    watchServers();
+    CHECK(router.viewStatus().serversConfirmedAt == listed);
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 10" });
+    CHECK(events.count("store_call_failed") == 0);
+}
+
 TEST_CASE_METHOD(WatcherFixture, "servers are listed again without delay after the store lost the history", "[stream][discoverywatcher]")
 {
     discovery.lists.push_back(ServerList { { server(1), server(2) }, {}, { 0, 10 } });
@@ -253,6 +269,58 @@
     CHECK(router.configuration().position.revision() == 12);
 }
 
+TEST_CASE_METHOD(WatcherFixture,
+    "the parts of a configuration that can't be used are counted and logged once a version, with a bounded number of lines",
+    "[stream][discoverywatcher][odd]")
+{
+    ConfigurationRead read { configuration(4), {}, { 0, 10 } };
+    read.ignored.assign(500, { "r-1", "the kind of requests is unknown" });
+    discovery.reads.push_back(read);
+    discovery.reads.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    read.position = { 0, 12 };
+    discovery.reads.push_back(read);
+    watchConfiguration();
+    CHECK(router.configuration().position.revision() == 4);
+    CHECK(events.count("configuration_value_ignored") == 8);
+    CHECK(events.count("configuration_partly_used") == 1);
+}
+
+TEST_CASE_METHOD(
+    WatcherFixture, "changes that are too large for one response are followed by a complete list", "[stream][discoverywatcher][odd]")
+{
+    // Guards against a watch that asks for the same changes for ever and never hears of a later one.
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
+    discovery.updates.push_back(failure(ErrorKind::TooLarge, "store", "the body is above the limit"));
+    discovery.lists.push_back(ServerList { { server(2) }, {}, { 0, 40 } });
+    watchServers();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "list", "watch 40" });
+    CHECK(router.directory().listed("pond").size() == 1);
+}
+
+TEST_CASE_METHOD(
+    WatcherFixture, "an entry that can't be read for a while is used again as soon as it can be", "[stream][discoverywatcher][odd]")
+{
+    discovery.lists.push_back(ServerList { { server(1) }, {}, { 0, 10 } });
+    ServerUpdate fault;
+    fault.fault = DiscoveryFault { "i-1", "slots is 0" };
+    fault.position = { 0, 11 };
+    ServerUpdate sound;
+    sound.listed = server(1);
+    sound.listed->phase = ServerPhase::Draining;
+    sound.listed->position = { 0, 12 };
+    sound.position = { 0, 12 };
+    discovery.updates.push_back(ServerUpdates { { fault, sound }, { 0, 12 } });
+    ServerUpdate removal;
+    removal.unlisted = "i-1";
+    removal.position = { 0, 14 };
+    discovery.updates.push_back(ServerUpdates { { fault }, { 0, 13 } });
+    discovery.updates.push_back(ServerUpdates { { removal }, { 0, 14 } });
+    watchServers();
+    CHECK(router.directory().listed("pond").empty());
+    CHECK(router.directory().findId(server(1).id)->server.phase == ServerPhase::Draining);
+    CHECK(discovery.calls.back() == "watch 14");
+}
+
 TEST_CASE_METHOD(WatcherFixture, "an unreadable entry is reported and the servers stay listed", "[stream][discoverywatcher]")
 {
     discovery.lists.push_back(ServerList { { server(1) }, { { "i-9", "state is not a text string" } }, { 0, 10 } });
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -2,6 +2,7 @@
 #include "peer/framecodec.h"
 #include "stream/peersynchronizer.h"
 #include "stream/routerfixture.h"
+#include "stream/streamlimits.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -244,6 +245,27 @@
     CHECK(std::all_of(nodes.begin(), nodes.end(), [](const Node &node) { return node.router.directory().listed("pond").size() == 2; }));
 }
 
+TEST_CASE_METHOD(SynchronizerFixture, "changes that don't fit a datagram are pulled as a state", "[stream][peersynchronizer][odd]")
+{
+    // Guards against a datagram that is cut off and refused by all instances, which then hear of no change and no confirmation.
+    Node &first = add({});
+    Node &second = add({ Node::addressOf(0) });
+    first.router.applyConfiguration(RouterFixture::configuration(4));
+    first.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
+    REQUIRE(runUntil([&] { return second.router.isReady(); }));
+    ServerUpdates updates { {}, { 0, 11 } };
+    for (std::uint64_t number = 2; number < 2 + GossipCodec::maxChanges; ++number) {
+        StreamServer server = RouterFixture::server(number);
+        server.failureDomain = std::string(StreamLimits::maxNameSize, 'a');
+        updates.updates.push_back(listed(server, 11));
+    }
+    first.router.applyServerUpdates(updates, clock.now());
+    first.synchronizer->publishServerUpdates(10, updates);
+    REQUIRE(runUntil([&] { return second.router.viewStatus().serversPosition.revision() == 11; }));
+    CHECK(second.router.directory().listed("pond").size() == 1 + GossipCodec::maxChanges);
+    CHECK(second.events.count("peer_news_refused") == 0);
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "changes whose push was lost are repaired by gossip", "[stream][peersynchronizer]")
 {
     Node &first = add({});
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -149,6 +149,24 @@
     }
 }
 
+TEST_CASE_METHOD(RouterFixture, "a route without targets refuses new flows at once and keeps its open ones", "[stream][router][odd]")
+{
+    // The route is in the configuration, but no target of it can be read.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    CHECK(send(token, 101, 900, 7).action == Action::Forward);
+    const Endpoint waiting(0x64400009, 1);
+    open(waiting);
+    StreamConfiguration unreadable = configuration(5);
+    unreadable.routes.begin()->second.targets.clear();
+    REQUIRE(router.applyConfiguration(unreadable));
+    CHECK(router.takeResets().empty());
+    CHECK(send(token, 1001, 900, 7).action == Action::Forward);
+    CHECK(open(Endpoint(0x64400009, 2)).action == Action::Reset);
+    advanceClock(std::chrono::milliseconds(200));
+    CHECK(open(waiting, 1).action == Action::Reset);
+}
+
 TEST_CASE_METHOD(RouterFixture, "all open flows of a server that refuses connections are reset, including idle ones", "[stream][router]")
 {
     // Clients of idle flows learn of a crash before they send their next request.
