Forward what has arrived before the forwarder ends, and let other tasks run in a flood

Cause: packets in the socket's queue were lost when the forwarder was stopped, and as long as full batches kept arriving nothing else ran: neither the signal to stop nor the messages of peers were handled.

Change: the queue is forwarded once more after the cancellation, and at most four batches are forwarded before other tasks run.

--- a/src/stream/streamforwarder.cpp
+++ b/src/stream/streamforwarder.cpp
@@ -28,6 +28,10 @@
 // Each probe uses a file descriptor, and when a failure domain is unreachable, all of its servers become due for a probe at once.
 constexpr std::size_t maxRunningProbes = 64;
 
+// Batches that are forwarded before other tasks run. Packets that arrive faster than they are forwarded must not hold up the checks, the
+// messages of other instances or a stop.
+constexpr std::size_t maxBatchesAtOnce = 4;
+
 // The socket buffers the packets of a burst while the process is not scheduled.
 constexpr int receiveBufferSize = 1 << 20; // bytes
 
@@ -78,20 +82,25 @@
     while (true) {
         std::error_code error;
         co_await m_socket.async_wait(asio::ip::udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        forwardWaiting(); // after a cancellation too: nobody else will forward what has arrived
         if (error) {
             co_return failure(ErrorKind::InputOutput, m_address.toString(), error.message());
         }
-        std::size_t count = m_batch.receive(m_socket.native_handle());
-        while (count > 0) {
-            m_receivedCount += count;
-            for (std::size_t index = 0; index < count; ++index) {
-                forward(m_batch.mutableDatagram(index));
-            }
-            m_batch.flush(m_socket.native_handle());
-            count = count == DatagramBatch::maxDatagrams ? m_batch.receive(m_socket.native_handle()) : 0;
+    }
+}
+
+void StreamForwarder::forwardWaiting()
+{
+    std::size_t count = DatagramBatch::maxDatagrams;
+    for (std::size_t batch = 0; batch < maxBatchesAtOnce && count == DatagramBatch::maxDatagrams; ++batch) {
+        count = m_batch.receive(m_socket.native_handle());
+        m_receivedCount += count;
+        for (std::size_t index = 0; index < count; ++index) {
+            forward(m_batch.mutableDatagram(index));
         }
-        sendResets();
+        m_batch.flush(m_socket.native_handle());
     }
+    sendResets();
 }
 
 asio::awaitable<Result<void>> StreamForwarder::runChecks()
--- a/src/stream/streamforwarder.h
+++ b/src/stream/streamforwarder.h
@@ -39,7 +39,7 @@
      */
     static Result<std::unique_ptr<StreamForwarder>> create(asio::any_io_executor executor, Dependencies dependencies, Endpoint address);
 
-    /** Receives and forwards packets until it is cancelled. @return InputOutput if the socket fails */
+    /** Receives and forwards packets until it is cancelled, and then those that have arrived. @return InputOutput if the socket fails */
     asio::awaitable<Result<void>> forwardPackets();
 
     /**
@@ -63,6 +63,7 @@
     StreamForwarder(asio::any_io_executor executor, Dependencies dependencies, Endpoint address);
 
     Result<void> bind();
+    void forwardWaiting();
     void forward(std::span<std::uint8_t> bytes);
     void sendReset(const StreamReset &reset);
     void startDueProbes();
