--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD_DIR ?= build
 export BUILD_DIR
 
-.PHONY: all deps configure build test lint format demo bench bench-quick soak clean
+.PHONY: all deps configure build test lint format demo bench bench-quick soak fuzz clean
 
 all: build
 
@@ -44,3 +44,9 @@
 # The first seed is the current time, so that each run has new fault schedules; FIRST=N repeats the schedules from seed N.
 soak: build
 	@tools/soak.sh $(or $(SEEDS),10) $(FIRST)
+
+# CASES=N mutated inputs for each decoder; CI plays a few thousand with a fixed seed. SANITIZE=1 builds with the address and undefined
+# behaviour sanitizers, in a folder of its own.
+fuzz:
+	@$(MAKE) --no-print-directory deps
+	@tools/fuzz.sh $(or $(CASES),1000000) $(or $(SEED),$(shell date +%s)) $(SANITIZE)
