--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -56,6 +56,9 @@
 constexpr std::uint64_t peerFaultSpacing = 3000; // milliseconds; the same for the links between instances
 constexpr std::uint64_t peerFaultStream = 1; // random stream of its own, so that link faults do not change the rest of a seed's schedule
 constexpr std::uint64_t storeRestoreStream = 2; // the same for the store's returns from older copies
+constexpr std::uint64_t oddEntryStream = 3; // the same for the entries of another writer
+constexpr std::uint64_t oddEntrySpacing = 600; // milliseconds; upper bound between them
+constexpr milliseconds reportInterval { 1200 }; // after which a server writes its entry again
 constexpr milliseconds restoreObservation { 9000 }; // after the last return; as long as the bound for a drain that is written again
 constexpr milliseconds operatorRewriteTime { 1000 }; // in which the operator writes again after a return
 constexpr milliseconds serverRewriteTime { 2000 }; // the same for servers
@@ -126,6 +129,7 @@
     , m_random(m_options.seed)
     , m_context(1)
     , m_store(m_context.get_executor(), m_clock)
+    , m_oddWriter(m_store, SeededRandom(mix64(m_options.seed, oddEntryStream)))
 {
     std::filesystem::create_directories(m_options.folder);
 }
@@ -246,6 +250,13 @@
                 true);
         }
     }
+    if (m_options.oddEntries) {
+        routes.push_back(
+            { { "name", "odd-1" }, { "hostname", "pond.example" }, { "path_prefix", "/443/" }, { "kind", "safe" }, { "service", "pond" } });
+        routes.push_back(
+            { { "name", "odd-2" }, { "hostname", "198.18.0.1" }, { "path_prefix", "/1/" }, { "kind", "relay" }, { "service", "nobody" } });
+        routes.push_back(7);
+    }
     m_configuration = { { "version", m_version }, { "routes", routes }, { "services", { { { "name", "pond" } }, { { "name", "tile" } } } },
         { "limits", { { "idle_timeout_ms", 15000 } } } };
     m_store.put("config", "main", m_configuration);
@@ -292,6 +303,9 @@
     if (m_options.storeRestores) {
         scheduleStoreRestores();
     }
+    if (m_options.oddEntries) {
+        scheduleOddEntries();
+    }
     // Ends the faults that are still active, for the recovery time.
     scheduleAction(m_options.faultDuration, "all faults end", [this] {
         m_faultsEnded = true;
@@ -451,6 +465,38 @@
     return returnsAt;
 }
 
+void SoakRun::scheduleOddEntries()
+{
+    SeededRandom random(mix64(m_options.seed, oddEntryStream));
+    // The last entries stay until the end of the run.
+    for (milliseconds at(200); at < m_options.faultDuration; at += milliseconds(random.below(oddEntrySpacing))) {
+        scheduleAction(at, "another writer leaves an odd entry", [this] { writeOddEntry(); });
+    }
+}
+
+void SoakRun::writeOddEntry()
+{
+    std::vector<std::string> ids;
+    for (const auto &server : m_servers) {
+        if (server->isRunning()) {
+            ids.push_back(server->id());
+        }
+    }
+    const std::string id = m_oddWriter.write(ids);
+    if (id.empty()) {
+        return;
+    }
+    startTimer(reportInterval, [this, id] {
+        const bool isRunning = std::any_of(
+            m_servers.begin(), m_servers.end(), [&id](const auto &server) { return server->id() == id && server->isRunning(); });
+        if (isRunning) {
+            m_store.put("servers", id, m_serverSpecs[id]);
+        } else {
+            m_store.remove("servers", id);
+        }
+    });
+}
+
 void SoakRun::restoreStore(milliseconds age, milliseconds operatorDelay, std::uint64_t randomValue)
 {
     m_store.restore(age);
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -5,6 +5,7 @@
 #include "soak/faultproxy.h"
 #include "soak/instanceprocess.h"
 #include "soak/invariantchecker.h"
+#include "soak/oddwriter.h"
 #include "soak/routeprobe.h"
 #include "soak/soakclient.h"
 #include "soak/soakserver.h"
@@ -31,6 +32,7 @@
     std::chrono::milliseconds recoveryTime { 6000 }; /**< time without faults after it; at its end, requests have to succeed again */
     bool peerLinks = false; /**< whether to inject faults into the links between instances too */
     bool storeRestores = false; /**< whether the store also returns from older copies; adds some seconds to the run */
+    bool oddEntries = false; /**< whether another writer leaves odd entries among those of the servers, and odd routes exist */
     std::string program; /**< path of samphirepitchd */
     std::string folder; /**< folder for settings and logs of the instances */
     std::uint32_t network = 0; /**< number of a /16 network from 127.64.0.0 on, 0 to 31; parallel runs need different ones */
@@ -78,6 +80,8 @@
     std::chrono::milliseconds scheduleStoreRestore(std::chrono::milliseconds at, RandomSource &random);
     void restoreStore(std::chrono::milliseconds age, std::chrono::milliseconds operatorDelay, std::uint64_t randomValue);
     void updateStoreAvailability();
+    void scheduleOddEntries();
+    void writeOddEntry();
     void scheduleServerFault(std::chrono::milliseconds at);
     void scheduleConfigChange(std::chrono::milliseconds at);
     void crashServer(std::uint64_t randomValue, bool sameId);
@@ -101,6 +105,7 @@
     asio::io_context m_context;
     InvariantChecker m_checker;
     StoreStandin m_store;
+    OddWriter m_oddWriter;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::shared_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakClient>> m_clients;
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -18,11 +18,6 @@
 constexpr std::uint64_t initialRevision = 1;
 const std::string objectsPath = "/v1/objects/";
 
-HttpResponse jsonResponse(const Json &body, int status = 200)
-{
-    return HttpResponse::of(status, "application/json", body.dump());
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(asio::any_io_executor executor, const Clock &clock)
@@ -46,6 +41,13 @@
     return revision();
 }
 
+void StoreStandin::putText(const std::string &kind, const std::string &name, std::string text)
+{
+    const std::string placeholder = "@text-" + std::to_string(m_texts.size()) + "@";
+    m_texts.emplace(placeholder, std::move(text));
+    put(kind, name, placeholder);
+}
+
 void StoreStandin::remove(const std::string &kind, const std::string &name)
 {
     const auto found = m_objects[kind].find(name);
@@ -137,6 +139,18 @@
     co_return found ? *std::move(found) : changes(kind, *watch, true).value();
 }
 
+HttpResponse StoreStandin::jsonResponse(const Json &body) const
+{
+    std::string text = body.dump();
+    for (const auto &[placeholder, content] : m_texts) {
+        const std::string quoted = '"' + placeholder + '"';
+        for (std::size_t at = text.find(quoted); at != std::string::npos; at = text.find(quoted, at + content.size())) {
+            text.replace(at, quoted.size(), content);
+        }
+    }
+    return HttpResponse::of(200, "application/json", std::move(text));
+}
+
 HttpResponse StoreStandin::list(const std::string &kind) const
 {
     Json items = Json::array();
--- a/soak/storestandin.h
+++ b/soak/storestandin.h
@@ -44,6 +44,9 @@
      */
     std::uint64_t put(const std::string &kind, const std::string &name, nlohmann::json spec);
 
+    /** Creates or replaces an object whose content is @p text in all responses, whether or not that is valid JSON. */
+    void putText(const std::string &kind, const std::string &name, std::string text);
+
     /** Removes an object if it exists. */
     void remove(const std::string &kind, const std::string &name);
 
@@ -83,6 +86,7 @@
     };
 
     asio::awaitable<HttpResponse> respond(HttpRequest request);
+    HttpResponse jsonResponse(const nlohmann::json &body) const;
     HttpResponse list(const std::string &kind) const;
     std::optional<HttpResponse> changes(const std::string &kind, std::uint64_t after, bool includeEmpty) const;
     void record(const std::string &kind, bool deleted, nlohmann::json object);
@@ -92,6 +96,7 @@
     const Clock &m_clock;
     std::unique_ptr<HttpServer> m_server;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    std::map<std::string, std::string> m_texts; // by the string that stands for the text in an object
     History m_history;
     std::vector<History> m_endedEras;
     std::uint64_t m_restoredRevision = 0; // the one that restore() returned to last
