--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -127,6 +127,7 @@
     }
     recordSuccess(m_servers);
     if (updates->endedEarly) {
+        co_await m_timer.waitUntil(m_clock.now() + initialBackoff);
         co_return;
     }
     const bool changed = !updates->updates.empty();
@@ -170,6 +171,7 @@
     }
     recordSuccess(m_configuration);
     if (read->endedEarly) {
+        co_await m_timer.waitUntil(m_clock.now() + initialBackoff);
         co_return;
     }
     const TimePoint confirmedAt = confirmationTime(callStart, wait, read->configuration || read->fault);
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -279,6 +279,19 @@
     CHECK(list->faults.size() == 10000);
 }
 
+TEST_CASE_METHOD(StoreFixture, "the removal of an entry with a very long name is no change of a server", "[adapter][storediscovery][odd]")
+{
+    // Guards against a removal that is passed on and refused by all peers together with the other changes of its message.
+    store.answer("/v1/objects/servers?watch=30&wait_ms=4000",
+        R"({"events":[{"deleted":true,"object":)" + object("i-" + std::string(300, '1'), 31, "null") + R"(},{"deleted":true,"object":)"
+            + object("i-2", 32, "null") + R"(}],"store_revision":32})");
+    const auto changes = updates(30);
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->updates.size() == 2);
+    CHECK(changes->updates[0].fault.has_value());
+    CHECK(changes->updates[1].unlisted.has_value());
+}
+
 TEST_CASE_METHOD(StoreFixture, "a list continues after a name of any characters", "[adapter][storediscovery][odd]")
 {
     store.answer("/v1/objects/servers",
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -202,6 +202,8 @@
     CHECK(router.viewStatus().serversConfirmedAt == listed);
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 10" });
     CHECK(events.count("store_call_failed") == 0);
+    // A store that ends each wait at once is not called in a tight loop.
+    CHECK(clock.now() >= listed + milliseconds(300 + 100 + 300));
 }
 
 TEST_CASE_METHOD(WatcherFixture, "servers are listed again without delay after the store lost the history", "[stream][discoverywatcher]")
