Deliver the responses that have arrived when the data path of the proxy is stopped

When the data path was stopped, what waited in its sockets was left unread, so that a caller got no response to a request which a server had answered.

Requests that wait are left: they have not run.

Measured: "a response that has arrived before a data path is stopped reaches its caller" failed before the change (no datagram at the caller) and holds with it. Not tried under load with processes. Stream flows don't use this class.

--- a/src/data/datapath.cpp
+++ b/src/data/datapath.cpp
@@ -135,22 +135,35 @@
         while (!m_isStopped) {
             asio::error_code error;
             co_await socket.async_wait(udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-            for (int batchIndex = 0; !error && !m_isStopped && batchIndex < maxBatchesPerWakeup; ++batchIndex) {
-                const std::size_t count = batch.receive(socket.native_handle());
-                const TimePoint now = m_clock.now();
-                for (std::size_t index = 0; index < count; ++index) {
-                    m_currentDatagram = batch.datagram(index);
-                    (m_engine.*handler)(m_currentDatagram, batch.sender(index), now);
-                }
-                flush();
-                m_currentDatagram = {};
-                if (count < DatagramBatch::maxDatagrams) {
-                    break;
-                }
+            if (!error && !m_isStopped) {
+                handleWaiting(socket, handler, batch);
             }
         }
     }
 
+    /** Handles the datagrams that wait in the queue of a socket, up to maxBatchesPerWakeup batches. */
+    void handleWaiting(udp::socket &socket, DatagramHandler handler, DatagramBatch &batch)
+    {
+        std::size_t count = DatagramBatch::maxDatagrams;
+        for (int batchIndex = 0; batchIndex < maxBatchesPerWakeup && count == DatagramBatch::maxDatagrams; ++batchIndex) {
+            count = batch.receive(socket.native_handle());
+            const TimePoint now = m_clock.now();
+            for (std::size_t index = 0; index < count; ++index) {
+                m_currentDatagram = batch.datagram(index);
+                (m_engine.*handler)(m_currentDatagram, batch.sender(index), now);
+            }
+            flush();
+            m_currentDatagram = {};
+        }
+    }
+
+    /** Passes the responses of servers that have arrived on to their callers. Requests that wait are left, since they have not run. */
+    void deliverResponses()
+    {
+        DatagramBatch batch;
+        handleWaiting(m_backSocket, &PacketEngine::handleBackendDatagram, batch);
+    }
+
     asio::awaitable<void> tick()
     {
         while (!m_isStopped) {
@@ -241,6 +254,7 @@
 
 void DataPath::stop()
 {
+    m_implementation->deliverResponses();
     m_implementation->m_isStopped = true;
     m_implementation->m_tickTimer.cancel();
     asio::error_code ignored;
--- a/tests/data/datapathtests.cpp
+++ b/tests/data/datapathtests.cpp
@@ -107,6 +107,56 @@
     }
 }
 
+TEST_CASE("a response that has arrived before a data path is stopped reaches its caller", "[data][datapath][stop]")
+{
+    // Guards against callers that get no response to a request which a server has answered, because the instance ends at that moment.
+    asio::io_context context;
+    udp::socket fabric = openSocket(context);
+    udp::socket server = openSocket(context);
+    const SteadyClock clock;
+    SeededRandom random(20261204);
+    PacketEngineFixture events;
+    Endpoint dataAddress;
+    {
+        const udp::socket probe = openSocket(context); // finds a free port for the data path, and is closed again
+        dataAddress = boundAddress(probe);
+    }
+    auto data = DataPath::create(context.get_executor(), clock, random, events,
+        { .instance = "i1",
+            .failureDomain = "a",
+            .dataAddress = dataAddress,
+            .backAddress = Endpoint(0x7f000001, 0),
+            .fabricReturn = boundAddress(fabric),
+            .maxFlows = 100,
+            .isNewId = true });
+    REQUIRE(data.has_value());
+    auto servers = SamplePools::servers(1);
+    servers[0].address = boundAddress(server);
+    (*data)->configurationChanged(SamplePools::generation(5, servers));
+    bool hasEnded = false;
+    asio::co_spawn(context, (*data)->run(), [&hasEnded](std::exception_ptr) { hasEnded = true; });
+    const ProxyHeader toService({ .source = PacketEngineFixture::caller(), .destination = SamplePools::serviceAddress() });
+    fabric.send_to(
+        asio::buffer(PacketEngineFixture::bytesOf(toService, PacketEngineFixture::requestBytes(9, "checkin"))), toAsio(dataAddress));
+    udp::endpoint sender;
+    receive(context, server, sender);
+
+    const ProxyHeader toCaller({ .source = SamplePools::serviceAddress(), .destination = PacketEngineFixture::caller() });
+    server.send_to(asio::buffer(PacketEngineFixture::bytesOf(toCaller, PacketEngineFixture::responseBytes(9, "done"))), sender);
+    (*data)->stop();
+    while (!hasEnded) {
+        context.run_one();
+    }
+    std::vector<std::uint8_t> response(2048);
+    asio::error_code error;
+    response.resize(fabric.receive_from(asio::buffer(response), sender, 0, error));
+    REQUIRE_FALSE(error);
+    std::span<const std::uint8_t> payload;
+    REQUIRE(ProxyHeader::decode(response, payload).has_value());
+    CHECK(std::vector<std::uint8_t>(payload.begin(), payload.end()) == PacketEngineFixture::responseBytes(9, "done"));
+    CHECK((*data)->pendingRequests() == 0);
+}
+
 TEST_CASE("a data path names the address that it can't bind to", "[data][datapath]")
 {
     asio::io_context context;
