--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 soak: build
 	@tools/soak.sh $(or $(SEEDS),10) $(FIRST)
 
-# CASES=N mutated inputs for each decoder; CI plays a few thousand with a fixed seed. SANITIZE=1 builds with the address and undefined
+# CASES=N mutated inputs for each decoder of the stream path; CI plays a few thousand with a fixed seed. Those of the proxy path have fixed
+# rounds and seeds. SANITIZE=1 builds with the address and undefined
 # behaviour sanitizers, in a folder of its own.
 fuzz:
 	@$(MAKE) --no-print-directory deps
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,8 +2,8 @@
 # Runs the soak test: soak.sh SEEDS [FIRST] [JOBS] for SEEDS consecutive seeds, or soak.sh FILE [FIRST] [JOBS] for the seeds at the start
 # of each line of a file (as CI does). Each seed determines a schedule of faults for a deployment of separate processes. A seed with
 # "+links" also has faults on the links of instances to each other, and one with "+restore" (after "+links" if it has both) a store that
-# returns from older copies; one with "+odd" at its end has odd entries of another writer. All seeds that are not from a file have these. Prints one line for each seed, and keeps the logs of the runs
-# that violated an invariant in run/soak/.
+# returns from older copies; one with "+odd" at its end has odd entries of another writer. All seeds that are not from a file have these.
+# Prints one line for each seed, and keeps the logs of the runs that violated an invariant in run/soak/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 jobs="${3:-4}"
