Show that thousands of odd entries stop every daemon and drains are missed

Cause: each change of an entry rebuilds the indexes of all records, so that a batch of new entries costs the square of their number. The daemon that reads the store and then all others handle nothing else meanwhile.

The routers of the stand-ins use all daemons of a zone if fewer than half of them are in rotation, as the platform does.

--- a/review/rig.cc
+++ b/review/rig.cc
@@ -258,6 +258,17 @@
         publish(kind, false, render(name, object));
     }
 
+    /** Puts several objects; watches are answered when all are there. */
+    void putAll(const std::string &kind, const std::map<std::string, std::string> &specs)
+    {
+        m_answers = false;
+        for (const auto &[name, spec] : specs) {
+            put(kind, name, spec);
+        }
+        m_answers = true;
+        answerWatches();
+    }
+
     void remove(const std::string &kind, const std::string &name)
     {
         const auto found = m_objects[kind].find(name);
@@ -361,7 +372,7 @@
 
     void answerWatches()
     {
-        for (std::size_t index = 0; index < m_watches.size();) {
+        for (std::size_t index = 0; m_answers && index < m_watches.size();) {
             const Watch watch = m_watches[index];
             std::string events;
             for (const StoreChange &change : m_history) {
@@ -398,6 +409,7 @@
     }
 
     std::uint64_t m_revision = 1;
+    bool m_answers = true;
     std::map<std::string, std::map<std::string, StoredObject>> m_objects;
     std::vector<StoreChange> m_history;
     std::vector<Watch> m_watches;
@@ -622,6 +634,11 @@
         return m_service;
     }
 
+    const std::string &zone() const
+    {
+        return m_zone;
+    }
+
     Endpoint address() const
     {
         return m_address;
@@ -1066,23 +1083,26 @@
 
 std::vector<std::unique_ptr<Daemon>> daemons;
 
-/** The router: a hash of the addresses and ports over the daemons of the zone that are in rotation ("mod"). */
-const Daemon *daemonFor(const FlowKey &key, const std::string &zone)
+/**
+ * The router: a hash of the addresses and ports over the daemons of the zone that are in rotation ("mod"), or over all of the zone if fewer
+ * than half of them are.
+ */
+const Daemon &daemonFor(const FlowKey &key, const std::string &zone)
 {
-    std::vector<const Daemon *> own;
     std::vector<const Daemon *> all;
+    std::vector<const Daemon *> rotation;
     for (const auto &daemon : daemons) {
-        if (daemon->isInRotation()) {
+        if (daemon->zone() == zone) {
             all.push_back(daemon.get());
-            if (daemon->zone() == zone) {
-                own.push_back(daemon.get());
+            if (daemon->isInRotation()) {
+                rotation.push_back(daemon.get());
             }
         }
     }
-    const auto &chosen = own.empty() ? all : own;
+    const auto &chosen = 2 * rotation.size() < all.size() ? all : rotation;
     const std::uint64_t hash
         = (std::uint64_t(key.first.host) * 31 + key.first.port) * 0x9e3779b97f4a7c15 ^ (std::uint64_t(key.second.host) << 16 | key.second.port);
-    return chosen.empty() ? nullptr : chosen[(hash >> 20) % chosen.size()];
+    return *chosen[(hash >> 20) % chosen.size()];
 }
 
 // ---- clients
@@ -1107,6 +1127,8 @@
 int sentCount = 0;
 int answeredCount = 0;
 int unansweredCount = 0;
+Time lastAnswer;
+Clock::duration longestSilence {}; // between two answers to any clients
 int resetCount = 0;
 
 /** A client host. Each of its users keeps a flow open for many requests and opens the next one when it has ended. */
@@ -1143,7 +1165,6 @@
         Route route;
         FlowKey key;
         bool open = false;
-        Time openedAt;
         std::uint32_t echo = 0;
         std::uint32_t next = 0;
         std::uint32_t expected = 0;
@@ -1290,7 +1311,6 @@
         if (packet.has(flagSyn)) {
             if (!flow->open) {
                 flow->open = true;
-                flow->openedAt = Clock::now();
                 flow->echo = packet.echo;
                 flow->expected = packet.seq + 1;
                 ++flow->next;
@@ -1327,6 +1347,7 @@
         note("answered %s", flow->request.c_str());
         requests[flow->request].answered = true;
         ++answeredCount;
+        longestSilence = std::max(longestSilence, Clock::now() - std::exchange(lastAnswer, Clock::now()));
         flow->next += static_cast<std::uint32_t>(flow->data.size());
         flow->request.clear();
         if (flow->fresh) {
@@ -1358,13 +1379,10 @@
 
     void send(const Flow &flow, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack, std::string data)
     {
-        const Daemon *const daemon = daemonFor(flow.key, m_zone);
-        if (daemon == nullptr) {
-            return;
-        }
+        const Daemon &daemon = daemonFor(flow.key, m_zone);
         const std::string bytes
             = encode({ flow.key.first, flow.key.second, flags == flagSyn ? 0 : flow.echo, flags, seq, ack, std::move(data), 0, false });
-        const sockaddr_in to = daemon->data().address();
+        const sockaddr_in to = daemon.data().address();
         sendto(m_udp, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
     }
 
@@ -1504,6 +1522,7 @@
         cannotRun("the daemons were not ready within 10 s");
     }
     note("all daemons are ready");
+    lastAnswer = Clock::now();
     for (std::uint32_t index = 0; index < 6; ++index) {
         clients.push_back(std::make_unique<Client>(zones[index % zones.size()], network.at(clientGroup, index + 1, network.dataPort)));
         for (const Route &route : routes) {
@@ -1535,6 +1554,36 @@
 
 // ---- scenarios
 
+/** Another writer adds many entries for a service that no configuration names; then servers of one service are replaced. */
+void playManyEntries(bool trouble)
+{
+    runFor(milliseconds(5000));
+    if (trouble) {
+        constexpr int entryCount = 8000;
+        const Endpoint address = network.at(serverGroup, 200, 9100); // nobody listens there
+        std::map<std::string, std::string> entries;
+        for (int index = 0; index < entryCount; ++index) {
+            char id[32];
+            std::snprintf(id, sizeof(id), "x-%08x", index);
+            entries.emplace(id, servers.front()->entry("host-agent", address.text(), wallMilliseconds()));
+        }
+        note("another writer adds %d entries", entryCount);
+        store.putAll("servers", entries);
+    }
+    // A release of three of the eight servers of pondwatch, one of each zone: the new one starts first, the old one drains.
+    for (std::uint32_t index = 0; index < zones.size(); ++index) {
+        runFor(milliseconds(1000));
+        const auto old = std::find_if(servers.begin(), servers.end(),
+            [index](const auto &server) { return server->service() == "pondwatch" && server->zone() == zones[index]; });
+        char id[32];
+        std::snprintf(id, sizeof(id), "i-%08x", 0xf1000000 + index);
+        Server *const leaving = old->get();
+        servers.push_back(std::make_unique<Server>(id, "pondwatch", zones[index], network.at(serverGroup, 100 + index, 8080)));
+        leaving->drain(milliseconds(30000));
+    }
+    runFor(milliseconds(40000));
+}
+
 /** Another writer adds an entry for a service that no configuration names, at the address of a running server. */
 void playForeignAddress(bool trouble)
 {
@@ -1623,7 +1672,8 @@
         Load load;
         void (*play)(bool trouble);
     };
-    const std::map<std::string, Scenario> scenarios { { "foreign-address", { {}, playForeignAddress } },
+    const std::map<std::string, Scenario> scenarios { { "many-entries", { { 4, milliseconds(150), milliseconds(450) }, playManyEntries } },
+        { "foreign-address", { {}, playForeignAddress } },
         { "copied-entry", { { 3, milliseconds(3000), milliseconds(9000) }, playCopiedEntry } },
         { "reused-ports", { { 3, milliseconds(300), milliseconds(300), true }, playReusedPorts } },
         { "early-reload", { { 3, milliseconds(150), milliseconds(450) }, playEarlyReload } } };
@@ -1640,6 +1690,7 @@
     if (failing >= 2) {
         violate("Fault: on %td of %zu machines the process has ended by itself three times", failing, daemons.size());
     }
+    note("longest time without an answer to any client: %.1f s", std::chrono::duration<double>(longestSilence).count());
     note("requests: %d sent, %d answered, %d not answered; resets by the system: %d; broken: %d", sentCount, answeredCount,
         unansweredCount, resetCount, violations);
     std::printf("%s: %d sent, %d answered, %d not answered, %d resets by the system, %d broken\n", scenario.c_str(), sentCount,
