--- a/review/rig.cc
+++ b/review/rig.cc
@@ -1,9 +1,9 @@
 // Stand-ins for the review's cases: the platform's store, backend servers, clients and routers, in one process with one thread. The daemons
 // are started as child processes with the run line of the deploy file. The stand-ins speak PROTOCOL.md and nothing else.
 //
-// rig SCENARIO RECORD FOLDER PROGRAM, in the repository root: plays the scenario, writes the file RECORD, and keeps settings and logs of the
-// daemons in FOLDER. The environment variable TROUBLE=0 leaves the disruption out.
-// Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
+// rig SCENARIO RECORD FOLDER PROGRAM, in the repository root: plays the scenario, writes the file RECORD, and keeps settings and logs of
+// the daemons in FOLDER. The environment variable TROUBLE=0 leaves the disruption out. Exit code: 0 the rule held, 1 it was broken, 2 the
+// case could not run.
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -201,8 +201,7 @@
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     }
     const sockaddr_in name = address.address();
-    if (bind(fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) != 0
-        || (type == SOCK_STREAM && listen(fd, 256) != 0)) {
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) != 0 || (type == SOCK_STREAM && listen(fd, 256) != 0)) {
         cannotRun("the address " + address.text() + " can't be bound: " + std::strerror(errno));
     }
     return fd;
@@ -654,8 +653,7 @@
     {
         return "{\"service\":" + quoted(service) + ",\"address\":" + quoted(address) + ",\"zone\":" + quoted(m_zone)
             + ",\"version\":\"v1\",\"slots\":2,\"state\":" + quoted(m_draining ? "draining" : "ready")
-            + ",\"cold_remaining_ms\":0,\"sequence\":" + std::to_string(m_sequence)
-            + ",\"born\":" + std::to_string(born) + "}";
+            + ",\"cold_remaining_ms\":0,\"sequence\":" + std::to_string(m_sequence) + ",\"born\":" + std::to_string(born) + "}";
     }
 
     std::string entry() const
@@ -665,8 +663,7 @@
 
     std::size_t openFlows() const
     {
-        return static_cast<std::size_t>(
-            std::count_if(m_flows.begin(), m_flows.end(), [](const auto &flow) { return flow.second.open; }));
+        return static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(), [](const auto &flow) { return flow.second.open; }));
     }
 
     /** Returns when the last packet of an open flow arrived. */
@@ -959,8 +956,7 @@
         }
         close(started[1]);
         char byte = 0;
-        while (read(started[0], &byte, 1) < 0 && errno == EINTR) {
-        }
+        while (read(started[0], &byte, 1) < 0 && errno == EINTR) { }
         close(started[0]);
         m_misses = 2;
     }
@@ -1100,8 +1096,8 @@
         }
     }
     const auto &chosen = 2 * rotation.size() < all.size() ? all : rotation;
-    const std::uint64_t hash
-        = (std::uint64_t(key.first.host) * 31 + key.first.port) * 0x9e3779b97f4a7c15 ^ (std::uint64_t(key.second.host) << 16 | key.second.port);
+    const std::uint64_t hash = (std::uint64_t(key.first.host) * 31 + key.first.port) * 0x9e3779b97f4a7c15
+        ^ (std::uint64_t(key.second.host) << 16 | key.second.port);
     return *chosen[(hash >> 20) % chosen.size()];
 }
 
@@ -1446,9 +1442,9 @@
     for (const std::uint32_t seed : { 1U, 4U, 7U }) {
         seeds += (seeds.empty() ? "" : ",") + quoted(network.at(daemonGroup, seed, peer).text());
     }
-    const std::map<std::string, std::string> values { { "{{node}}", "frontend-" + zone + "-" + std::to_string(index) }, { "{{zone}}", zone },
-        { "{{listen.control_plane}}", network.at(daemonGroup, host, peer).text() }, { "{{seeds|json}}", "[" + seeds + "]" },
-        { "{{listen.datagram_address}}", network.at(daemonGroup, host, network.dataPort).text() },
+    const std::map<std::string, std::string> values { { "{{node}}", "frontend-" + zone + "-" + std::to_string(index) },
+        { "{{zone}}", zone }, { "{{listen.control_plane}}", network.at(daemonGroup, host, peer).text() },
+        { "{{seeds|json}}", "[" + seeds + "]" }, { "{{listen.datagram_address}}", network.at(daemonGroup, host, network.dataPort).text() },
         { "{{platform.address}}", storeAddress.text() }, { "{{ip}}", network.at(daemonGroup, host, 0).ip() },
         { "{{listen.ready}}", ready.text() } };
     std::string text = settingsTemplate;
@@ -1505,7 +1501,8 @@
         const Endpoint ready
             = network.at(daemonGroup, static_cast<std::uint32_t>(index), static_cast<std::uint16_t>(network.dataPort + 2000));
         store.listen(storeAddress);
-        daemons.push_back(std::make_unique<Daemon>(program, folder, index, zone, settingsOf(settingsTemplate, index, zone, storeAddress, ready), ready));
+        daemons.push_back(
+            std::make_unique<Daemon>(program, folder, index, zone, settingsOf(settingsTemplate, index, zone, storeAddress, ready), ready));
     }
     for (const auto &daemon : daemons) {
         daemon->start();
@@ -1691,8 +1688,8 @@
         violate("Fault: on %td of %zu machines the process has ended by itself three times", failing, daemons.size());
     }
     note("longest time without an answer to any client: %.1f s", std::chrono::duration<double>(longestSilence).count());
-    note("requests: %d sent, %d answered, %d not answered; resets by the system: %d; broken: %d", sentCount, answeredCount,
-        unansweredCount, resetCount, violations);
+    note("requests: %d sent, %d answered, %d not answered; resets by the system: %d; broken: %d", sentCount, answeredCount, unansweredCount,
+        resetCount, violations);
     std::printf("%s: %d sent, %d answered, %d not answered, %d resets by the system, %d broken\n", scenario.c_str(), sentCount,
         answeredCount, unansweredCount, resetCount, violations);
     daemons.clear();
