Keep entries of services that are not in use from naming a server

An entry for a service that no configuration names had been written at the server's address.

Cause: ServerDirectory took every entry that can be decoded for a server, put it into all indexes, and let it end the earlier owner of its address. The platform says that an entry of an unknown service names no server to use.

Change: services come into use when a configuration targets them, and stay in use, since their servers may have flows. Other entries are kept aside, for other instances and for a later configuration; open flows whose token names one of them are forwarded. The count is logged and is a metric. Tests of a true reuse of an address now name a service in use; the others are unchanged.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -50,6 +50,60 @@
     return token == 0 ? 1 : token; // 0 marks packets without a token
 }
 
+DirectoryChanges ServerDirectory::useServices(const std::set<std::string> &services, TimePoint now)
+{
+    DirectoryChanges changes;
+    if (!m_services) {
+        m_services.emplace();
+    }
+    m_services->insert(services.begin(), services.end());
+    std::vector<StreamServer> used;
+    for (const auto &[id, record] : m_unused) {
+        if (isInUse(record.server.service)) {
+            used.push_back(record.server);
+        }
+    }
+    for (const StreamServer &server : used) {
+        put(server, DirectoryChange::Kind::Added, now, changes);
+    }
+    refreshIndexes();
+    return changes;
+}
+
+bool ServerDirectory::isInUse(const std::string &service) const
+{
+    return !m_services || m_services->contains(service);
+}
+
+void ServerDirectory::putUnused(const StreamServer &server)
+{
+    const auto known = m_unused.find(server.id);
+    if (known != m_unused.end() && server.position < known->second.server.position) {
+        return;
+    }
+    removeUnused(server.id, server.position);
+    const DirectoryRecord &record
+        = m_unused.emplace(server.id, DirectoryRecord { .server = server, .token = tokenOf(server) }).first->second;
+    m_unusedByToken.insert_or_assign(record.token, &record);
+    if (const auto found = m_records.find(server.id); found != m_records.end()) {
+        // The server stays as it is, like after an entry that can't be read.
+        found->second->server.position = std::max(found->second->server.position, server.position);
+    }
+}
+
+void ServerDirectory::removeUnused(const std::string &id, StorePosition position)
+{
+    const auto found = m_unused.find(id);
+    if (found == m_unused.end() || found->second.server.position > position) {
+        return;
+    }
+    const auto holder = m_unusedByToken.find(found->second.token);
+    if (holder != m_unusedByToken.end() && holder->second == &found->second) {
+        m_unusedByToken.erase(holder);
+    }
+    m_unused.erase(found);
+}
+
 DirectoryChanges ServerDirectory::replaceAll(
     const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now)
 {
@@ -72,6 +126,12 @@
             m_records.at(server.id)->server.position = position; // further lists of this era may still contain the entry
         }
     }
+    for (auto entry = m_unused.begin(); entry != m_unused.end();) {
+        const std::string id = (entry++)->first;
+        if (!present.contains(id)) {
+            removeUnused(id, position);
+        }
+    }
     for (auto &[id, record] : m_records) {
         if (record->listed && !present.contains(id) && record->server.position <= position) {
             record->server.position = position; // the list holds no position of the removal itself
@@ -95,6 +155,7 @@
 DirectoryChanges ServerDirectory::remove(const std::string &id, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
+    removeUnused(id, position);
     const auto found = m_records.find(id);
     if (found == m_records.end()) {
         m_forgottenPosition = std::max(m_forgottenPosition, position); // no record holds this removal for other instances
@@ -131,8 +192,11 @@
 
 const DirectoryRecord *ServerDirectory::findToken(std::uint32_t token) const
 {
-    const auto found = m_byToken.find(token);
-    return found == m_byToken.end() ? nullptr : found->second;
+    if (const auto found = m_byToken.find(token); found != m_byToken.end()) {
+        return found->second;
+    }
+    const auto unused = m_unusedByToken.find(token);
+    return unused == m_unusedByToken.end() ? nullptr : unused->second;
 }
 
 const DirectoryRecord *ServerDirectory::findId(const std::string &id) const
@@ -180,6 +244,11 @@
     return records;
 }
 
+const std::map<std::string, DirectoryRecord> &ServerDirectory::unused() const
+{
+    return m_unused;
+}
+
 std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(StorePosition position) const
 {
     if (position.isUnset() || position.era() != m_position.era() || position < m_forgottenPosition) {
@@ -199,6 +268,11 @@
         }
         changes.push_back(std::move(change));
     }
+    for (const auto &[id, record] : m_unused) {
+        if (record.server.position > position) {
+            changes.push_back({ .listed = record.server, .unlisted = {}, .fault = {}, .position = record.server.position });
+        }
+    }
     return changes;
 }
 
@@ -213,6 +287,9 @@
             list.push_back(std::move(entry));
         }
     }
+    for (const auto &[id, record] : m_unused) {
+        list.push_back({ .listed = record.server, .unlisted = {}, .fault = {}, .position = record.server.position });
+    }
     return list;
 }
 
@@ -228,6 +305,11 @@
 
 void ServerDirectory::put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes)
 {
+    if (!isInUse(server.service)) {
+        putUnused(server);
+        return;
+    }
+    removeUnused(server.id, server.position);
     std::unique_ptr<DirectoryRecord> &record = m_records[server.id];
     if (!record) {
         record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server) });
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -51,6 +52,10 @@
  * Holds the backend servers that discovery lists, and those that it no longer lists but that may still have flows. Updates may
  * come from several sources, because an earlier position in the store never replaces a later one. What was seen of an incarnation holds
  * irrespective of the store: one that is draining doesn't become ready again.
+ *
+ * Any writer may leave an entry for a service that is not in use. Such an entry names no server: it is kept for other instances and until
+ * its service comes into use, and it changes nothing about the servers, even if it has the id, the address or the start time of one of
+ * them.
  */
 class ServerDirectory
 {
@@ -69,6 +74,13 @@
      */
     static std::uint32_t tokenOf(const StreamServer &server);
 
+    /**
+     * Adds services to those in use. Before the first call, every service is in use. A service stays in use, because its servers may
+     * still have flows.
+     * @return the changes by entries of these services
+     */
+    DirectoryChanges useServices(const std::set<std::string> &services, TimePoint now);
+
     /**
      * Replaces the listed servers by a complete list. The first list of a new era may be an older copy, so its entries of incarnations
      * that have ended since are ignored: those after which another one has started with the same id, or at the same address.
@@ -93,7 +105,8 @@
     /**
      * Returns the server with a token, listed or not, or null. The token of an earlier incarnation leads to the current one: an
      * instance that didn't know of the restart may have sent it flows with that token. The server itself resets flows that it doesn't
-     * have.
+     * have. A token that no server has may lead to an entry of a service that is not in use: before this instance started, another
+     * configuration may have used the service.
      */
     const DirectoryRecord *findToken(std::uint32_t token) const;
 
@@ -115,13 +128,16 @@
     /** Returns all listed servers. */
     std::vector<const DirectoryRecord *> all() const;
 
+    /** Returns the entries of services that are not in use, by id. */
+    const std::map<std::string, DirectoryRecord> &unused() const;
+
     /**
      * Returns the changes after a position of the store, for another instance.
      * @return the changes, or nothing if some of them are no longer known and the complete list is needed
      */
     std::optional<std::vector<ServerUpdate>> changesAfter(StorePosition position) const;
 
-    /** Returns all listed servers as updates, for another instance. */
+    /** Returns all listed servers and unused entries as updates, for another instance. */
     std::vector<ServerUpdate> completeList() const;
 
     /** Records that the directory holds all changes up to @p position. */
@@ -133,6 +149,9 @@
 private:
     using Records = std::map<std::string, std::unique_ptr<DirectoryRecord>>;
 
+    bool isInUse(const std::string &service) const;
+    void putUnused(const StreamServer &server);
+    void removeUnused(const std::string &id, StorePosition position);
     void put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes);
     bool isSuperseded(const StreamServer &server) const;
     void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
@@ -141,6 +160,9 @@
     void refreshIndexes();
     void rebuildIndexes();
 
+    std::optional<std::set<std::string>> m_services; // in use; nothing stands for all
+    std::map<std::string, DirectoryRecord> m_unused; // entries of services that are not in use, by id
+    std::unordered_map<std::uint32_t, const DirectoryRecord *> m_unusedByToken;
     Records m_records;
     std::multimap<Endpoint, DirectoryRecord *> m_byAddress; // all records; a new server may have the address of an earlier one
     std::unordered_map<std::uint32_t, const DirectoryRecord *> m_byToken;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace Samphirepitch
@@ -37,6 +38,7 @@
                       m_latencyTracker, m_flows },
           std::move(failureDomain))
 {
+    m_directory.useServices({}, m_clock.now()); // until a configuration names some
 }
 
 StreamDecision StreamRouter::route(const StreamPacket &packet)
@@ -243,11 +245,40 @@
         { { "version", number(m_configuration.version) }, { "before", number(previous.version) },
             { "era", number(m_configuration.position.era()) }, { "revision", number(m_configuration.position.revision()) },
             { "routes", number(m_configuration.routes.size()) } });
+    useTargetServices();
     resetAll(m_flows.removeMatching([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
         StreamOutcome::RouteRemoved);
     return true;
 }
 
+void StreamRouter::useTargetServices()
+{
+    std::set<std::string> services;
+    for (const auto &[address, route] : m_configuration.routes) {
+        for (const RouteTarget &target : route.targets) {
+            services.insert(target.service);
+        }
+    }
+    applyChanges(m_directory.useServices(services, m_clock.now()));
+    logUnusedEntries();
+}
+
+void StreamRouter::logUnusedEntries()
+{
+    const auto &unused = m_directory.unused();
+    if (std::exchange(m_loggedUnusedCount, unused.size()) == unused.size()) {
+        return;
+    }
+    std::vector<EventField> fields { { "entries", number(unused.size()) } };
+    if (!unused.empty()) {
+        const StreamServer &first = unused.begin()->second.server;
+        fields.push_back({ "first", first.id });
+        fields.push_back({ "service_name", first.service });
+        fields.push_back({ "address", first.address.toString() });
+    }
+    m_events.record(EventSeverity::Info, "server_entries_unused", std::move(fields));
+}
+
 void StreamRouter::replaceServers(
     const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint confirmedAt)
 {
@@ -258,6 +289,7 @@
         m_confirmationGapEnd = m_clock.now();
     }
     applyChanges(m_directory.replaceAll(servers, unreadable, position, m_clock.now()));
+    logUnusedEntries();
     confirmServers(confirmedAt);
 }
 
@@ -274,6 +306,7 @@
         }
     }
     m_directory.advancePosition(updates.position);
+    logUnusedEntries();
     confirmServers(confirmedAt);
 }
 
@@ -696,6 +729,8 @@
         "samphirepitch_servers_age_seconds", "Seconds since the list of servers was last confirmed.", {}, m_serversAge.seconds(now));
     writer.gauge("samphirepitch_servers_slow", "Backend servers that respond much later than others.", {},
         static_cast<double>(m_placement.slowCount()));
+    writer.gauge("samphirepitch_server_entries_unused", "Entries of backend servers for services that no configuration has used.", {},
+        static_cast<double>(m_directory.unused().size()));
     writer.gauge(
         "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
 }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -177,6 +177,8 @@
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
     void applyChanges(const DirectoryChanges &changes);
+    void useTargetServices();
+    void logUnusedEntries();
     void advanceCheckedPosition(StorePosition position);
     bool recordEra(std::string_view view, StorePosition before, StorePosition now);
     void endServer(const DirectoryRecord &record, std::string_view proof);
@@ -214,6 +216,7 @@
     std::unordered_map<std::uint32_t, TimePoint> m_unconfirmedRemovals;
     std::vector<EndedServer> m_endedServers;
     StorePosition m_configurationCheckedPosition;
+    std::size_t m_loggedUnusedCount = 0; // of entries whose service is not in use
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
     TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -125,6 +125,7 @@
 public:
     void watchServers()
     {
+        router.applyConfiguration(configuration(1)); // so that the service of the servers is in use
         CHECK_THROWS_AS(await(watcher.watchServers()), ScriptEnded);
     }
 
--- a/tests/stream/routerfixture.cpp
+++ b/tests/stream/routerfixture.cpp
@@ -56,6 +56,13 @@
     return configuration;
 }
 
+StreamConfiguration RouterFixture::configurationWith(std::uint64_t revision, const std::string &target)
+{
+    StreamConfiguration extended = configuration(revision);
+    extended.routes.emplace(unsafeService, StreamRoute { "r-2", unsafeService, { { target, 1 } } });
+    return extended;
+}
+
 void RouterFixture::makeReady(const std::vector<StreamServer> &servers)
 {
     router.applyConfiguration(configuration(4));
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -73,6 +73,9 @@
     /** Returns a configuration with a route from the address @c service to "pond". */
     static StreamConfiguration configuration(std::uint64_t revision);
 
+    /** Returns a configuration with a second route, from the address @c unsafeService to @p target. */
+    static StreamConfiguration configurationWith(std::uint64_t revision, const std::string &target);
+
     /** Sets the configuration and the servers of the router. */
     void makeReady(const std::vector<StreamServer> &servers);
 
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -129,6 +129,102 @@
     CHECK(directory.listed("pond").size() == 1);
 }
 
+TEST_CASE("an entry of a service that is not in use changes nothing about the servers", "[stream][directory][odd]")
+{
+    // Guards against another writer's entries that end a running server, or keep it from getting flows.
+    ServerDirectory directory;
+    directory.useServices({ "pond" }, start);
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    const DirectoryRecord *const server = directory.findId("i-1");
+    StreamServer odd = withRevision(RouterFixture::server(1), 12);
+    odd.service = "agent";
+    SECTION("at the address of a server, with a later start")
+    {
+        odd.id = "x-2";
+        odd.number = 2;
+        odd.startedAt = 9000;
+    }
+    SECTION("as a copy under another name")
+    {
+        odd.id = "copy-of-i-1";
+    }
+    SECTION("under the id of a server, with another start and address")
+    {
+        odd.startedAt = 9000;
+        odd.address = Endpoint(0x0a020001, 8080);
+    }
+    SECTION("under the id of a server, draining")
+    {
+        odd.phase = ServerPhase::Draining;
+    }
+    CHECK(directory.update(odd, start).empty());
+    CHECK(directory.unused().size() == 1);
+    CHECK(directory.findId("i-1") == server);
+    CHECK(server->listed);
+    CHECK_FALSE(server->tokenTaken);
+    CHECK(server->server.address == RouterFixture::server(1).address);
+    CHECK(server->server.phase == ServerPhase::Ready);
+    CHECK(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1))) == server);
+    CHECK(directory.listed("pond").size() == 1);
+    CHECK(directory.listed("agent").empty());
+    CHECK(directory.unlisted("agent").empty());
+    CHECK(directory.all().size() == 1);
+    CHECK_FALSE(directory.isAddressReused(*server));
+    if (odd.id != "i-1") {
+        CHECK(directory.remove(odd.id, { 0, 13 }, start).empty());
+        CHECK(directory.unused().empty());
+        CHECK(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1))) == server);
+    }
+    // The server's own next report, or its removal, counts.
+    StreamServer draining = withRevision(RouterFixture::server(1), 14);
+    draining.phase = ServerPhase::Draining;
+    CHECK(describe(directory.update(draining, start)) == "changed i-1;");
+    CHECK(describe(directory.remove("i-1", { 0, 15 }, start)) == "removed i-1;");
+    CHECK(directory.unused().empty());
+}
+
+TEST_CASE("an entry names a server from when its service comes into use", "[stream][directory][odd]")
+{
+    ServerDirectory directory;
+    directory.useServices({ "pond" }, start);
+    StreamServer tile = RouterFixture::server(2);
+    tile.service = "tile";
+    directory.replaceAll({ RouterFixture::server(1), tile }, {}, { 0, 10 }, start);
+    CHECK(directory.listed("tile").empty());
+    CHECK(describe(directory.useServices({ "tile" }, start)) == "added i-2;");
+    CHECK(directory.listed("tile").size() == 1);
+    CHECK(directory.unused().empty());
+    // A service stays in use, because its servers may still have flows.
+    CHECK(directory.useServices({ "pond" }, start).empty());
+    CHECK(directory.listed("tile").size() == 1);
+}
+
+TEST_CASE("other instances are told of entries of services that are not in use", "[stream][directory][odd]")
+{
+    // Another instance may know a later configuration, which uses the service.
+    ServerDirectory directory;
+    directory.useServices({ "pond" }, start);
+    StreamServer tile = withRevision(RouterFixture::server(2), 12);
+    tile.service = "tile";
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    directory.update(tile, start);
+    directory.advancePosition({ 0, 12 });
+    REQUIRE(directory.changesAfter({ 0, 10 }).has_value());
+    REQUIRE(directory.changesAfter({ 0, 10 })->size() == 1);
+    CHECK(directory.changesAfter({ 0, 10 })->front().listed == tile);
+    CHECK(directory.changesAfter({ 0, 12 })->empty());
+    CHECK(directory.completeList().size() == 2);
+    // The directory keeps no record of the removal, so that the complete list is needed after it.
+    directory.remove("i-2", { 0, 14 }, start);
+    CHECK_FALSE(directory.changesAfter({ 0, 12 }).has_value());
+    CHECK(directory.completeList().size() == 1);
+    // An entry that is missing from a complete list is gone, too.
+    directory.update(withRevision(tile, 16), start);
+    REQUIRE(directory.unused().size() == 1);
+    directory.replaceAll({ withRevision(RouterFixture::server(1), 5) }, {}, { 0, 18 }, start);
+    CHECK(directory.unused().empty());
+}
+
 TEST_CASE("incarnations with the same id differ by their start time", "[stream][directory]")
 {
     ServerDirectory directory;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -400,6 +400,7 @@
     }
     servers.back().service = "tile"; // the only trusted server belongs to another service
     makeReady(servers);
+    router.applyConfiguration(configurationWith(6, "tile"));
     const auto sendToAll = [&] {
         for (std::uint16_t index = 0; index < 20; ++index) {
             send(ServerDirectory::tokenOf(servers[index]), 101, 900, 55, Endpoint(0x64400008, index));
@@ -465,6 +466,7 @@
 TEST_CASE_METHOD(RouterFixture, "flows of a server whose address belongs to another server are reset", "[stream][router]")
 {
     makeReady({ server(1) });
+    router.applyConfiguration(configurationWith(6, "tile"));
     const std::uint32_t token = open().token;
     send(token, 101, 0, 55);
     StreamServer successor = server(2);
@@ -477,6 +479,55 @@
     CHECK(send(token, 101, 900, 55).action == Action::Reset);
 }
 
+TEST_CASE_METHOD(RouterFixture, "an entry of a service that no configuration names ends no server at its address", "[stream][router][odd]")
+{
+    // Guards against resets of all open flows of a running server because a second program on its machine has registered itself.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    StreamServer agent = server(2);
+    agent.service = "agent";
+    agent.address = server(1).address;
+    agent.startedAt = 9000;
+    agent.position = { 0, 12 };
+    SECTION("in a change")
+    {
+        router.updateServer(agent);
+    }
+    SECTION("in a complete list")
+    {
+        router.replaceServers({ server(1), agent }, {}, { 0, 12 }, clock.now());
+    }
+    CHECK(router.takeResets().empty());
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    CHECK(open(Endpoint(0x64400009, 1)).token == token);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a server takes flows once a configuration names its service", "[stream][router][odd]")
+{
+    // Guards against entries that are lost because they were registered before the configuration that uses them.
+    StreamServer tile = server(2);
+    tile.service = "tile";
+    makeReady({ server(1), tile });
+    CHECK(router.directory().all().size() == 1);
+    CHECK(events.last("server_entries_unused") == "entries=1 first=i-2 service_name=tile address=10.1.0.2:8080");
+    router.applyConfiguration(configurationWith(6, "tile"));
+    const StreamDecision decision = router.route({ .client = client, .service = unsafeService, .opens = true });
+    REQUIRE(decision.action == Action::Forward);
+    CHECK(decision.server->id == "i-2");
+    CHECK(events.last("server_entries_unused") == "entries=0");
+}
+
+TEST_CASE_METHOD(RouterFixture, "flows reach a server whose service no route targets any more", "[stream][router][odd]")
+{
+    // Guards against flows that an instance drops because it started after the configuration had moved their route to another service.
+    StreamServer retired = server(2);
+    retired.service = "tile";
+    makeReady({ server(1), retired });
+    CHECK(send(ServerDirectory::tokenOf(retired), 500, 900, 7).server->id == "i-2");
+}
+
 TEST_CASE_METHOD(RouterFixture, "a removed entry proves the end only after the store has worked for a while", "[stream][router]")
 {
     makeReady({ server(1) });
@@ -1156,6 +1207,7 @@
 {
     // Guards against flows at the address of another service: the copy may be from before the registration of the address's new owner.
     makeReady({ server(1) });
+    router.applyConfiguration(configurationWith(6, "tile"));
     StreamServer successor = server(2);
     successor.service = "tile";
     successor.address = server(1).address;
