Place opening packets from the port of a closed flow like any other

Cause: the router took an opening packet as a delayed copy if the port had an open entry in FlowTracker, and an entry counts as open until the idle timeout, also if both ends have closed the flow. Each new flow renewed the entry.

Change: an opening packet belongs to a tracked flow only with the sequence number of that flow's opening packet and within 2 s of it. Where another instance saw that packet, the number must lie just below those that were seen, and the flow must not be closed. The entry alone can't tell, because the last packets of a flow may pass another instance. Packets of a later flow at the same server no longer continue the entry of a closed one.

Why it works: a client chooses another first number for each flow, and the network delivers copies within 2 s. What can't be a copy is placed, which breaks nothing even if it was one.

On these tests failed: a client that uses the port of a closed flow again gets no server that drains; the same, whose last flow another instance opened; a client that opens another flow from the same port before its last one has opened gets another server. The test of the other side, a delayed copy of the opening packet goes to the server of its flow, holds on both.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -27,7 +27,7 @@
 /** Returns whether a packet belongs to a later flow from the same port than the tracked one. */
 bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow)
 {
-    return flow.open && flow.token != token
+    return flow.open && (flow.token != token || flow.finished)
         && (isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged));
 }
 
@@ -44,6 +44,19 @@
     return found == m_byKey.end() ? nullptr : &*found->second;
 }
 
+bool FlowTracker::mayOpen(const StreamPacket &packet, const StreamFlow &flow, TimePoint now)
+{
+    const TimePoint lastSent = flow.open ? flow.openSince : flow.lastSentAt;
+    if (now > lastSent + maxPacketDelay) {
+        return false;
+    }
+    if (flow.openingSeen) {
+        return packet.sequence == flow.openingSequence;
+    }
+    // The client chooses another first number for each flow. That of this one is a little below the numbers that were seen.
+    return !flow.finished && !isAfter(packet.sequence, flow.nextSequence) && !isOutsideWindow(packet.sequence, flow.nextSequence);
+}
+
 bool FlowTracker::recordOpening(const StreamPacket &packet, std::uint32_t token, TimePoint now)
 {
     const std::uint64_t key = flowKey(packet.client, packet.service);
@@ -57,7 +70,9 @@
     }
     assignServer(*flow, token);
     flow->lastSentAt = now;
-    m_lastOpenings[hostKey(packet)] = { key, token, now };
+    flow->openingSequence = packet.sequence;
+    flow->openingSeen = true;
+    m_lastOpenings[hostKey(packet)] = { key, packet.sequence, token, now };
     m_overdueChecks.push({ now + overdueThreshold, key, now, true });
     return true;
 }
@@ -65,7 +80,11 @@
 std::optional<std::uint32_t> FlowTracker::previousUnopenedServer(const StreamPacket &packet, TimePoint now) const
 {
     const auto found = m_lastOpenings.find(hostKey(packet));
-    if (found == m_lastOpenings.end() || found->second.flow == flowKey(packet.client, packet.service)) {
+    if (found == m_lastOpenings.end()) {
+        return std::nullopt;
+    }
+    const bool isSameFlow = found->second.flow == flowKey(packet.client, packet.service) && found->second.sequence == packet.sequence;
+    if (isSameFlow) {
         return std::nullopt;
     }
     const auto age = now - found->second.at;
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -21,7 +21,9 @@
     std::uint32_t token = 0; /**< token of the server that the last packet was sent to */
     std::uint32_t acknowledged = 0; /**< the highest acknowledgement number of the client */
     std::uint32_t nextSequence = 0; /**< the sequence number after the last byte that the client sent */
-    bool open = false; /**< whether the client has sent a packet after its opening packet */
+    std::uint32_t openingSequence = 0; /**< of the opening packet; valid only if this instance has seen that */
+    bool openingSeen = false; /**< whether this instance has seen the opening packet */
+    bool open = false; /**< whether the client has sent a packet after its opening packet; stays set when the flow is closed */
     bool awaitingResponse = false; /**< whether the client has sent data and no response is acknowledged yet */
     bool finished = false; /**< whether the client has sent its last data, or endMatching() has ended the flow */
     bool ended = false; /**< whether endMatching() has returned the flow so that its client is reset */
@@ -64,6 +66,11 @@
     static constexpr std::chrono::milliseconds minUnopenedTime { 3 };
     /** A client waits 1,400 ms for a flow to open. An unopened flow that is older was given up for a reason other than its server. */
     static constexpr std::chrono::milliseconds maxUnopenedTime { 1400 };
+    /**
+     * The network delivers copies of an opening packet within this time after the last one was sent. An opening packet that comes later is
+     * that of another flow from the same port.
+     */
+    static constexpr std::chrono::milliseconds maxPacketDelay { 2000 };
     /** If a response takes longer than this, its server is probed. Most requests take less than a third of it. */
     static constexpr std::chrono::milliseconds overdueThreshold { 90 };
 
@@ -73,6 +80,13 @@
     /** Returns the flow, or null if it isn't tracked. */
     const StreamFlow *find(Endpoint client, Endpoint service) const;
 
+    /**
+     * Returns whether an opening packet may belong to a tracked flow, as a retransmission or as a copy that the network has delayed. If it
+     * doesn't, the client has closed or given up that flow and opens another one from the same port. Packets of the client that went
+     * through other instances may have closed the flow, so an entry that looks open doesn't show that it is.
+     */
+    static bool mayOpen(const StreamPacket &packet, const StreamFlow &flow, TimePoint now);
+
     /**
      * Records an opening packet.
      * @param token the server that the packet is sent to
@@ -81,9 +95,9 @@
     bool recordOpening(const StreamPacket &packet, std::uint32_t token, TimePoint now);
 
     /**
-     * Returns the server of the last flow that the same client host opened to the service of a packet, if a round trip has passed and
-     * that flow is still not open. The host of a server that has crashed sends its reset directly to the client, without passing an
-     * instance, and the client opens the next flow at once.
+     * Returns the server of the last flow that the same client host tried to open to the service of a packet, from any port, if a round
+     * trip has passed and that flow is still not open. The host of a server that has crashed sends its reset directly to the client,
+     * without passing an instance, and the client opens the next flow at once.
      * @param packet the opening packet of the next flow
      * @return the token of the server, or nothing if there is no such flow
      */
@@ -143,6 +157,7 @@
     /** The last flow that a client host opened to a service. */
     struct LastOpening {
         std::uint64_t flow = 0; // key of the flow
+        std::uint32_t sequence = 0; // of the opening packet; another one from the same port opens another flow
         std::uint32_t token = 0;
         TimePoint at {};
     };
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -62,7 +62,7 @@
     if (flow == nullptr) {
         return place(packet, route, false);
     }
-    if (flow->ended) {
+    if (flow->ended || !FlowTracker::mayOpen(packet, *flow, m_clock.now())) {
         m_flows.remove(packet.client, packet.service); // the client reuses the port
         return place(packet, route, false);
     }
@@ -193,7 +193,8 @@
 {
     const TimePoint now = m_clock.now();
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
-    if (flow != nullptr && flow->open && m_directory.findToken(flow->token) != m_directory.findToken(token)) {
+    const bool mayBeOpen = flow != nullptr && flow->open && !flow->finished;
+    if (mayBeOpen && m_directory.findToken(flow->token) != m_directory.findToken(token)) {
         ++m_serverChanges;
         logFlowEvent(
             EventSeverity::Warning, "flow_server_changed", packet, { { "before", number(flow->token) }, { "token", number(token) } });
--- a/tests/stream/flowtrackertests.cpp
+++ b/tests/stream/flowtrackertests.cpp
@@ -200,3 +200,62 @@
     CHECK_FALSE(tracker.find(client(1), service)->ended);
     CHECK(tracker.endMatching([](const StreamFlow &) { return true; }).size() == 1);
 }
+
+TEST_CASE_METHOD(TrackerFixture, "a new flow at the port of a closed one counts as load, also at the same server", "[stream][flowtracker]")
+{
+    // Guards against flows without load and with the age of an earlier flow, whose opening packets went through other instances.
+    openFlow(1, 7);
+    StreamPacket last = data(1, 1, 900, 50);
+    last.finishes = true;
+    tracker.recordPacket(last, 7, now);
+    REQUIRE(tracker.flowCountsOf(7).recent == 0);
+    // Late packets of the closed flow don't open it again.
+    tracker.recordPacket(data(1, 1, 900, 90), 7, now + seconds(1));
+    CHECK(tracker.find(client(1), service)->finished);
+    now += seconds(8);
+    tracker.recordPacket(data(1, 5'000'000, 0, 9'000'000), 7, now);
+    const StreamFlow *const flow = tracker.find(client(1), service);
+    REQUIRE(flow != nullptr);
+    CHECK_FALSE(flow->finished);
+    CHECK(flow->openSince == now);
+    CHECK(tracker.flowCountsOf(7).recent == 1);
+}
+
+TEST_CASE_METHOD(TrackerFixture, "an opening packet belongs to a flow only with its number and in time", "[stream][flowtracker]")
+{
+    // Guards against new flows that are taken for copies of the flow that used their port before.
+    const auto opening = [](std::uint32_t sequence) {
+        return StreamPacket { .client = client(1), .service = service, .opens = true, .sequence = sequence };
+    };
+    const auto mayOpen = [&](std::uint32_t sequence, std::chrono::milliseconds later) {
+        return FlowTracker::mayOpen(opening(sequence), *tracker.find(client(1), service), now + later);
+    };
+    SECTION("a flow that has not opened yet")
+    {
+        tracker.recordOpening(opening(0xffffffff), server, now);
+        CHECK(mayOpen(0xffffffff, milliseconds(600)));
+        CHECK_FALSE(mayOpen(0xfffffffe, milliseconds(600)));
+        CHECK_FALSE(mayOpen(0xffffffff, milliseconds(2001)));
+    }
+    SECTION("an open flow")
+    {
+        tracker.recordOpening(opening(0xffffffff), server, now);
+        tracker.recordPacket(data(1, 0, 900, 50), server, now);
+        CHECK(mayOpen(0xffffffff, milliseconds(2000)));
+        CHECK_FALSE(mayOpen(0, milliseconds(100)));
+        CHECK_FALSE(mayOpen(0xffffffff, milliseconds(2001)));
+    }
+    SECTION("a flow that another instance opened")
+    {
+        tracker.recordPacket(data(1, 100, 900, 50), server, now);
+        CHECK(mayOpen(99, milliseconds(2000)));
+        CHECK(mayOpen(0xfffffff0, milliseconds(100)));
+        CHECK_FALSE(mayOpen(5'000, milliseconds(100)));
+        CHECK_FALSE(mayOpen(100'000'000, milliseconds(100)));
+        CHECK_FALSE(mayOpen(99, milliseconds(2001)));
+        StreamPacket last = data(1, 1000, 0, 50);
+        last.finishes = true;
+        tracker.recordPacket(last, server, now);
+        CHECK_FALSE(mayOpen(99, milliseconds(100)));
+    }
+}
--- a/tests/stream/routerfixture.cpp
+++ b/tests/stream/routerfixture.cpp
@@ -69,9 +69,15 @@
     router.replaceServers(servers, {}, { 0, 10 }, clock.now());
 }
 
-StreamDecision RouterFixture::open(Endpoint from, std::uint32_t copy)
+StreamDecision RouterFixture::open(Endpoint from, std::uint32_t copy, std::uint32_t sequence)
 {
-    return router.route({ .client = from, .service = service, .opens = true, .sequence = 100, .acknowledgement = copy });
+    return router.route({ .client = from, .service = service, .opens = true, .sequence = sequence, .acknowledgement = copy });
+}
+
+StreamDecision RouterFixture::finish(std::uint32_t token, std::uint32_t sequence, std::uint32_t acknowledgement, Endpoint from)
+{
+    return router.route(
+        { .client = from, .service = service, .token = token, .finishes = true, .sequence = sequence, .acknowledgement = acknowledgement });
 }
 
 StreamDecision RouterFixture::send(
--- a/tests/stream/routerfixture.h
+++ b/tests/stream/routerfixture.h
@@ -79,8 +79,11 @@
     /** Sets the configuration and the servers of the router. */
     void makeReady(const std::vector<StreamServer> &servers);
 
-    /** Sends the opening packet of a flow, or its retransmission number @p copy. */
-    StreamDecision open(Endpoint from = client, std::uint32_t copy = 0);
+    /** Sends the opening packet of a flow, or its retransmission number @p copy. @p sequence differs between flows from the same port. */
+    StreamDecision open(Endpoint from = client, std::uint32_t copy = 0, std::uint32_t sequence = 100);
+
+    /** Sends the last packet of a client, which closes its side of the flow. */
+    StreamDecision finish(std::uint32_t token, std::uint32_t sequence, std::uint32_t acknowledgement, Endpoint from = client);
 
     /** Sends @p length bytes of data with the sequence number @p sequence. */
     StreamDecision send(
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -136,6 +136,134 @@
     CHECK(router.failureDetector().status(first, clock.now()) == ServerStatus::Trusted);
 }
 
+TEST_CASE_METHOD(RouterFixture, "a delayed copy of the opening packet goes to the server of its flow", "[stream][router]")
+{
+    // Guards against a second server that takes the flow, also while the flow's own server drains.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    StreamServer other = server(2);
+    other.phase = ServerPhase::Draining;
+    other.position = { 0, 11 };
+    router.updateServer(other); // so that the flow is placed on the first server
+    const bool isOpeningSeen = GENERATE(true, false);
+    const bool isDraining = GENERATE(true, false);
+    if (isOpeningSeen) {
+        REQUIRE(open().token == token);
+    }
+    send(token, 101, 900, 55);
+    if (isDraining) {
+        StreamServer draining = server(1);
+        draining.phase = ServerPhase::Draining;
+        draining.position = { 0, 12 };
+        router.updateServer(draining);
+    }
+    advanceClock(milliseconds(1500));
+    CHECK(open(client, 1).token == token);
+    CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a client that uses the port of a closed flow again gets no server that drains", "[stream][router]")
+{
+    // Guards against new flows on a draining server for as long as clients use the same ports again within the idle timeout.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = open().token;
+    const StreamServer placed = token == ServerDirectory::tokenOf(server(1)) ? server(1) : server(2);
+    send(token, 101, 900, 55);
+    advanceClock(milliseconds(40));
+    send(token, 1001, 0, 655);
+    const auto drain = [&] {
+        StreamServer draining = placed;
+        draining.phase = ServerPhase::Draining;
+        draining.position = { 0, 12 };
+        router.updateServer(draining);
+    };
+    SECTION("its last packets went through this instance")
+    {
+        finish(token, 1001, 656);
+        drain();
+        advanceClock(milliseconds(8000));
+    }
+    SECTION("its last packets went through another instance")
+    {
+        drain();
+        advanceClock(milliseconds(8000));
+    }
+    SECTION("it closed a moment ago")
+    {
+        finish(token, 1001, 656);
+        drain();
+        advanceClock(milliseconds(100));
+    }
+    std::uint32_t sequence = 3'000'000'000;
+    for (int flow = 0; flow < 4; ++flow) {
+        const StreamDecision next = open(client, 0, sequence);
+        CHECK(next.outcome == StreamOutcome::Placed);
+        CHECK(next.token != token);
+        CHECK(send(next.token, sequence + 1, 900, 9'000'000).token == next.token);
+        CHECK(router.flows().find(client, service)->openSince == clock.now());
+        CHECK_FALSE(router.flows().find(client, service)->finished);
+        finish(next.token, sequence + 901, 9'000'600);
+        sequence += 1'000'000;
+        advanceClock(milliseconds(8000));
+    }
+}
+
+TEST_CASE_METHOD(
+    RouterFixture, "a client that uses a port again whose last flow another instance opened gets no server that drains", "[stream][router]")
+{
+    // Guards against the same fault where this instance doesn't know the number of the opening packet.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    send(token, 101, 900, 55);
+    StreamServer draining = server(1);
+    draining.phase = ServerPhase::Draining;
+    draining.position = { 0, 12 };
+    router.updateServer(draining);
+    SECTION("the client has closed the flow")
+    {
+        finish(token, 1001, 655);
+        CHECK(open(client, 0, 90).token == ServerDirectory::tokenOf(server(2)));
+    }
+    SECTION("the opening packet can't be one of the flow")
+    {
+        CHECK(open(client, 0, 5000).token == ServerDirectory::tokenOf(server(2)));
+    }
+    SECTION("the opening packet comes too late to be a copy")
+    {
+        advanceClock(milliseconds(2100));
+        CHECK(open(client, 0, 90).token == ServerDirectory::tokenOf(server(2)));
+    }
+}
+
+TEST_CASE_METHOD(RouterFixture, "a client that uses a port again gets no server that has ended", "[stream][router]")
+{
+    // Guards against opening packets that reach a crashed server for as long as the closed flow is remembered.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    finish(token, 1001, 655);
+    advanceClock(milliseconds(8000));
+    finishProbe(token, ConnectResult::Refused);
+    CHECK(open(client, 0, 70'000'000).token != token);
+}
+
+TEST_CASE_METHOD(RouterFixture, "a client that opens another flow from the same port before its last one has opened gets another server",
+    "[stream][router]")
+{
+    // The host of a crashed server resets the client directly, and the client may open its next flow from the same port at once.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = open().token;
+    advanceClock(milliseconds(40));
+    const StreamDecision next = open(client, 0, 70'000'000);
+    CHECK(next.outcome == StreamOutcome::Placed);
+    CHECK(next.token != token);
+    REQUIRE(router.takeDueProbes().size() == 1);
+    // A flow that was given up long ago says nothing about its server.
+    advanceClock(milliseconds(9000));
+    CHECK(open(client, 0, 90'000'000).outcome == StreamOutcome::Placed);
+    CHECK(router.failureDetector().status(next.token, clock.now()) == ServerStatus::Trusted);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a draining server keeps its flows and gets no new ones", "[stream][router]")
 {
     makeReady({ server(1), server(2) });
