Let an entry at the address of a server claim it, and not end the server

Cause: the later owner of an address was taken as proof of the end of the earlier one, although any writer may register any address, and although the server's own entry still stood and its responses still arrived.

Change: such an entry is a claim. New flows avoid the claimed server until it responds to a client, writes its entry again, or is still listed after 6 s. It has ended when its own evidence comes on top: its own entry is removed in a view without a gap, or an instance was refused a connection.

Two tests stated the fault as a rule: that a later entry at an address ends the server at once. They now demand that it doesn't, and that it does together with the removal or the report, at once as well.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -37,8 +37,8 @@
         return "restored";
     case DirectoryChange::Kind::Removed:
         return "removed";
-    case DirectoryChange::Kind::AddressReused:
-        return "address_reused";
+    case DirectoryChange::Kind::AddressClaimed:
+        return "address_claimed";
     }
     return "unknown";
 }
@@ -50,7 +50,7 @@
     return token == 0 ? 1 : token; // 0 marks packets without a token
 }
 
-DirectoryChanges ServerDirectory::useServices(const std::set<std::string> &services, TimePoint now)
+DirectoryChanges ServerDirectory::useServices(const std::set<std::string> &services)
 {
     DirectoryChanges changes;
     if (!m_services) {
@@ -64,7 +64,7 @@
         }
     }
     for (const StreamServer &server : used) {
-        put(server, DirectoryChange::Kind::Added, now, changes);
+        put(server, DirectoryChange::Kind::Added, changes);
     }
     refreshIndexes();
     return changes;
@@ -121,7 +121,7 @@
     for (const StreamServer &server : servers) {
         present.insert(server.id);
         if (!mayBeOldCopy || !isSuperseded(server)) {
-            put(server, relisted, now, changes);
+            put(server, relisted, changes);
         } else {
             m_records.at(server.id)->server.position = position; // further lists of this era may still contain the entry
         }
@@ -144,10 +144,10 @@
     return changes;
 }
 
-DirectoryChanges ServerDirectory::update(const StreamServer &server, TimePoint now)
+DirectoryChanges ServerDirectory::update(const StreamServer &server)
 {
     DirectoryChanges changes;
-    put(server, DirectoryChange::Kind::Added, now, changes);
+    put(server, DirectoryChange::Kind::Added, changes);
     refreshIndexes();
     return changes;
 }
@@ -173,6 +173,17 @@
     return changes;
 }
 
+void ServerDirectory::recordEnd(const std::string &id, TimePoint now)
+{
+    const auto found = m_records.find(id);
+    if (found != m_records.end() && found->second->listed) {
+        found->second->listed = false;
+        found->second->unlistedAt = now;
+        m_indexesAreStale = true;
+        refreshIndexes();
+    }
+}
+
 std::vector<std::uint32_t> ServerDirectory::expire(TimePoint now)
 {
     std::vector<std::uint32_t> forgotten;
@@ -303,7 +314,7 @@
     return m_position;
 }
 
-void ServerDirectory::put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes)
+void ServerDirectory::put(StreamServer server, DirectoryChange::Kind relisted, DirectoryChanges &changes)
 {
     if (!isInUse(server.service)) {
         putUnused(server);
@@ -316,7 +327,7 @@
         m_byAddress.emplace(server.address, record.get());
         m_indexesAreStale = true;
         changes.push_back({ DirectoryChange::Kind::Added, record.get() });
-        unlistPreviousOwner(server, now, changes);
+        findAddressClaims(*record, true, changes);
         return;
     }
     const bool isSameIncarnation = server.startedAt != 0 && server.startedAt == record->server.startedAt;
@@ -326,6 +337,9 @@
     if (server.position < record->server.position) {
         return;
     }
+    if (!record->listed && server.position == record->server.position && hasSameContent(server, record->server)) {
+        return; // the server ended after it wrote this entry; see recordEnd()
+    }
     if (record->listed && hasSameContent(server, record->server)) {
         record->server.position = server.position; // in a new era, the position of every entry differs
         return;
@@ -333,7 +347,8 @@
     const bool restarted = server.startedAt != 0 && record->server.startedAt != 0 && server.startedAt != record->server.startedAt;
     const bool wasListed = record->listed;
     const std::uint32_t previousToken = restarted ? record->token : 0;
-    if (record->server.address != server.address) {
+    const bool hasMoved = record->server.address != server.address;
+    if (hasMoved) {
         removeAddress(*record);
         m_byAddress.emplace(server.address, record.get());
     }
@@ -350,7 +365,7 @@
     }
     const auto kind = restarted ? DirectoryChange::Kind::Restarted : wasListed ? DirectoryChange::Kind::Changed : relisted;
     changes.push_back({ kind, record.get(), previousToken });
-    unlistPreviousOwner(server, now, changes);
+    findAddressClaims(*record, restarted || hasMoved || !wasListed, changes);
 }
 
 bool ServerDirectory::isSuperseded(const StreamServer &server) const
@@ -375,16 +390,25 @@
     changes.push_back({ kind, &record });
 }
 
-void ServerDirectory::unlistPreviousOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes)
+void ServerDirectory::findAddressClaims(const DirectoryRecord &record, bool isNewOwner, DirectoryChanges &changes) const
 {
-    const auto [begin, end] = m_byAddress.equal_range(server.address);
+    const auto isLater = [](const StreamServer &left, const StreamServer &right) {
+        return left.position > right.position && left.startedAt > right.startedAt;
+    };
+    const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    bool isClaimed = false;
     for (auto owner = begin; owner != end; ++owner) {
-        DirectoryRecord &record = *owner->second;
-        const StreamServer &other = record.server;
-        const bool isEarlier = other.position < server.position && other.startedAt < server.startedAt;
-        if (other.id != server.id && record.listed && isEarlier) {
-            unlist(record, DirectoryChange::Kind::AddressReused, now, changes);
+        const DirectoryRecord &other = *owner->second;
+        if (&other == &record || !other.listed) {
+            continue;
+        }
+        if (isNewOwner && isLater(record.server, other.server)) {
+            changes.push_back({ DirectoryChange::Kind::AddressClaimed, &other });
         }
+        isClaimed = isClaimed || isLater(other.server, record.server);
+    }
+    if (isClaimed) {
+        changes.push_back({ DirectoryChange::Kind::AddressClaimed, &record });
     }
 }
 
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -35,7 +35,7 @@
         Restarted, /**< A new incarnation has the same id; what was known of the earlier one no longer holds. */
         Restored, /**< An unlisted server is in the first list of a new era, which may be an old copy; it need not run any more. */
         Removed,
-        AddressReused, /**< A server with another id has the address now, so this one has ended. */
+        AddressClaimed, /**< The entry of another server with a later start has the same address. This one may have ended. */
     };
 
     Kind kind = Kind::Added;
@@ -79,7 +79,7 @@
      * still have flows.
      * @return the changes by entries of these services
      */
-    DirectoryChanges useServices(const std::set<std::string> &services, TimePoint now);
+    DirectoryChanges useServices(const std::set<std::string> &services);
 
     /**
      * Replaces the listed servers by a complete list. The first list of a new era may be an older copy, so its entries of incarnations
@@ -94,11 +94,14 @@
         const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now);
 
     /** Adds or updates one server. An entry older than that of the directory is ignored. @return the changes */
-    DirectoryChanges update(const StreamServer &server, TimePoint now);
+    DirectoryChanges update(const StreamServer &server);
 
     /** Marks a server as unlisted, unless its entry is newer than @p position. @return the changes */
     DirectoryChanges remove(const std::string &id, StorePosition position, TimePoint now);
 
+    /** Marks a listed server as unlisted because it has ended, although discovery still lists it. Only a later entry lists it again. */
+    void recordEnd(const std::string &id, TimePoint now);
+
     /** Removes the servers that have been unlisted for the retention time. @return their tokens */
     std::vector<std::uint32_t> expire(TimePoint now);
 
@@ -152,10 +155,10 @@
     bool isInUse(const std::string &service) const;
     void putUnused(const StreamServer &server);
     void removeUnused(const std::string &id, StorePosition position);
-    void put(StreamServer server, DirectoryChange::Kind relisted, TimePoint now, DirectoryChanges &changes);
+    void put(StreamServer server, DirectoryChange::Kind relisted, DirectoryChanges &changes);
     bool isSuperseded(const StreamServer &server) const;
     void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
-    void unlistPreviousOwner(const StreamServer &server, TimePoint now, DirectoryChanges &changes);
+    void findAddressClaims(const DirectoryRecord &record, bool isNewOwner, DirectoryChanges &changes) const;
     void removeAddress(const DirectoryRecord &record);
     void refreshIndexes();
     void rebuildIndexes();
--- a/src/stream/serverfailuredetector.cpp
+++ b/src/stream/serverfailuredetector.cpp
@@ -51,6 +51,7 @@
     state.retransmitted = false;
     state.probeRequested = false;
     state.suspectedUntil = now;
+    state.claimedAt = TimePoint();
 }
 
 bool ServerFailureDetector::recordRetransmission(std::uint32_t token, TimePoint now)
@@ -173,6 +174,24 @@
     return state != nullptr && state->endReported;
 }
 
+void ServerFailureDetector::recordAddressClaim(std::uint32_t token, TimePoint now)
+{
+    m_states[token].claimedAt = now;
+}
+
+void ServerFailureDetector::clearAddressClaim(std::uint32_t token)
+{
+    if (const auto found = m_states.find(token); found != m_states.end()) {
+        found->second.claimedAt = TimePoint();
+    }
+}
+
+bool ServerFailureDetector::isAddressClaimed(std::uint32_t token) const
+{
+    const State *const state = find(token);
+    return state != nullptr && state->claimedAt != TimePoint();
+}
+
 std::vector<std::uint32_t> ServerFailureDetector::takeDueProbes(TimePoint now, std::size_t maxCount)
 {
     std::vector<std::uint32_t> due;
@@ -217,7 +236,8 @@
     if (state->consecutiveTimeouts > 0) {
         return isSilent(*state) ? ServerStatus::Silent : ServerStatus::Unreachable;
     }
-    return state->endReported || now < state->suspectedUntil ? ServerStatus::Suspected : ServerStatus::Trusted;
+    const bool isClaimed = state->claimedAt != TimePoint() && now < state->claimedAt + claimTime;
+    return state->endReported || isClaimed || now < state->suspectedUntil ? ServerStatus::Suspected : ServerStatus::Trusted;
 }
 
 bool ServerFailureDetector::isSilent(const State &state)
--- a/src/stream/serverfailuredetector.h
+++ b/src/stream/serverfailuredetector.h
@@ -16,10 +16,10 @@
 /** The state of a backend server as an instance has detected it. */
 enum class ServerStatus {
     Trusted,
-    Suspected, /**< Packets to it got no response, or another instance reports that it has ended. New flows avoid it. */
+    Suspected, /**< Packets to it got no response, another instance reports its end, or its address is claimed. New flows avoid it. */
     Unreachable, /**< Probes timed out, which may be due to a lost packet or a full listen queue. */
     Silent, /**< Its probes timed out while others were answered, and clients retransmit or its end was reported. */
-    Gone, /**< It has ended: its host refused a connection, its address belongs to another server, or its entry was removed. */
+    Gone, /**< It has ended: its host refused a connection, or its entry was removed and nothing shows that it still runs. */
 };
 
 /** Returns the name of a status as it appears in the log. */
@@ -65,6 +65,11 @@
      * counts as the same incarnation only if discovery still lists that one this long afterwards.
      */
     static constexpr std::chrono::milliseconds recoveryConfirmationTime { 2500 };
+    /**
+     * How long new flows avoid a server whose address another entry claims. If the server has ended, its own entry is removed within three
+     * of its reports, which are about a second apart; the rest is a margin for the way to this instance.
+     */
+    static constexpr std::chrono::milliseconds claimTime { 6000 };
 
     /** Records that a server has responded to a client. Clears its timeouts and retransmissions, unless it is gone. */
     void recordResponse(std::uint32_t token, TimePoint now);
@@ -104,6 +109,18 @@
     /** Returns whether another instance has reported the end of a server and no probe of this instance was accepted since. */
     bool isEndReported(std::uint32_t token) const;
 
+    /**
+     * Records that the entry of another server with a later start has the address of a server. Whoever wrote it, a response of the server
+     * itself refutes it. A probe doesn't, because either of the two may answer.
+     */
+    void recordAddressClaim(std::uint32_t token, TimePoint now);
+
+    /** Discards the claim to the address of a server, because the server's own entry was written later. */
+    void clearAddressClaim(std::uint32_t token);
+
+    /** Returns whether the address of a server is claimed and the server has not responded since. */
+    bool isAddressClaimed(std::uint32_t token) const;
+
     /** Returns up to @p maxCount servers whose probes are due and marks these probes as started. The other probes stay due. */
     std::vector<std::uint32_t> takeDueProbes(TimePoint now, std::size_t maxCount = std::numeric_limits<std::size_t>::max());
 
@@ -140,6 +157,7 @@
         TimePoint lastProbe {};
         TimePoint acceptedAt {}; // when a server that was gone accepted a connection again
         TimePoint suspectedUntil {};
+        TimePoint claimedAt {}; // when another entry with this address was seen; TimePoint() if the server has responded since
         TimePoint nextProbe {};
     };
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -38,7 +38,7 @@
                       m_latencyTracker, m_flows },
           std::move(failureDomain))
 {
-    m_directory.useServices({}, m_clock.now()); // until a configuration names some
+    m_directory.useServices({}); // until a configuration names some
 }
 
 StreamDecision StreamRouter::route(const StreamPacket &packet)
@@ -260,7 +260,7 @@
             services.insert(target.service);
         }
     }
-    applyChanges(m_directory.useServices(services, m_clock.now()));
+    applyChanges(m_directory.useServices(services));
     logUnusedEntries();
 }
 
@@ -313,7 +313,7 @@
 
 void StreamRouter::updateServer(const StreamServer &server)
 {
-    applyChanges(m_directory.update(server, m_clock.now()));
+    applyChanges(m_directory.update(server));
 }
 
 void StreamRouter::removeServer(const std::string &id, StorePosition position)
@@ -387,10 +387,18 @@
                 EventSeverity::Warning, "server_token_taken", { { "server", record.server.id }, { "token", number(record.token) } });
         }
         switch (change.kind) {
-        case DirectoryChange::Kind::AddressReused:
-            endServer(record, "address_reused");
+        case DirectoryChange::Kind::AddressClaimed:
+            m_failureDetector.recordAddressClaim(record.token, m_clock.now());
+            logServerStatus(record, "address_claimed");
+            if (m_failureDetector.isEndReported(record.token)) {
+                endReusedServer(record);
+            }
             break;
         case DirectoryChange::Kind::Removed:
+            if (m_failureDetector.isAddressClaimed(record.token) && isViewContinuous()) {
+                endReusedServer(record);
+                break;
+            }
             m_unconfirmedRemovals.insert_or_assign(record.token, TimePoint());
             m_failureDetector.requestProbe(record.token);
             break;
@@ -409,6 +417,7 @@
             }
             break;
         case DirectoryChange::Kind::Changed:
+            m_failureDetector.clearAddressClaim(record.token);
             if (record.server.phase == ServerPhase::Draining) {
                 m_failureDetector.recordDraining(record.token);
             }
@@ -510,6 +519,10 @@
         return;
     }
     logServerStatus(*record, "another_instance");
+    if (m_failureDetector.isAddressClaimed(record->token)) {
+        endReusedServer(*record); // a probe would be answered by the next server at the address
+        return;
+    }
     if (m_flows.flowCountsOf(record->token).recent > 0) {
         m_failureDetector.expediteProbe(record->token);
     }
@@ -523,6 +536,19 @@
     resetAll(m_flows.endMatching([&record](const StreamFlow &flow) { return flow.token == record.token; }), StreamOutcome::ServerGone);
 }
 
+void StreamRouter::endReusedServer(const DirectoryRecord &record)
+{
+    m_directory.recordEnd(record.server.id, m_clock.now());
+    endServer(record, "address_reused");
+}
+
+bool StreamRouter::isViewContinuous() const
+{
+    // Entries that expired during an outage of the store are missing for a while after it.
+    const TimePoint now = m_clock.now();
+    return now <= m_serversAge.confirmed() + maxConfirmationGap && now >= m_confirmationGapEnd + ServerDirectory::relistGracePeriod;
+}
+
 bool StreamRouter::isEndProven(std::uint32_t token) const
 {
     const TimePoint now = m_clock.now();
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -182,6 +182,8 @@
     void advanceCheckedPosition(StorePosition position);
     bool recordEra(std::string_view view, StorePosition before, StorePosition now);
     void endServer(const DirectoryRecord &record, std::string_view proof);
+    void endReusedServer(const DirectoryRecord &record);
+    bool isViewContinuous() const;
     void resetFlowsOfSilentServer(std::uint32_t token);
     const DirectoryRecord *findReferenceServer(const ProbeTarget &suspected);
     bool isEndProven(std::uint32_t token) const;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -593,8 +593,11 @@
 
 TEST_CASE_METHOD(RouterFixture, "flows of a server whose address belongs to another server are reset", "[stream][router]")
 {
+    // The server's own entry, or the connection that it refused, and that of the next server at its address prove the end together.
     makeReady({ server(1) });
     router.applyConfiguration(configurationWith(6, "tile"));
+    advanceClock(milliseconds(2600));
+    router.confirmServers(clock.now());
     const std::uint32_t token = open().token;
     send(token, 101, 0, 55);
     StreamServer successor = server(2);
@@ -602,9 +605,88 @@
     successor.address = server(1).address;
     successor.startedAt = 9000;
     successor.position = { 0, 12 };
-    router.updateServer(successor);
+    const EndedServer report { "i-1", 1000 };
+    SECTION("its entry is removed after the other server has registered")
+    {
+        router.updateServer(successor);
+        CHECK(router.takeResets().empty());
+        router.removeServer("i-1", { 0, 13 });
+    }
+    SECTION("another instance reports its end after the other server has registered")
+    {
+        router.updateServer(successor);
+        CHECK(router.takeResets().empty());
+        router.handleEndedServer(report);
+    }
+    SECTION("another instance reports its end before the other server registers")
+    {
+        router.handleEndedServer(report);
+        CHECK(router.takeResets().empty());
+        router.updateServer(successor);
+    }
     CHECK(router.takeResets().size() == 1);
     CHECK(send(token, 101, 900, 55).action == Action::Reset);
+    CHECK(router.directory().listed("pond").empty());
+}
+
+TEST_CASE_METHOD(RouterFixture, "another server's entry at the address of a running server ends none of its flows", "[stream][router][odd]")
+{
+    // Guards against resets of open flows because another writer has left an entry with the address of a running server.
+    makeReady({ server(1), server(3) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    send(token, 101, 0, 55);
+    StreamServer claimant = server(2);
+    claimant.address = server(1).address;
+    claimant.startedAt = 9000;
+    claimant.position = { 0, 12 };
+    router.updateServer(claimant);
+    const auto status = [&] { return router.failureDetector().status(token, clock.now()); };
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    CHECK(status() == ServerStatus::Suspected);
+    CHECK(events.last("server_standing").find("evidence=address_claimed") != std::string::npos);
+    SECTION("it responds")
+    {
+        send(token, 101, 900, 55);
+        advanceClock(milliseconds(40));
+        send(token, 1001, 0, 655);
+        CHECK(status() == ServerStatus::Trusted);
+        router.handleEndedServer({ "i-1", 1000 }); // from an instance that has mistaken something else for its end
+        finishProbe(token, ConnectResult::Accepted);
+    }
+    SECTION("it writes its entry again")
+    {
+        StreamServer again = server(1);
+        again.slots = 3;
+        again.position = { 0, 13 };
+        router.updateServer(again);
+        CHECK(status() == ServerStatus::Trusted);
+    }
+    SECTION("it has no requests, and its entry is still listed when that of an ended server would have been removed")
+    {
+        advanceConfirmed(7);
+        CHECK(status() == ServerStatus::Trusted);
+    }
+    SECTION("its entry expires while the store is away, and returns")
+    {
+        advanceClock(milliseconds(9000));
+        router.removeServer("i-1", { 0, 13 });
+        router.confirmServers(clock.now());
+        advanceConfirmed(2);
+        StreamServer back = server(1);
+        back.position = { 0, 15 };
+        router.updateServer(back);
+        advanceConfirmed(4);
+        CHECK(status() == ServerStatus::Trusted);
+    }
+    CHECK(router.takeResets().empty());
+    CHECK(send(token, 1001, 900, 655).action == Action::Forward);
+    CHECK(router.directory().findId("i-1")->listed);
 }
 
 TEST_CASE_METHOD(RouterFixture, "an entry of a service that no configuration names ends no server at its address", "[stream][router][odd]")
@@ -1342,6 +1424,7 @@
     successor.startedAt = 9000;
     successor.position = { 0, 12 };
     router.updateServer(successor);
+    router.removeServer("i-1", { 0, 13 });
     StreamServer copied = server(1);
     copied.position = { 1, 5 };
     router.replaceServers({ copied }, {}, { 1, 9 }, clock.now());
