Give each entry a token of its own, so that the end of a copy ends no server

Cause: the token was a hash of the number in the id and of the start time, which a copy under another name shares. What was found out about the copy was recorded under the token, for both.

Change: the token is a hash of the whole id and the start time. What is found out about an entry whose token another server holds is not recorded. Entries with the same number, start and address describe one process: the removal of one proves nothing while the other is listed, and none takes flows once one drains, so that a copy from before a drain doesn't keep the server in use.

The test of two servers with the same token used two ids with the same number; it now searches a real collision, and checks the same.

--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -103,7 +103,7 @@
 {
     const TimePoint now = m_dependencies.clock.now();
     const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
-    if (record.server.phase != ServerPhase::Ready || record.tokenTaken || status == ServerStatus::Gone) {
+    if (!record.takesFlows || record.tokenTaken || status == ServerStatus::Gone) {
         return;
     }
     const ServerFlowCounts counts = m_dependencies.flows.flowCountsOf(record.token);
@@ -138,7 +138,7 @@
 {
     std::vector<const DirectoryRecord *> missing;
     for (const DirectoryRecord *const record : m_dependencies.directory.unlisted(service)) {
-        if (record->server.phase == ServerPhase::Ready
+        if (record->takesFlows
             && m_dependencies.clock.now() < std::max(record->unlistedAt, confirmationGapEnd) + ServerDirectory::relistGracePeriod) {
             missing.push_back(record);
         }
--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace Samphirepitch
@@ -22,6 +23,12 @@
     return first == second;
 }
 
+/** Returns whether two entries with the same address describe one process: their packets reach the same server. */
+bool isSameIncarnation(const StreamServer &first, const StreamServer &second)
+{
+    return first.number == second.number && first.startedAt == second.startedAt && first.startedAt != 0;
+}
+
 } // namespace
 
 std::string_view directoryChangeName(DirectoryChange::Kind kind)
@@ -45,8 +52,8 @@
 
 std::uint32_t ServerDirectory::tokenOf(const StreamServer &server)
 {
-    constexpr std::uint64_t tokenDomain = 0x746f6b656e; // separates tokens from other hashes of the same numbers
-    const auto token = static_cast<std::uint32_t>(mix64(mix64(server.number, static_cast<std::uint64_t>(server.startedAt)), tokenDomain));
+    constexpr std::uint64_t tokenDomain = 0x746f6b656e; // separates tokens from other hashes of the same values
+    const auto token = static_cast<std::uint32_t>(mix64(hash64(server.id, tokenDomain), static_cast<std::uint64_t>(server.startedAt)));
     return token == 0 ? 1 : token; // 0 marks packets without a token
 }
 
@@ -219,7 +226,18 @@
 bool ServerDirectory::isAddressReused(const DirectoryRecord &record) const
 {
     const auto [begin, end] = m_byAddress.equal_range(record.server.address);
-    return std::any_of(begin, end, [&record](const auto &owner) { return owner.second != &record && owner.second->listed; });
+    return std::any_of(begin, end, [&record](const auto &owner) {
+        return owner.second != &record && owner.second->listed && !isSameIncarnation(owner.second->server, record.server);
+    });
+}
+
+const DirectoryRecord *ServerDirectory::findTwin(const DirectoryRecord &record) const
+{
+    const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    const auto twin = std::find_if(begin, end, [&record](const auto &owner) {
+        return owner.second != &record && owner.second->listed && isSameIncarnation(owner.second->server, record.server);
+    });
+    return twin == end ? nullptr : twin->second;
 }
 
 const std::vector<const DirectoryRecord *> &ServerDirectory::listed(const std::string &service) const
@@ -330,8 +348,8 @@
         findAddressClaims(*record, true, changes);
         return;
     }
-    const bool isSameIncarnation = server.startedAt != 0 && server.startedAt == record->server.startedAt;
-    if (isSameIncarnation && record->server.phase == ServerPhase::Draining) {
+    const bool hasSameStart = server.startedAt != 0 && server.startedAt == record->server.startedAt;
+    if (hasSameStart && record->server.phase == ServerPhase::Draining) {
         server.phase = ServerPhase::Draining;
     }
     if (server.position < record->server.position) {
@@ -353,7 +371,8 @@
         m_byAddress.emplace(server.address, record.get());
     }
     const bool isMoved = server.service != record->server.service || server.failureDomain != record->server.failureDomain;
-    m_indexesAreStale = m_indexesAreStale || isMoved || !wasListed || tokenOf(server) != record->token;
+    const bool hasOtherPhase = server.phase != record->server.phase;
+    m_indexesAreStale = m_indexesAreStale || isMoved || hasMoved || hasOtherPhase || !wasListed || tokenOf(server) != record->token;
     record->server = server;
     record->listed = true;
     record->token = tokenOf(server);
@@ -434,6 +453,18 @@
     m_byService.clear();
     m_byDomain.clear();
     m_unlisted.clear();
+    // The copy of an entry, made by another writer before its server began to drain, must not keep the server in use.
+    std::set<std::tuple<Endpoint, std::uint64_t, std::int64_t>> draining;
+    for (const auto &[id, record] : m_records) {
+        const StreamServer &server = record->server;
+        if (server.phase == ServerPhase::Draining && server.startedAt != 0) {
+            draining.emplace(server.address, server.number, server.startedAt);
+        }
+    }
+    for (auto &[id, record] : m_records) {
+        const StreamServer &server = record->server;
+        record->takesFlows = server.phase == ServerPhase::Ready && !draining.contains({ server.address, server.number, server.startedAt });
+    }
     // The map is sorted by id, so of two servers with the same token every instance chooses the one with the smaller id.
     for (auto &[id, record] : m_records) {
         const auto [holder, isFirst] = m_byToken.try_emplace(record->token, record.get());
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -22,6 +22,7 @@
     std::uint32_t token = 0; /**< identifies this incarnation in packets; never 0 */
     std::vector<std::uint32_t> previousTokens; /**< tokens of earlier incarnations with the same id */
     bool listed = true; /**< whether discovery still lists it */
+    bool takesFlows = true; /**< whether neither this entry nor another one of the same incarnation is draining */
     bool tokenTaken = false; /**< whether another server has the same token, so that this one gets no flows */
     TimePoint unlistedAt {}; /**< when discovery stopped listing it; valid only if it is not listed */
 };
@@ -70,7 +71,8 @@
 
     /**
      * Returns the token of an incarnation, which is the same on every instance. It depends on the start time: otherwise an instance
-     * that doesn't know of a restart yet would mistake flows of the new incarnation for those of the one that ended.
+     * that doesn't know of a restart yet would mistake flows of the new incarnation for those of the one that ended. It depends on the
+     * whole id: otherwise the end of an entry that another writer has copied would end the flows of the server.
      */
     static std::uint32_t tokenOf(const StreamServer &server);
 
@@ -116,9 +118,12 @@
     /** Returns the server with an id, listed or not, or null. */
     const DirectoryRecord *findId(const std::string &id) const;
 
-    /** Returns whether a listed server with another id has the address of a server. */
+    /** Returns whether a listed server with another id has the address of a server, and is not the same process. */
     bool isAddressReused(const DirectoryRecord &record) const;
 
+    /** Returns another listed entry with the address, number and start time of a server, which its packets reach as well; or null. */
+    const DirectoryRecord *findTwin(const DirectoryRecord &record) const;
+
     /** Returns the listed servers of a service. */
     const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -385,6 +385,7 @@
         if (record.tokenTaken) {
             m_events.record(
                 EventSeverity::Warning, "server_token_taken", { { "server", record.server.id }, { "token", number(record.token) } });
+            continue; // what is known under the token is that of the other server
         }
         switch (change.kind) {
         case DirectoryChange::Kind::AddressClaimed:
@@ -395,7 +396,7 @@
             }
             break;
         case DirectoryChange::Kind::Removed:
-            if (m_failureDetector.isAddressClaimed(record.token) && isViewContinuous()) {
+            if (m_failureDetector.isAddressClaimed(record.token) && isViewContinuous() && m_directory.findTwin(record) == nullptr) {
                 endReusedServer(record);
                 break;
             }
@@ -436,7 +437,7 @@
             continue;
         }
         // A draining server may have closed its listener while it still has flows, so a probe proves nothing.
-        const bool isConclusive = record->server.phase == ServerPhase::Ready;
+        const bool isConclusive = record->takesFlows;
         const bool hasEnded = !record->listed && m_failureDetector.endProvenAt(token) != TimePoint();
         if (isConclusive && !hasEnded) {
             targets.push_back({ token, record->server.id, record->server.address });
@@ -460,7 +461,7 @@
         for (std::size_t index = 0; index < std::min(servers.size(), maxReferenceChecks); ++index) {
             const DirectoryRecord *const record = servers[(first + index) % servers.size()];
             const bool isTrusted = m_failureDetector.status(record->token, m_clock.now()) == ServerStatus::Trusted;
-            const bool mayServe = isTrusted && record->server.phase == ServerPhase::Ready && !record->tokenTaken;
+            const bool mayServe = isTrusted && record->takesFlows && !record->tokenTaken;
             if (mayServe && record->token != suspected.token && m_failureDetector.startProbe(record->token, m_clock.now())) {
                 return record;
             }
@@ -481,7 +482,7 @@
         return;
     }
     // Like in takeDueProbes(): a server that has begun to drain may have closed its listener while it still has flows.
-    if (result != ConnectResult::Accepted && record->server.phase != ServerPhase::Ready) {
+    if (result != ConnectResult::Accepted && !record->takesFlows) {
         result = ConnectResult::Inconclusive;
     }
     const bool changed = m_failureDetector.recordProbeResult(token, result, probeStart, m_clock.now());
@@ -515,7 +516,7 @@
 {
     const DirectoryRecord *const record = m_directory.findId(ended.id);
     const bool isSame = record != nullptr && static_cast<std::uint64_t>(record->server.startedAt) == ended.startedAt;
-    if (!isSame || !m_failureDetector.recordReportedEnd(record->token)) {
+    if (!isSame || record->tokenTaken || !m_failureDetector.recordReportedEnd(record->token)) {
         return;
     }
     logServerStatus(*record, "another_instance");
@@ -641,6 +642,12 @@
 void StreamRouter::confirmRemovals()
 {
     const TimePoint now = m_clock.now();
+    for (auto &[token, lastAlive] : m_unconfirmedRemovals) {
+        const DirectoryRecord *const record = m_directory.findToken(token);
+        if (record != nullptr && m_directory.findTwin(*record) != nullptr) {
+            lastAlive = now;
+        }
+    }
     std::erase_if(m_unconfirmedRemovals, [this, now](const auto &removal) {
         const auto &[token, lastAlive] = removal;
         const DirectoryRecord *const record = m_directory.findToken(token);
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace Samphirepitch;
 using namespace Samphirepitch::Tests;
@@ -285,15 +286,50 @@
 
 TEST_CASE("of two servers with the same token, the same one gets flows on every instance", "[stream][directory]")
 {
+    std::map<std::uint32_t, std::uint64_t> numbers;
+    std::uint64_t number = 1;
+    while (numbers.emplace(ServerDirectory::tokenOf(RouterFixture::server(number)), number).second) {
+        ++number;
+    }
+    const StreamServer later = RouterFixture::server(number);
+    const StreamServer earlier = RouterFixture::server(numbers.at(ServerDirectory::tokenOf(later)));
+    const StreamServer &first = std::min(earlier.id, later.id) == earlier.id ? earlier : later;
+    const StreamServer &second = &first == &earlier ? later : earlier;
+    CAPTURE(first.id, second.id);
     ServerDirectory directory;
-    StreamServer first = RouterFixture::server(1);
-    StreamServer second = RouterFixture::server(1);
-    second.id = "j-1";
     directory.update(second);
     directory.update(first);
-    CHECK_FALSE(directory.findId("i-1")->tokenTaken);
-    CHECK(directory.findId("j-1")->tokenTaken);
-    CHECK(directory.findToken(ServerDirectory::tokenOf(RouterFixture::server(1)))->server.id == "i-1");
+    CHECK_FALSE(directory.findId(first.id)->tokenTaken);
+    CHECK(directory.findId(second.id)->tokenTaken);
+    CHECK(directory.findToken(ServerDirectory::tokenOf(first))->server.id == first.id);
+}
+
+TEST_CASE("entries of one process have tokens of their own, and none takes flows once one of them drains", "[stream][directory][odd]")
+{
+    // Guards against flows on a draining server, through a copy of its entry that another writer made before.
+    ServerDirectory directory;
+    const StreamServer server = RouterFixture::server(1);
+    StreamServer copy = withRevision(server, 11);
+    copy.id = "copy-of-i-1";
+    directory.replaceAll({ server }, {}, { 0, 10 }, start);
+    CHECK(describe(directory.update(copy)) == "added copy-of-i-1;");
+    CHECK(ServerDirectory::tokenOf(copy) != ServerDirectory::tokenOf(server));
+    CHECK(directory.findTwin(*directory.findId("i-1")) == directory.findId(copy.id));
+    CHECK_FALSE(directory.isAddressReused(*directory.findId("i-1")));
+    CHECK(directory.findId(copy.id)->takesFlows);
+    StreamServer draining = withRevision(server, 12);
+    draining.phase = ServerPhase::Draining;
+    directory.update(draining);
+    CHECK_FALSE(directory.findId("i-1")->takesFlows);
+    CHECK_FALSE(directory.findId(copy.id)->takesFlows);
+    directory.remove("i-1", { 0, 13 }, start);
+    CHECK_FALSE(directory.findId(copy.id)->takesFlows);
+    // An incarnation that started later, or that runs elsewhere, is another process.
+    StreamServer restarted = withRevision(copy, 14);
+    restarted.startedAt = 9000;
+    directory.update(restarted);
+    CHECK(directory.findId(copy.id)->takesFlows);
+    CHECK(directory.findTwin(*directory.findId("i-1")) == nullptr);
 }
 
 TEST_CASE("a server that has moved no longer owns its previous address", "[stream][directory]")
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -714,6 +714,50 @@
     CHECK(router.failureDetector().status(token, clock.now()) == ServerStatus::Trusted);
 }
 
+TEST_CASE_METHOD(RouterFixture, "the removal of a copied entry ends no flow of the server that it describes", "[stream][router][odd]")
+{
+    // Guards against resets of a running server's flows because a tool has copied its entry and removed the copy.
+    StreamServer copy = server(1);
+    copy.id = "copy-of-i-1";
+    copy.position = { 0, 8 };
+    SECTION("of a service that no configuration names")
+    {
+        copy.service = "archive";
+    }
+    SECTION("of the same service")
+    {
+    }
+    makeReady({ server(1), copy });
+    constexpr std::uint16_t flowCount = 20;
+    std::vector<std::uint32_t> tokens;
+    const auto from = [](std::size_t flow) { return Endpoint(0x64400009, static_cast<std::uint16_t>(flow)); };
+    for (std::size_t flow = 0; flow < flowCount; ++flow) {
+        tokens.push_back(open(from(flow)).token);
+        send(tokens.back(), 101, 0, 55, from(flow));
+    }
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    advanceConfirmed(4);
+    router.removeServer(copy.id, { 0, 12 });
+    advanceConfirmed(8);
+    CHECK(router.takeResets().empty());
+    for (std::size_t flow = 0; flow < flowCount; ++flow) {
+        const StreamDecision decision = send(tokens[flow], 101, 900, 55, from(flow));
+        REQUIRE(decision.action == Action::Forward);
+        CHECK(decision.server->address == server(1).address);
+    }
+    CHECK(open(from(flowCount)).server->id == "i-1");
+    // The removal of the server's own entry is evidence about the server.
+    router.removeServer("i-1", { 0, 20 });
+    advanceConfirmed(5);
+    CHECK(router.takeResets().size() == flowCount);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a server takes flows once a configuration names its service", "[stream][router][odd]")
 {
     // Guards against entries that are lost because they were registered before the configuration that uses them.
