Reset no flows that both ends have closed

Cause: the end of a server or of a route returned each flow that had opened; whether it was closed was not asked for.

Change: a flow is closed if its client has sent its last data and then nothing for 1.6 s, the longest time between retransmissions. Such a flow is not reset.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -168,11 +168,16 @@
     }
 }
 
-std::vector<StreamFlow> FlowTracker::endMatching(const std::function<bool(const StreamFlow &)> &matches)
+bool FlowTracker::isClosed(const StreamFlow &flow, TimePoint now)
+{
+    return flow.finished && now >= flow.lastSeen + maxRetransmissionInterval;
+}
+
+std::vector<StreamFlow> FlowTracker::endMatching(const std::function<bool(const StreamFlow &)> &matches, TimePoint now)
 {
     std::vector<StreamFlow> ended;
     for (const auto &[key, flow] : m_byKey) {
-        if (!flow->open || flow->ended || !matches(*flow)) {
+        if (!flow->open || flow->ended || isClosed(*flow, now) || !matches(*flow)) {
             continue;
         }
         ended.push_back(*flow);
@@ -303,13 +308,13 @@
     }
 }
 
-std::vector<StreamFlow> FlowTracker::removeMatching(const std::function<bool(const StreamFlow &)> &matches)
+std::vector<StreamFlow> FlowTracker::removeMatching(const std::function<bool(const StreamFlow &)> &matches, TimePoint now)
 {
     std::vector<StreamFlow> taken;
     for (auto entry = m_byKey.begin(); entry != m_byKey.end();) {
         const auto current = entry++;
         if (matches(*current->second)) {
-            if (current->second->open) {
+            if (current->second->open && !isClosed(*current->second, now)) {
                 taken.push_back(*current->second);
             }
             erase(current);
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -71,6 +71,11 @@
      * that of another flow from the same port.
      */
     static constexpr std::chrono::milliseconds maxPacketDelay { 2000 };
+    /**
+     * Both ends retransmit what is not acknowledged at least this often. A flow whose client has sent its last data and then nothing for
+     * this long is closed by both ends, or its client only waits for the response, until its own time limit.
+     */
+    static constexpr std::chrono::milliseconds maxRetransmissionInterval { 1600 };
     /** If a response takes longer than this, its server is probed. Most requests take less than a third of it. */
     static constexpr std::chrono::milliseconds overdueThreshold { 90 };
 
@@ -112,20 +117,26 @@
     /** Removes a flow, if it is tracked. */
     void remove(Endpoint client, Endpoint service);
 
+    /**
+     * Returns whether a tracked flow is closed, so that its client's port may belong to another flow already. Its entry is kept until the
+     * idle timeout, for late packets.
+     */
+    static bool isClosed(const StreamFlow &flow, TimePoint now);
+
     /**
      * Ends the open flows that a predicate accepts. They no longer count as load, but keep their entries, because their clients may
      * still send packets.
      * @param matches the predicate
-     * @return the flows that were not ended before; the caller has to reset their clients
+     * @return the flows that were neither closed nor ended before; the caller has to reset their clients
      */
-    std::vector<StreamFlow> endMatching(const std::function<bool(const StreamFlow &)> &matches);
+    std::vector<StreamFlow> endMatching(const std::function<bool(const StreamFlow &)> &matches, TimePoint now);
 
     /**
      * Removes the flows that a predicate accepts.
      * @param matches the predicate
-     * @return the removed flows that were open
+     * @return the removed flows that were open and not closed
      */
-    std::vector<StreamFlow> removeMatching(const std::function<bool(const StreamFlow &)> &matches);
+    std::vector<StreamFlow> removeMatching(const std::function<bool(const StreamFlow &)> &matches, TimePoint now);
 
     /**
      * Finds the responses that have become overdue since the last call.
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -247,8 +247,8 @@
             { "era", number(m_configuration.position.era()) }, { "revision", number(m_configuration.position.revision()) },
             { "routes", number(m_configuration.routes.size()) } });
     useTargetServices();
-    resetAll(m_flows.removeMatching([this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; }),
-        StreamOutcome::RouteRemoved);
+    const auto hasNoRoute = [this](const StreamFlow &flow) { return m_configuration.find(flow.service) == nullptr; };
+    resetAll(m_flows.removeMatching(hasNoRoute, m_clock.now()), StreamOutcome::RouteRemoved);
     return true;
 }
 
@@ -496,8 +496,8 @@
         if (changed && !m_failureDetector.isEndReported(token)) {
             m_endedServers.push_back({ record->server.id, static_cast<std::uint64_t>(record->server.startedAt) });
         }
-        resetAll(m_flows.endMatching([this, token](const StreamFlow &flow) { return flow.token == token && hasServerFailedSince(flow); }),
-            StreamOutcome::ServerGone);
+        const auto hasFailed = [this, token](const StreamFlow &flow) { return flow.token == token && hasServerFailedSince(flow); };
+        resetAll(m_flows.endMatching(hasFailed, m_clock.now()), StreamOutcome::ServerGone);
     }
     resetFlowsOfSilentServer(token);
 }
@@ -507,9 +507,9 @@
     if (m_failureDetector.status(token, m_clock.now()) != ServerStatus::Silent) {
         return;
     }
-    resetAll(m_flows.endMatching(
-                 [this, token](const StreamFlow &flow) { return flow.token == token && hasServerFailedSince(flow) && mayRetry(flow); }),
-        StreamOutcome::ServerSilent);
+    const auto mayBeReset
+        = [this, token](const StreamFlow &flow) { return flow.token == token && hasServerFailedSince(flow) && mayRetry(flow); };
+    resetAll(m_flows.endMatching(mayBeReset, m_clock.now()), StreamOutcome::ServerSilent);
 }
 
 void StreamRouter::handleEndedServer(const EndedServer &ended)
@@ -534,7 +534,8 @@
     if (m_failureDetector.recordProvenEnd(record.token, m_clock.now())) {
         logServerStatus(record, proof);
     }
-    resetAll(m_flows.endMatching([&record](const StreamFlow &flow) { return flow.token == record.token; }), StreamOutcome::ServerGone);
+    const auto isOfServer = [&record](const StreamFlow &flow) { return flow.token == record.token; };
+    resetAll(m_flows.endMatching(isOfServer, m_clock.now()), StreamOutcome::ServerGone);
 }
 
 void StreamRouter::endReusedServer(const DirectoryRecord &record)
--- a/tests/stream/flowtrackertests.cpp
+++ b/tests/stream/flowtrackertests.cpp
@@ -118,11 +118,11 @@
     openFlow(2, 8);
     tracker.recordOpening({ .client = client(3), .service = service, .opens = true }, server, now);
     const auto isOfServer = [](const StreamFlow &flow) { return flow.token == server; };
-    const std::vector<StreamFlow> ended = tracker.endMatching(isOfServer);
+    const std::vector<StreamFlow> ended = tracker.endMatching(isOfServer, now);
     REQUIRE(ended.size() == 1);
     CHECK(ended.front().client == client(1));
     CHECK(ended.front().acknowledged == 50);
-    CHECK(tracker.endMatching(isOfServer).empty());
+    CHECK(tracker.endMatching(isOfServer, now).empty());
     // The ended flow no longer counts as load, and expires like an idle one.
     CHECK(tracker.flowCountsOf(server).recent == 1);
     CHECK(tracker.flowCountsOf(server).awaitingResponse == 0);
@@ -195,10 +195,10 @@
 TEST_CASE_METHOD(TrackerFixture, "a new flow at the port of an ended one is not ended", "[stream][flowtracker]")
 {
     openFlow(1, 7);
-    REQUIRE(tracker.endMatching([](const StreamFlow &) { return true; }).size() == 1);
+    REQUIRE(tracker.endMatching([](const StreamFlow &) { return true; }, now).size() == 1);
     tracker.recordPacket(data(1, 5'000'000, 900, 9'000'000), 8, now + seconds(1));
     CHECK_FALSE(tracker.find(client(1), service)->ended);
-    CHECK(tracker.endMatching([](const StreamFlow &) { return true; }).size() == 1);
+    CHECK(tracker.endMatching([](const StreamFlow &) { return true; }, now).size() == 1);
 }
 
 TEST_CASE_METHOD(TrackerFixture, "a new flow at the port of a closed one counts as load, also at the same server", "[stream][flowtracker]")
@@ -259,3 +259,41 @@
         CHECK_FALSE(mayOpen(99, milliseconds(100)));
     }
 }
+
+TEST_CASE_METHOD(TrackerFixture, "a flow that both ends have closed is not returned as open", "[stream][flowtracker]")
+{
+    // Guards against resets for closed flows, which reach the client's next flow from the same port, at another server.
+    const auto all = [](const StreamFlow &) { return true; };
+    openFlow(1);
+    openFlow(2);
+    StreamPacket last = data(1, 1, 900, 50);
+    last.finishes = true;
+    tracker.recordPacket(last, server, now);
+    SECTION("the client has sent its last data long ago")
+    {
+        now += milliseconds(1600);
+        const std::vector<StreamFlow> open = tracker.endMatching(all, now);
+        REQUIRE(open.size() == 1);
+        CHECK(open.front().client == client(2));
+    }
+    SECTION("the client has sent its last data long ago, and the entry is removed")
+    {
+        now += milliseconds(1600);
+        const std::vector<StreamFlow> open = tracker.removeMatching(all, now);
+        REQUIRE(open.size() == 1);
+        CHECK(open.front().client == client(2));
+        CHECK(tracker.size() == 0);
+    }
+    SECTION("the client may still wait for the response")
+    {
+        now += milliseconds(1599);
+        CHECK(tracker.endMatching(all, now).size() == 2);
+    }
+    SECTION("the client still acknowledges the response")
+    {
+        now += milliseconds(1500);
+        tracker.recordPacket(data(1, 901, 0, 5050), server, now);
+        now += milliseconds(1500);
+        CHECK(tracker.removeMatching(all, now).size() == 2);
+    }
+}
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -235,6 +235,32 @@
     }
 }
 
+TEST_CASE_METHOD(RouterFixture, "the end of a server or of a route resets no flow that is closed", "[stream][router]")
+{
+    // Guards against resets that reach the next flow from the same port, which another instance has sent to a server that runs.
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    finish(token, 1001, 655);
+    const Endpoint other(0x64400009, 1);
+    open(other);
+    send(token, 101, 900, 55, other);
+    advanceClock(milliseconds(8000));
+    SECTION("the server ends")
+    {
+        finishProbe(token, ConnectResult::Refused);
+    }
+    SECTION("the route is removed")
+    {
+        StreamConfiguration next = configuration(6);
+        next.routes.clear();
+        router.applyConfiguration(next);
+    }
+    const std::vector<StreamReset> resets = router.takeResets();
+    REQUIRE(resets.size() == 1);
+    CHECK(resets.front().client == other);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a client that uses a port again gets no server that has ended", "[stream][router]")
 {
     // Guards against opening packets that reach a crashed server for as long as the closed flow is remembered.
