Rebuild the indexes of servers once for a batch of changes

Cause: each change rebuilt all indexes, so that a batch cost the square of its size.

Change: ServerDirectory::apply applies a batch and rebuilds once. The search for claims stops at eight entries at one address. A change names the token of its incarnation, since the record may be of a later one at the end of the batch.

The new test counts rebuilds for 10,000 entries and needs the new interface, so that it was not run on the old code.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -17,6 +17,9 @@
 // oldest flows have ended.
 constexpr std::size_t maxPreviousTokens = 8;
 
+// Servers follow each other at an address. More entries than this at one address are no evidence about any of them.
+constexpr std::size_t maxAddressOwners = 8;
+
 bool hasSameContent(StreamServer first, const StreamServer &second)
 {
     first.position = second.position;
@@ -162,22 +165,40 @@
 DirectoryChanges ServerDirectory::remove(const std::string &id, StorePosition position, TimePoint now)
 {
     DirectoryChanges changes;
+    take(id, position, now, changes);
+    refreshIndexes();
+    return changes;
+}
+
+DirectoryChanges ServerDirectory::apply(const std::vector<ServerUpdate> &updates, TimePoint now)
+{
+    DirectoryChanges changes;
+    for (const ServerUpdate &update : updates) {
+        if (update.listed) {
+            put(*update.listed, DirectoryChange::Kind::Added, changes);
+        } else if (update.unlisted) {
+            take(*update.unlisted, update.position, now, changes);
+        }
+    }
+    refreshIndexes();
+    return changes;
+}
+
+void ServerDirectory::take(const std::string &id, StorePosition position, TimePoint now, DirectoryChanges &changes)
+{
     removeUnused(id, position);
     const auto found = m_records.find(id);
     if (found == m_records.end()) {
         m_forgottenPosition = std::max(m_forgottenPosition, position); // no record holds this removal for other instances
-        return changes;
+        return;
     }
     if (found->second->server.position > position) {
-        return changes;
+        return;
     }
     found->second->server.position = position;
-    if (!found->second->listed) {
-        return changes;
+    if (found->second->listed) {
+        unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
     }
-    unlist(*found->second, DirectoryChange::Kind::Removed, now, changes);
-    refreshIndexes();
-    return changes;
 }
 
 void ServerDirectory::recordEnd(const std::string &id, TimePoint now)
@@ -278,6 +299,11 @@
     return m_unused;
 }
 
+std::uint64_t ServerDirectory::rebuildCount() const
+{
+    return m_rebuildCount;
+}
+
 std::optional<std::vector<ServerUpdate>> ServerDirectory::changesAfter(StorePosition position) const
 {
     if (position.isUnset() || position.era() != m_position.era() || position < m_forgottenPosition) {
@@ -344,7 +370,7 @@
         record = std::make_unique<DirectoryRecord>(DirectoryRecord { .server = server, .token = tokenOf(server) });
         m_byAddress.emplace(server.address, record.get());
         m_indexesAreStale = true;
-        changes.push_back({ DirectoryChange::Kind::Added, record.get() });
+        changes.push_back({ DirectoryChange::Kind::Added, record.get(), record->token });
         findAddressClaims(*record, true, changes);
         return;
     }
@@ -383,7 +409,7 @@
         }
     }
     const auto kind = restarted ? DirectoryChange::Kind::Restarted : wasListed ? DirectoryChange::Kind::Changed : relisted;
-    changes.push_back({ kind, record.get(), previousToken });
+    changes.push_back({ kind, record.get(), record->token, previousToken });
     findAddressClaims(*record, restarted || hasMoved || !wasListed, changes);
 }
 
@@ -406,7 +432,7 @@
     record.listed = false;
     record.unlistedAt = now;
     m_indexesAreStale = true;
-    changes.push_back({ kind, &record });
+    changes.push_back({ kind, &record, record.token });
 }
 
 void ServerDirectory::findAddressClaims(const DirectoryRecord &record, bool isNewOwner, DirectoryChanges &changes) const
@@ -415,20 +441,26 @@
         return left.position > right.position && left.startedAt > right.startedAt;
     };
     const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    DirectoryChanges claims;
     bool isClaimed = false;
+    std::size_t owners = 0;
     for (auto owner = begin; owner != end; ++owner) {
+        if (++owners > maxAddressOwners) {
+            return;
+        }
         const DirectoryRecord &other = *owner->second;
         if (&other == &record || !other.listed) {
             continue;
         }
         if (isNewOwner && isLater(record.server, other.server)) {
-            changes.push_back({ DirectoryChange::Kind::AddressClaimed, &other });
+            claims.push_back({ DirectoryChange::Kind::AddressClaimed, &other, other.token });
         }
         isClaimed = isClaimed || isLater(other.server, record.server);
     }
     if (isClaimed) {
-        changes.push_back({ DirectoryChange::Kind::AddressClaimed, &record });
+        claims.push_back({ DirectoryChange::Kind::AddressClaimed, &record, record.token });
     }
+    changes.insert(changes.end(), claims.begin(), claims.end());
 }
 
 void ServerDirectory::removeAddress(const DirectoryRecord &record)
@@ -449,6 +481,7 @@
 
 void ServerDirectory::rebuildIndexes()
 {
+    ++m_rebuildCount;
     m_byToken.clear();
     m_byService.clear();
     m_byDomain.clear();
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -41,6 +41,7 @@
 
     Kind kind = Kind::Added;
     const DirectoryRecord *record = nullptr; /**< valid until the next expire() */
+    std::uint32_t token = 0; /**< token of the incarnation that the change concerns; the record may be of a later one by now */
     std::uint32_t previousToken = 0; /**< token of the incarnation that ended; set only for Restarted */
 };
 
@@ -95,6 +96,9 @@
     DirectoryChanges replaceAll(
         const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint now);
 
+    /** Applies changes of entries in their order; see update() and remove(). The work grows with their number, not with its square. */
+    DirectoryChanges apply(const std::vector<ServerUpdate> &updates, TimePoint now);
+
     /** Adds or updates one server. An entry older than that of the directory is ignored. @return the changes */
     DirectoryChanges update(const StreamServer &server);
 
@@ -145,6 +149,9 @@
      */
     std::optional<std::vector<ServerUpdate>> changesAfter(StorePosition position) const;
 
+    /** Returns how often all indexes were rebuilt, which takes time in proportion to the number of servers. */
+    std::uint64_t rebuildCount() const;
+
     /** Returns all listed servers and unused entries as updates, for another instance. */
     std::vector<ServerUpdate> completeList() const;
 
@@ -161,6 +168,7 @@
     void putUnused(const StreamServer &server);
     void removeUnused(const std::string &id, StorePosition position);
     void put(StreamServer server, DirectoryChange::Kind relisted, DirectoryChanges &changes);
+    void take(const std::string &id, StorePosition position, TimePoint now, DirectoryChanges &changes);
     bool isSuperseded(const StreamServer &server) const;
     void unlist(DirectoryRecord &record, DirectoryChange::Kind kind, TimePoint now, DirectoryChanges &changes);
     void findAddressClaims(const DirectoryRecord &record, bool isNewOwner, DirectoryChanges &changes) const;
@@ -182,6 +190,7 @@
     std::map<std::string, Services> m_byDomain; // listed servers by failure domain
     Services m_unlisted;
     bool m_indexesAreStale = false; // rebuilt only if needed, since most changes of an entry concern no index
+    std::uint64_t m_rebuildCount = 0;
     StorePosition m_position;
     StorePosition m_forgottenPosition; // highest position of a removal that may have no record
 };
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -299,13 +299,7 @@
     if (updates.position.era() != m_directory.position().era()) {
         return;
     }
-    for (const ServerUpdate &update : updates.updates) {
-        if (update.listed) {
-            updateServer(*update.listed);
-        } else if (update.unlisted) {
-            removeServer(*update.unlisted, update.position);
-        }
-    }
+    applyChanges(m_directory.apply(updates.updates, m_clock.now()));
     m_directory.advancePosition(updates.position);
     logUnusedEntries();
     confirmServers(confirmedAt);
@@ -387,21 +381,28 @@
                 EventSeverity::Warning, "server_token_taken", { { "server", record.server.id }, { "token", number(record.token) } });
             continue; // what is known under the token is that of the other server
         }
+        const bool isCurrent = change.token == record.token; // a later change of the same batch may be of the next incarnation
         switch (change.kind) {
         case DirectoryChange::Kind::AddressClaimed:
-            m_failureDetector.recordAddressClaim(record.token, m_clock.now());
+            if (!isCurrent) {
+                break;
+            }
+            m_failureDetector.recordAddressClaim(change.token, m_clock.now());
             logServerStatus(record, "address_claimed");
-            if (m_failureDetector.isEndReported(record.token)) {
+            if (m_failureDetector.isEndReported(change.token)) {
                 endReusedServer(record);
             }
             break;
         case DirectoryChange::Kind::Removed:
-            if (m_failureDetector.isAddressClaimed(record.token) && isViewContinuous() && m_directory.findTwin(record) == nullptr) {
+            if (!isCurrent || record.listed) {
+                break;
+            }
+            if (m_failureDetector.isAddressClaimed(change.token) && isViewContinuous() && m_directory.findTwin(record) == nullptr) {
                 endReusedServer(record);
                 break;
             }
-            m_unconfirmedRemovals.insert_or_assign(record.token, TimePoint());
-            m_failureDetector.requestProbe(record.token);
+            m_unconfirmedRemovals.insert_or_assign(change.token, TimePoint());
+            m_failureDetector.requestProbe(change.token);
             break;
         case DirectoryChange::Kind::Restarted:
             m_failureDetector.forget(change.previousToken);
@@ -409,18 +410,18 @@
             m_placement.forget(change.previousToken);
             break;
         case DirectoryChange::Kind::Added:
-            m_failureDetector.forget(record.token);
+            m_failureDetector.forget(change.token);
             break;
         case DirectoryChange::Kind::Restored:
             // An old copy says nothing about whether the server still runs, so a proof of its end holds until a probe is accepted.
-            if (m_failureDetector.status(record.token, m_clock.now()) == ServerStatus::Gone) {
-                m_failureDetector.requestProbe(record.token);
+            if (m_failureDetector.status(change.token, m_clock.now()) == ServerStatus::Gone) {
+                m_failureDetector.requestProbe(change.token);
             }
             break;
         case DirectoryChange::Kind::Changed:
-            m_failureDetector.clearAddressClaim(record.token);
+            m_failureDetector.clearAddressClaim(change.token);
             if (record.server.phase == ServerPhase::Draining) {
-                m_failureDetector.recordDraining(record.token);
+                m_failureDetector.recordDraining(change.token);
             }
             break;
         }
@@ -766,6 +767,8 @@
         static_cast<double>(m_placement.slowCount()));
     writer.gauge("samphirepitch_server_entries_unused", "Entries of backend servers for services that no configuration has used.", {},
         static_cast<double>(m_directory.unused().size()));
+    writer.counter(
+        "samphirepitch_server_index_rebuilds_total", "Rebuilds of the indexes of backend servers.", {}, m_directory.rebuildCount());
     writer.gauge(
         "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
 }
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -226,6 +226,37 @@
     CHECK(directory.unused().empty());
 }
 
+TEST_CASE("many entries that are written at once rebuild the indexes once", "[stream][directory][odd][load]")
+{
+    // Load pattern: another writer adds 10,000 entries at once. Guards against an instance that stands still for seconds meanwhile, and
+    // then places the packets that have waited by an old list.
+    constexpr std::uint64_t entryCount = 10'000;
+    ServerDirectory directory;
+    directory.useServices({ "pond" });
+    directory.replaceAll({ RouterFixture::server(1) }, {}, { 0, 10 }, start);
+    const std::string service = GENERATE("agent", "pond");
+    std::vector<ServerUpdate> added;
+    std::vector<ServerUpdate> removed;
+    for (std::uint64_t number = 0; number < entryCount; ++number) {
+        StreamServer entry = withRevision(RouterFixture::server(100 + number), 11 + number);
+        entry.service = service;
+        entry.address = RouterFixture::server(1).address;
+        entry.startedAt = static_cast<std::int64_t>(9000 + number);
+        added.push_back({ .listed = entry, .unlisted = {}, .fault = {}, .position = entry.position });
+        removed.push_back({ .listed = {}, .unlisted = entry.id, .fault = {}, .position = { 0, 20'000 + number } });
+    }
+    const std::uint64_t rebuilds = directory.rebuildCount();
+    const bool isUsed = service == "pond";
+    // The first entries at the address claim it. So many at one address are no evidence about any of them.
+    CHECK(directory.apply(added, start).size() < (isUsed ? entryCount + 100 : 1));
+    CHECK(directory.rebuildCount() <= rebuilds + (isUsed ? 1 : 0));
+    CHECK(directory.listed("pond").size() == (isUsed ? entryCount + 1 : 1));
+    CHECK(directory.apply(removed, start).size() == (isUsed ? entryCount : 0));
+    CHECK(directory.rebuildCount() <= rebuilds + (isUsed ? 2 : 0));
+    CHECK(directory.listed("pond").size() == 1);
+    CHECK(directory.unused().empty());
+}
+
 TEST_CASE("incarnations with the same id differ by their start time", "[stream][directory]")
 {
     ServerDirectory directory;
