Judge packets of a later flow not by the age of the closed one

Callers would have seen a reset of a flow that another instance had opened at a server, because the entry of a closed flow from the same port was older than a failed probe of that server.

Cause: the router compared a packet with the entry of its port without asking whether it belongs to that flow.

Change: FlowTracker::isOfLaterFlow is asked before an entry decides about a reset, and before a change of the server is logged.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -24,13 +24,6 @@
     return (isAfter(left, right) ? left - right : right - left) > maxNumberDistance;
 }
 
-/** Returns whether a packet belongs to a later flow from the same port than the tracked one. */
-bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow)
-{
-    return flow.open && (flow.token != token || flow.finished)
-        && (isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged));
-}
-
 } // namespace
 
 FlowTracker::FlowTracker(std::size_t maxFlows)
@@ -44,6 +37,12 @@
     return found == m_byKey.end() ? nullptr : &*found->second;
 }
 
+bool FlowTracker::isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow)
+{
+    return flow.open && (flow.token != token || flow.finished)
+        && (isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged));
+}
+
 bool FlowTracker::mayOpen(const StreamPacket &packet, const StreamFlow &flow, TimePoint now)
 {
     const TimePoint lastSent = flow.open ? flow.openSince : flow.lastSentAt;
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -92,6 +92,13 @@
      */
     static bool mayOpen(const StreamPacket &packet, const StreamFlow &flow, TimePoint now);
 
+    /**
+     * Returns whether a packet that is not an opening packet belongs to a later flow from the same port than the tracked one, whose opening
+     * packet went through another instance.
+     * @param token the server that the packet is sent to
+     */
+    static bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow);
+
     /**
      * Records an opening packet.
      * @param token the server that the packet is sent to
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -148,7 +148,8 @@
         return std::nullopt;
     }
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
-    const bool hasFailed = flow != nullptr && flow->open && flow->token == token && hasServerFailedSince(*flow);
+    const bool isKnown = flow != nullptr && flow->open && flow->token == token && !FlowTracker::isOfLaterFlow(packet, token, *flow);
+    const bool hasFailed = isKnown && hasServerFailedSince(*flow);
     if (status == ServerStatus::Gone && (hasFailed || isEndProven(token))) {
         return StreamOutcome::ServerGone;
     }
@@ -193,8 +194,8 @@
 {
     const TimePoint now = m_clock.now();
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
-    const bool mayBeOpen = flow != nullptr && flow->open && !flow->finished;
-    if (mayBeOpen && m_directory.findToken(flow->token) != m_directory.findToken(token)) {
+    const bool isKnown = flow != nullptr && flow->open && !FlowTracker::isOfLaterFlow(packet, token, *flow);
+    if (isKnown && m_directory.findToken(flow->token) != m_directory.findToken(token)) {
         ++m_serverChanges;
         logFlowEvent(
             EventSeverity::Warning, "flow_server_changed", packet, { { "before", number(flow->token) }, { "token", number(token) } });
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -261,6 +261,33 @@
     CHECK(resets.front().client == other);
 }
 
+TEST_CASE_METHOD(
+    RouterFixture, "the failure of a server resets no flow that was opened later from the port of a closed one", "[stream][router]")
+{
+    // Guards against resets of a flow that another instance has opened at a server that responds again, for the age of the closed flow.
+    makeReady({ server(1), server(2) });
+    const std::uint32_t token = ServerDirectory::tokenOf(server(1));
+    const std::uint32_t other = ServerDirectory::tokenOf(server(2));
+    StreamConfiguration repeatable = configuration(6);
+    repeatable.routes.at(service).idempotent = true;
+    router.applyConfiguration(repeatable);
+    send(token, 101, 900, 55);
+    finish(token, 1001, 655);
+    advanceClock(milliseconds(8000));
+    // The server turns silent: a client repeats its request, and probes time out while another server answers.
+    const Endpoint waiting(0x64400009, 1);
+    send(token, 101, 0, 55, waiting);
+    send(token, 101, 900, 55, waiting);
+    advanceClock(milliseconds(200));
+    send(token, 101, 900, 55, waiting);
+    timeOutProbe(token, other);
+    timeOutProbe(token, other);
+    REQUIRE(router.failureDetector().status(token, clock.now()) == ServerStatus::Silent);
+    router.takeResets();
+    CHECK(send(token, 70'000'000, 900, 90'000'000).action == Action::Forward);
+    CHECK(events.count("flow_server_changed") == 0);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a client that uses a port again gets no server that has ended", "[stream][router]")
 {
     // Guards against opening packets that reach a crashed server for as long as the closed flow is remembered.
@@ -805,7 +832,9 @@
     StreamServer retired = server(2);
     retired.service = "tile";
     makeReady({ server(1), retired });
-    CHECK(send(ServerDirectory::tokenOf(retired), 500, 900, 7).server->id == "i-2");
+    const std::uint32_t token = ServerDirectory::tokenOf(retired);
+    REQUIRE(send(token, 500, 900, 7).action == Action::Forward);
+    CHECK(send(token, 500, 900, 7).server->id == "i-2");
 }
 
 TEST_CASE_METHOD(RouterFixture, "a removed entry proves the end only after the store has worked for a while", "[stream][router]")
@@ -1488,6 +1517,8 @@
     // Guards against flows at the address of another service: the copy may be from before the registration of the address's new owner.
     makeReady({ server(1) });
     router.applyConfiguration(configurationWith(6, "tile"));
+    advanceClock(milliseconds(2600));
+    router.confirmServers(clock.now());
     StreamServer successor = server(2);
     successor.service = "tile";
     successor.address = server(1).address;
