Soak: sound entries of another writer, and ports that are used again

Change: another writer leaves entries at the addresses of running servers and copies of their entries, for their service or another one (+foreign), and clients use their ports again after some seconds (+ports). A server takes an opening packet with another number as a new flow, and resets are judged by the number of the flow's opening packet.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -10,6 +10,8 @@
 DEFINE_bool(peer_links, false, "also inject faults into the links between instances; the rest of the schedule stays the same");
 DEFINE_bool(store_restores, false, "the store also returns from older copies; the rest of the schedule stays the same");
 DEFINE_bool(odd_entries, false, "another writer leaves odd entries, and odd routes exist; the rest of the schedule stays the same");
+DEFINE_bool(foreign_entries, false, "another writer leaves sound entries of its own; the rest of the schedule stays the same");
+DEFINE_bool(reused_ports, false, "clients use ports again; the rest of the schedule stays the same");
 DEFINE_string(program, "", "samphirepitchd");
 DEFINE_string(folder, "", "folder for settings and logs of the instances");
 DEFINE_bool(schedule, false, "print the schedule even without violations");
@@ -29,6 +31,8 @@
     options.peerLinks = FLAGS_peer_links;
     options.storeRestores = FLAGS_store_restores;
     options.oddEntries = FLAGS_odd_entries;
+    options.foreignEntries = FLAGS_foreign_entries;
+    options.reusedPorts = FLAGS_reused_ports;
     SoakRun run(options);
     const std::vector<std::string> violations = run.execute();
     if (FLAGS_schedule || !violations.empty()) {
@@ -40,7 +44,7 @@
         std::cout << "  BROKEN: " << violation << '\n';
     }
     std::cout << "soak: seed=" << FLAGS_seed << (options.peerLinks ? "+links" : "") << (options.storeRestores ? "+restore" : "")
-              << (options.oddEntries ? "+odd" : "") << (violations.empty() ? " held" : " red") << " served=" << run.servedCount()
-              << " failed=" << run.failedCount() << '\n';
+              << (options.oddEntries ? "+odd" : "") << (options.foreignEntries ? "+foreign" : "") << (options.reusedPorts ? "+ports" : "")
+              << (violations.empty() ? " held" : " red") << " served=" << run.servedCount() << " failed=" << run.failedCount() << '\n';
     return violations.empty() ? 0 : 1;
 }
--- a/soak/soakclient.cpp
+++ b/soak/soakclient.cpp
@@ -7,6 +7,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace Samphirepitch::Soak
@@ -19,6 +20,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t maxRequestsPerFlow = 8;
+// Ports of a host that uses them again. With six users, whose flows last about half a second, each port comes again after some seconds.
+constexpr std::uint16_t firstReusedPort = 2000;
+constexpr std::uint16_t reusedPorts = 48;
 constexpr std::uint64_t maxPause = 120; // milliseconds; upper bound of the pause between requests
 
 // Waits after each opening packet, before its retransmission or the end of the attempts; the same as those of the platform's clients.
@@ -28,14 +32,15 @@
 
 } // namespace
 
-SoakClient::SoakClient(
-    asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, const PacketFabric &fabric, Endpoint address)
+SoakClient::SoakClient(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, const PacketFabric &fabric,
+    Endpoint address, bool reusesPorts)
     : m_executor(std::move(executor))
     , m_checker(checker)
     , m_random(random)
     , m_fabric(fabric)
     , m_address(address)
     , m_socket(m_executor, udp::endpoint(asio::ip::address_v4(address.address()), address.port()))
+    , m_reusesPorts(reusesPorts)
 {
     asio::co_spawn(m_executor, receive(), asio::detached);
 }
@@ -50,6 +55,19 @@
     m_stopped = true;
 }
 
+std::uint16_t SoakClient::takePort()
+{
+    if (!m_reusesPorts) {
+        return ++m_lastPort;
+    }
+    const auto isInUse
+        = [this](const auto &entry) { return entry.first.first.port() == static_cast<std::uint16_t>(firstReusedPort + m_lastPort); };
+    do {
+        m_lastPort = static_cast<std::uint16_t>((m_lastPort + 1) % reusedPorts);
+    } while (std::any_of(m_flows.begin(), m_flows.end(), isInUse));
+    return static_cast<std::uint16_t>(firstReusedPort + m_lastPort);
+}
+
 asio::awaitable<void> SoakClient::receive()
 {
     std::array<char, 2048> buffer {};
@@ -76,7 +94,7 @@
     }
     Flow &flow = *found->second;
     if (segment.has(Segment::rst)) {
-        if (!segment.checksumValid && flow.open && m_fabric.isResetViolation(segment.destination, segment.source)) {
+        if (!segment.checksumValid && flow.open && m_fabric.isResetViolation(segment.destination, segment.source, flow.openingSequence)) {
             m_checker.addViolation("open flow " + segment.destination.toString() + '>' + segment.source.toString()
                 + " was reset while its server still serves it");
         }
@@ -104,7 +122,7 @@
     asio::steady_timer pause(m_executor);
     while (!m_stopped) {
         Flow flow(m_executor);
-        flow.client = Endpoint(m_address.address(), ++m_nextPort);
+        flow.client = Endpoint(m_address.address(), takePort());
         const auto entry = m_flows.emplace(std::pair(flow.client, route.address), &flow).first;
         bool usable = co_await open(flow, route);
         if (!usable) {
@@ -127,6 +145,7 @@
 asio::awaitable<bool> SoakClient::open(Flow &flow, const SoakRoute &route)
 {
     const auto first = static_cast<std::uint32_t>(m_random.next());
+    flow.openingSequence = first;
     flow.sendNext = first + 1;
     std::uint32_t attempt = 0;
     for (const milliseconds wait : openingTimeouts) {
--- a/soak/soakclient.h
+++ b/soak/soakclient.h
@@ -26,8 +26,11 @@
     /** Returns the data address of the instance that the packets of a flow go to now, or an unset endpoint if there is none. */
     virtual Endpoint instanceFor(Endpoint client, Endpoint service) const = 0;
 
-    /** Returns whether a reset that the load balancer wrote violates an invariant on the open flow from @p client to @p service. */
-    virtual bool isResetViolation(Endpoint client, Endpoint service) const = 0;
+    /**
+     * Returns whether a reset that the load balancer wrote violates an invariant on the open flow from @p client to @p service.
+     * @param openingSequence sequence number of the flow's opening packet, which tells it from earlier flows from the same port
+     */
+    virtual bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const = 0;
 };
 
 /** A service address and the kind of its requests. */
@@ -48,9 +51,10 @@
      * @param random source of ids, sequence numbers and pauses
      * @param fabric chooses the instances
      * @param address address of the host; all packets to its flows arrive at its port
+     * @param reusesPorts whether flows use the ports of closed flows again after some seconds
      */
-    SoakClient(
-        asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, const PacketFabric &fabric, Endpoint address);
+    SoakClient(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, const PacketFabric &fabric,
+        Endpoint address, bool reusesPorts);
 
     /** Starts a user of @p route, which runs until stop(). */
     void startUser(SoakRoute route);
@@ -67,6 +71,7 @@
         }
 
         Endpoint client;
+        std::uint32_t openingSequence = 0;
         std::uint32_t token = 0;
         std::uint32_t sendNext = 0; /**< sequence number of the next byte to send */
         std::uint32_t receiveNext = 0; /**< sequence number of the next byte to receive */
@@ -76,6 +81,7 @@
         asio::steady_timer arrivalTimer; /**< cancelled when a packet arrives */
     };
 
+    std::uint16_t takePort();
     asio::awaitable<void> receive();
     asio::awaitable<void> runUser(SoakRoute route);
     asio::awaitable<bool> open(Flow &flow, const SoakRoute &route);
@@ -91,7 +97,8 @@
     Endpoint m_address;
     asio::ip::udp::socket m_socket;
     std::map<std::pair<Endpoint, Endpoint>, Flow *> m_flows;
-    std::uint16_t m_nextPort = 1024;
+    bool m_reusesPorts = false;
+    std::uint16_t m_lastPort = 1024;
     bool m_stopped = false;
 };
 
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -58,6 +58,8 @@
 constexpr std::uint64_t storeRestoreStream = 2; // the same for the store's returns from older copies
 constexpr std::uint64_t oddEntryStream = 3; // the same for the entries of another writer
 constexpr std::uint64_t oddEntrySpacing = 600; // milliseconds; upper bound between them
+constexpr std::uint64_t foreignEntryStream = 4; // the same for sound entries of another writer
+constexpr std::uint64_t foreignEntrySpacing = 1200; // milliseconds; upper bound between them
 constexpr milliseconds reportInterval { 1200 }; // after which a server writes its entry again
 constexpr milliseconds restoreObservation { 9000 }; // after the last return; as long as the bound for a drain that is written again
 constexpr milliseconds operatorRewriteTime { 1000 }; // in which the operator writes again after a return
@@ -130,6 +132,7 @@
     , m_context(1)
     , m_store(m_context.get_executor(), m_clock)
     , m_oddWriter(m_store, SeededRandom(mix64(m_options.seed, oddEntryStream)))
+    , m_foreignWriter(m_store, SeededRandom(mix64(m_options.seed, foreignEntryStream)))
 {
     std::filesystem::create_directories(m_options.folder);
 }
@@ -266,8 +269,8 @@
 void SoakRun::startClients()
 {
     for (std::uint32_t host = 1; host <= clientHosts; ++host) {
-        m_clients.push_back(
-            std::make_unique<SoakClient>(m_context.get_executor(), m_checker, m_random, *this, address(clientGroup, host, dataPort)));
+        m_clients.push_back(std::make_unique<SoakClient>(
+            m_context.get_executor(), m_checker, m_random, *this, address(clientGroup, host, dataPort), m_options.reusedPorts));
         for (const SoakRoute &route : m_routes) {
             for (std::uint32_t user = 0; user < usersPerRoute; ++user) {
                 m_clients.back()->startUser(route);
@@ -306,6 +309,9 @@
     if (m_options.oddEntries) {
         scheduleOddEntries();
     }
+    if (m_options.foreignEntries) {
+        scheduleForeignEntries();
+    }
     // Ends the faults that are still active, for the recovery time.
     scheduleAction(m_options.faultDuration, "all faults end", [this] {
         m_faultsEnded = true;
@@ -474,6 +480,23 @@
     }
 }
 
+void SoakRun::scheduleForeignEntries()
+{
+    SeededRandom random(mix64(m_options.seed, foreignEntryStream));
+    for (milliseconds at(300); at < m_options.faultDuration; at += milliseconds(random.below(foreignEntrySpacing))) {
+        scheduleAction(at, "another writer leaves a sound entry", [this] {
+            std::vector<std::string> ids;
+            for (const auto &server : m_servers) {
+                if (server->isRunning()) {
+                    ids.push_back(server->id());
+                }
+            }
+            m_foreignWriter.write(ids, m_serverSpecs, m_clock.wallNow());
+        });
+    }
+    scheduleAction(m_options.faultDuration, "the other writer removes its entries", [this] { m_foreignWriter.removeAll(); });
+}
+
 void SoakRun::writeOddEntry()
 {
     std::vector<std::string> ids;
@@ -768,9 +791,10 @@
     return candidates[hash % candidates.size()]->data;
 }
 
-bool SoakRun::isResetViolation(Endpoint client, Endpoint service) const
+bool SoakRun::isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) { return server->holdsFlow(client, service); });
+    return std::any_of(
+        m_servers.begin(), m_servers.end(), [&](const auto &server) { return server->holdsFlow(client, service, openingSequence); });
 }
 
 void SoakRun::checkRecovery()
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "soak/faultproxy.h"
+#include "soak/foreignwriter.h"
 #include "soak/instanceprocess.h"
 #include "soak/invariantchecker.h"
 #include "soak/oddwriter.h"
@@ -33,6 +34,9 @@
     bool peerLinks = false; /**< whether to inject faults into the links between instances too */
     bool storeRestores = false; /**< whether the store also returns from older copies; adds some seconds to the run */
     bool oddEntries = false; /**< whether another writer leaves odd entries among those of the servers, and odd routes exist */
+    bool foreignEntries
+        = false; /**< whether another writer leaves sound entries at the addresses of servers, and copies of their entries */
+    bool reusedPorts = false; /**< whether clients use the ports of closed flows again */
     std::string program; /**< path of samphirepitchd */
     std::string folder; /**< folder for settings and logs of the instances */
     std::uint32_t network = 0; /**< number of a /16 network from 127.64.0.0 on, 0 to 31; parallel runs need different ones */
@@ -55,7 +59,7 @@
     std::uint64_t failedCount() const;
 
     Endpoint instanceFor(Endpoint client, Endpoint service) const override;
-    bool isResetViolation(Endpoint client, Endpoint service) const override;
+    bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const override;
 
 private:
     struct Node;
@@ -82,6 +86,7 @@
     void updateStoreAvailability();
     void scheduleOddEntries();
     void writeOddEntry();
+    void scheduleForeignEntries();
     void scheduleServerFault(std::chrono::milliseconds at);
     void scheduleConfigChange(std::chrono::milliseconds at);
     void crashServer(std::uint64_t randomValue, bool sameId);
@@ -106,6 +111,7 @@
     InvariantChecker m_checker;
     StoreStandin m_store;
     OddWriter m_oddWriter;
+    ForeignWriter m_foreignWriter;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::shared_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakClient>> m_clients;
--- a/soak/soakserver.cpp
+++ b/soak/soakserver.cpp
@@ -90,10 +90,10 @@
     m_drainDeadline = deadline;
 }
 
-bool SoakServer::holdsFlow(Endpoint client, Endpoint service) const
+bool SoakServer::holdsFlow(Endpoint client, Endpoint service, std::uint32_t openingSequence) const
 {
     const auto found = m_flows.find({ client, service });
-    return m_running && found != m_flows.end() && found->second.open;
+    return m_running && found != m_flows.end() && found->second.open && found->second.openingSequence == openingSequence;
 }
 
 bool SoakServer::isRunning() const
@@ -153,13 +153,18 @@
         return;
     }
     const FlowKey key(segment->source, segment->destination);
-    const auto found = m_flows.find(key);
+    auto found = m_flows.find(key);
     if (segment->has(Segment::syn)) {
+        if (found != m_flows.end() && found->second.openingSequence != segment->sequence) {
+            m_flows.erase(found); // the client uses the port again, and the end of its last flow was lost
+            found = m_flows.end();
+        }
         if (m_drainDeadline && std::chrono::steady_clock::now() > *m_drainDeadline && found == m_flows.end()) {
             m_checker.addViolation("server " + m_id + " received a new flow long after it began to drain");
         }
         Flow &flow = m_flows[key];
         if (found == m_flows.end()) {
+            flow.openingSequence = segment->sequence;
             flow.receiveNext = segment->sequence + 1;
             flow.sendNext = static_cast<std::uint32_t>(m_random.next());
         }
--- a/soak/soakserver.h
+++ b/soak/soakserver.h
@@ -52,8 +52,8 @@
     /** Sets the time from which a new flow violates the drain invariant. */
     void setDrainDeadline(std::chrono::steady_clock::time_point deadline);
 
-    /** Returns whether the server is running and has an open flow from @p client to @p service. */
-    bool holdsFlow(Endpoint client, Endpoint service) const;
+    /** Returns whether the server is running and has the open flow from @p client to @p service with that first sequence number. */
+    bool holdsFlow(Endpoint client, Endpoint service, std::uint32_t openingSequence) const;
     bool isRunning() const;
 
     /** Returns the start time of the server, Unix time in milliseconds. */
@@ -64,6 +64,7 @@
 
 private:
     struct Flow {
+        std::uint32_t openingSequence = 0; // of the client's opening packet
         std::uint32_t receiveNext = 0; // sequence number of the client's next byte
         std::uint32_t sendNext = 0; // sequence number of the server's next byte
         std::uint32_t token = 0;
