Hold back SIGHUP from the start of main until it is handled

Cause: until the handler existed, SIGHUP had its default action, which ends the process. The settings were read and all sockets bound before.

Change: SIGHUP is blocked first, and delivered once the handler exists. A signal while the settings are read therefore causes a reload.

--- a/apps/samphirepitchd/main.cpp
+++ b/apps/samphirepitchd/main.cpp
@@ -78,6 +78,7 @@
 
 int main(int argc, char **argv)
 {
+    SignalHandler::holdReloads();
     gflags::SetVersionString(SAMPHIREPITCH_VERSION);
     gflags::SetUsageMessage("samphirepitchd --settings FILE [--check] | --print_settings_reference");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/src/daemon/signalhandler.cpp
+++ b/src/daemon/signalhandler.cpp
@@ -5,6 +5,24 @@
 namespace Samphirepitch
 {
 
+namespace
+{
+
+void setReloadsHeld(bool held)
+{
+    sigset_t reloads;
+    sigemptyset(&reloads);
+    sigaddset(&reloads, SIGHUP);
+    pthread_sigmask(held ? SIG_BLOCK : SIG_UNBLOCK, &reloads, nullptr);
+}
+
+} // namespace
+
+void SignalHandler::holdReloads()
+{
+    setReloadsHeld(true);
+}
+
 SignalHandler::SignalHandler(
     const asio::any_io_executor &executor, std::function<void()> stop, std::function<void()> stopNow, std::function<void()> reload)
     : m_signals(executor, SIGTERM, SIGINT, SIGHUP)
@@ -13,6 +31,7 @@
     , m_reload(std::move(reload))
 {
     wait();
+    setReloadsHeld(false);
 }
 
 void SignalHandler::handle(int signal)
--- a/src/daemon/signalhandler.h
+++ b/src/daemon/signalhandler.h
@@ -13,6 +13,13 @@
 {
 public:
     /**
+     * Holds back SIGHUP, whose default action ends the process, until a SignalHandler exists. A signal that arrives meanwhile is delivered
+     * then. Must be called before the process starts threads.
+     */
+    static void holdReloads();
+
+    /**
+     * Handles the signals from now on, also those that holdReloads() has held back.
      * @param executor waits for the signals and runs the functions
      * @param stop called on the first SIGTERM or SIGINT
      * @param stopNow called on each further SIGTERM or SIGINT
