Don't probe a draining server whose service no route targets any more

Cause: entries of services that are not in use had no state of their own for whether they drain, so that open flows on such a server caused probes. A draining server may close its listener first, and a refused probe would have reset its flows.

Change: the state is taken from the entry.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -92,8 +92,8 @@
         return;
     }
     removeUnused(server.id, server.position);
-    const DirectoryRecord &record
-        = m_unused.emplace(server.id, DirectoryRecord { .server = server, .token = tokenOf(server) }).first->second;
+    DirectoryRecord &record = m_unused[server.id];
+    record = { .server = server, .token = tokenOf(server), .takesFlows = server.phase == ServerPhase::Ready };
     m_unusedByToken.insert_or_assign(record.token, &record);
     if (const auto found = m_records.find(server.id); found != m_records.end()) {
         // The server stays as it is, like after an entry that can't be read.
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -835,6 +835,16 @@
     const std::uint32_t token = ServerDirectory::tokenOf(retired);
     REQUIRE(send(token, 500, 900, 7).action == Action::Forward);
     CHECK(send(token, 500, 900, 7).server->id == "i-2");
+    // Its own connections are evidence about it, unless it drains.
+    advanceClock(milliseconds(100));
+    router.tick();
+    REQUIRE(router.takeDueProbes().size() == 1);
+    retired.phase = ServerPhase::Draining;
+    retired.position = { 0, 12 };
+    router.updateServer(retired);
+    advanceClock(milliseconds(200));
+    CHECK(send(token, 500, 900, 7).action == Action::Forward);
+    CHECK(router.takeDueProbes().empty());
 }
 
 TEST_CASE_METHOD(RouterFixture, "a removed entry proves the end only after the store has worked for a while", "[stream][router]")
