Soak: clients ignore resets that belong to an earlier flow from their port

Cause: clients of the soak took every reset for one of their present flow. With ports that are used again, an instance may reset the entry of a flow that closed through another instance, while the next flow from the port is open.

Change: on an open flow, a reset counts only if its number is within 76,800 of the client's acknowledgement, as the platform's protocol says ("Its seq is within 76,800 of the client's last ack, or may be any value while the flow is not open"). Resets of the present flow carry its numbers and are judged as before.

--- a/soak/soakclient.cpp
+++ b/soak/soakclient.cpp
@@ -25,6 +25,14 @@
 constexpr std::uint16_t reusedPorts = 48;
 constexpr std::uint64_t maxPause = 120; // milliseconds; upper bound of the pause between requests
 
+// A client ignores a reset of an open flow whose sequence number is further than this from its own acknowledgement number.
+constexpr std::uint32_t maxResetDistance = 76'800; // bytes
+
+bool isAcceptedReset(std::uint32_t sequence, std::uint32_t acknowledged)
+{
+    return sequence - acknowledged <= maxResetDistance || acknowledged - sequence <= maxResetDistance;
+}
+
 // Waits after each opening packet, before its retransmission or the end of the attempts; the same as those of the platform's clients.
 constexpr std::array<milliseconds, 3> openingTimeouts { milliseconds(200), milliseconds(400), milliseconds(800) };
 // The same for data packets; their sum is the timeout of a request.
@@ -94,6 +102,9 @@
     }
     Flow &flow = *found->second;
     if (segment.has(Segment::rst)) {
+        if (flow.open && !isAcceptedReset(segment.sequence, flow.receiveNext)) {
+            return; // of an earlier flow from this port
+        }
         if (!segment.checksumValid && flow.open && m_fabric.isResetViolation(segment.destination, segment.source, flow.openingSequence)) {
             m_checker.addViolation("open flow " + segment.destination.toString() + '>' + segment.source.toString()
                 + " was reset while its server still serves it");
