Let policies forbid servers to new flows

Evacuations and the limits of cold servers are rules about where new flows may go. So far FlowPlacement had one such rule for each reason in its own code. It now asks an ordered list of PlacementPolicy objects about each candidate, also about those of the last resort, and tells them what was placed. No policy is in force yet, so nothing changes.

--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -28,26 +28,26 @@
     return route.targets.back().service;
 }
 
-std::optional<FlowPlacement::Choice> FlowPlacement::choose(
-    const std::string &service, std::uint32_t excludedToken, TimePoint confirmationGapEnd)
+std::optional<FlowPlacement::Choice> FlowPlacement::choose(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd)
 {
-    const bool isLarge = m_dependencies.directory.listed(service).size() > localSampleSize + globalSampleSize;
-    std::vector<Choice> choices = candidates(service, excludedToken, confirmationGapEnd, isLarge);
+    const bool isLarge = m_dependencies.directory.listed(flow.service).size() > localSampleSize + globalSampleSize;
+    std::vector<Choice> choices = candidates(flow, excludedToken, confirmationGapEnd, isLarge);
     const auto isTrusted = [](const Choice &choice) { return !choice.candidate.lastResort; };
     if (isLarge && std::none_of(choices.begin(), choices.end(), isTrusted)) {
-        choices = candidates(service, excludedToken, confirmationGapEnd, false);
+        choices = candidates(flow, excludedToken, confirmationGapEnd, false);
     }
     return chooseFrom(std::move(choices));
 }
 
 std::vector<FlowPlacement::Choice> FlowPlacement::candidates(
-    const std::string &service, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled)
+    const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled)
 {
+    const std::string &service = flow.service;
     std::vector<Choice> choices;
     const std::vector<const DirectoryRecord *> &listed = m_dependencies.directory.listed(service);
     const auto add = [&](const std::vector<const DirectoryRecord *> &servers, bool areLastResort) {
         for (const DirectoryRecord *const record : servers) {
-            addCandidate(*record, areLastResort || record->token == excludedToken, choices);
+            addCandidate(*record, flow, areLastResort || record->token == excludedToken, choices);
         }
     };
     if (sampled) {
@@ -99,11 +99,11 @@
     return chosen ? std::optional(choices[*chosen]) : std::nullopt;
 }
 
-void FlowPlacement::addCandidate(const DirectoryRecord &record, bool isLastResort, std::vector<Choice> &choices) const
+void FlowPlacement::addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const
 {
     const TimePoint now = m_dependencies.clock.now();
     const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
-    if (!record.takesFlows || record.tokenTaken || status == ServerStatus::Gone) {
+    if (!record.takesFlows || record.tokenTaken || status == ServerStatus::Gone || forbiddingPolicy(record, flow) != nullptr) {
         return;
     }
     const ServerFlowCounts counts = m_dependencies.flows.flowCountsOf(record.token);
@@ -116,6 +116,21 @@
             .lastResort = isLastResort || status != ServerStatus::Trusted } });
 }
 
+const PlacementPolicy *FlowPlacement::forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    const auto forbids = [&](const PlacementPolicy *policy) { return policy->judge(record, flow, now) == PlacementVerdict::Forbidden; };
+    const auto found = std::find_if(m_dependencies.policies.begin(), m_dependencies.policies.end(), forbids);
+    return found == m_dependencies.policies.end() ? nullptr : *found;
+}
+
+void FlowPlacement::recordPlacement(const DirectoryRecord &record, const NewFlow &flow)
+{
+    for (PlacementPolicy *const policy : m_dependencies.policies) {
+        policy->recordPlacement(record, flow, m_dependencies.clock.now());
+    }
+}
+
 void FlowPlacement::logSlowdownChange(const Choice &choice)
 {
     const double slowdown = choice.candidate.slowdown;
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/eventsink.h"
 #include "core/random.h"
+#include "placement/placementpolicy.h"
 #include "stream/flowtracker.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverfailuredetector.h"
@@ -33,6 +34,7 @@
         const ServerFailureDetector &failureDetector;
         const ServerLatencyTracker &latencyTracker;
         const FlowTracker &flows;
+        std::vector<PlacementPolicy *> policies {}; /**< in the order in which they are asked */
     };
 
     /** The chosen server and the figures that it was compared by. */
@@ -61,12 +63,18 @@
 
     /**
      * Chooses the server of a new flow.
-     * @param service the service that the flow is for
+     * @param flow the flow and its service
      * @param excludedToken the token of a server that did not respond to this client, chosen only if there is no other; 0 if none
      * @param confirmationGapEnd when the list of servers was confirmed for the first time after a gap
      * @return the chosen server, or nothing if no server can take the flow
      */
-    std::optional<Choice> choose(const std::string &service, std::uint32_t excludedToken, TimePoint confirmationGapEnd);
+    std::optional<Choice> choose(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd);
+
+    /** Returns the first policy that forbids a server to get a flow, or null. */
+    const PlacementPolicy *forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const;
+
+    /** Tells the policies that a flow was placed on a server. */
+    void recordPlacement(const DirectoryRecord &record, const NewFlow &flow);
 
     /** Discards the logged state of a server. */
     void forget(std::uint32_t token);
@@ -77,8 +85,8 @@
 private:
     std::vector<const DirectoryRecord *> sample(const std::vector<const DirectoryRecord *> &servers, std::size_t count);
     std::optional<Choice> chooseFrom(std::vector<Choice> choices);
-    std::vector<Choice> candidates(const std::string &service, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled);
-    void addCandidate(const DirectoryRecord &record, bool isLastResort, std::vector<Choice> &choices) const;
+    std::vector<Choice> candidates(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled);
+    void addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const;
     std::vector<const DirectoryRecord *> recentlyUnlisted(const std::string &service, TimePoint confirmationGapEnd) const;
     void logSlowdownChange(const Choice &choice);
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -35,7 +35,7 @@
     , m_failureDomain(failureDomain)
     , m_flows(maxFlows)
     , m_placement({ dependencies.clock, dependencies.random, dependencies.events, dependencies.selector, m_directory, m_failureDetector,
-                      m_latencyTracker, m_flows },
+                      m_latencyTracker, m_flows, {} },
           std::move(failureDomain))
 {
     m_directory.useServices({}); // until a configuration names some
@@ -96,14 +96,16 @@
         m_flows.remove(packet.client, packet.service);
         return refuse(packet, StreamOutcome::NoServer);
     }
-    const std::string &service = m_placement.targetService(route);
-    const std::optional<FlowPlacement::Choice> choice = m_placement.choose(service, excludedToken, m_confirmationGapEnd);
+    const NewFlow flow { &route, m_placement.targetService(route) };
+    const std::string &service = flow.service;
+    const std::optional<FlowPlacement::Choice> choice = m_placement.choose(flow, excludedToken, m_confirmationGapEnd);
     if (!choice) {
         m_flows.remove(packet.client, packet.service);
         return refuse(packet, StreamOutcome::NoServer);
     }
     const DirectoryRecord *const record = choice->record;
     m_flows.recordOpening(packet, record->token, m_clock.now());
+    m_placement.recordPlacement(*record, flow);
     m_observer.recordViewAges(m_serversAge.age(m_clock.now()), m_configurationAge.age(m_clock.now()));
     logFlowEvent(EventSeverity::Info, isRetransmission ? "flow_placed_again" : "flow_placed", packet,
         { { "route", route.name }, { "service_name", service }, { "server", record->server.id },
--- a/tests/stream/flowplacementtests.cpp
+++ b/tests/stream/flowplacementtests.cpp
@@ -30,6 +30,25 @@
     LeastFlowsSelector m_selector;
 };
 
+/** Forbids the servers of one failure domain. */
+class DomainPolicy : public PlacementPolicy
+{
+public:
+    std::string_view name() const override
+    {
+        return "domain";
+    }
+
+    PlacementVerdict judge(const DirectoryRecord &server, const NewFlow &flow, TimePoint now) const override
+    {
+        static_cast<void>(flow);
+        static_cast<void>(now);
+        return server.server.failureDomain == forbidden ? PlacementVerdict::Forbidden : PlacementVerdict::Allowed;
+    }
+
+    std::string forbidden;
+};
+
 class PlacementFixture
 {
 public:
@@ -45,7 +64,7 @@
 
     const DirectoryRecord *place()
     {
-        const auto choice = placement.choose("pond", 0, {});
+        const auto choice = placement.choose({ &route, "pond" }, 0, {});
         if (!choice) {
             return nullptr;
         }
@@ -58,11 +77,13 @@
     SeededRandom random { 20261204 };
     EventCollector events;
     CountingSelector selector;
+    StreamRoute route { .name = "r" };
     ServerDirectory directory;
     ServerFailureDetector failureDetector;
     ServerLatencyTracker latencyTracker;
     FlowTracker flows { 100000 };
-    FlowPlacement placement { { clock, random, events, selector, directory, failureDetector, latencyTracker, flows }, "a" };
+    DomainPolicy policy;
+    FlowPlacement placement { { clock, random, events, selector, directory, failureDetector, latencyTracker, flows, { &policy } }, "a" };
 
 private:
     std::uint32_t m_clients = 0;
@@ -113,3 +134,25 @@
     REQUIRE(record != nullptr);
     CHECK(record->server.failureDomain == "b");
 }
+
+TEST_CASE_METHOD(PlacementFixture, "a server that a policy forbids is not even a last resort", "[stream][placement]")
+{
+    list(2, 1);
+    policy.forbidden = "a";
+    for (int flow = 0; flow < 10; ++flow) {
+        const DirectoryRecord *const record = place();
+        REQUIRE(record != nullptr);
+        CHECK(record->server.failureDomain == "b");
+    }
+    list(1, 1);
+    CHECK(place() == nullptr);
+}
+
+TEST_CASE_METHOD(PlacementFixture, "a large service finds the few servers that a policy leaves", "[stream][placement]")
+{
+    list(2000, 1999); // a sample of 64 servers is unlikely to contain the last one
+    policy.forbidden = "a";
+    const DirectoryRecord *const record = place();
+    REQUIRE(record != nullptr);
+    CHECK(record->server.failureDomain == "b");
+}
