Split StreamRouter by what it decides

The public functions of StreamRouter stay, so no test changes. Changes of the list of servers are still judged by the confirmations before them.

--- /dev/null
+++ b/src/stream/storeview.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/eventsink.h"
+#include "core/metricsource.h"
+#include "stream/discovery.h"
+#include "stream/gossipcodec.h"
+#include "stream/serverdirectory.h"
+#include "stream/streamconfiguration.h"
+#include "stream/viewage.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/**
+ * What an instance knows of the store: the configuration and the servers in force, with their positions and ages. A view never goes back.
+ * The caller applies the changes of servers that a method returns.
+ */
+class StoreView : public MetricSource
+{
+public:
+    /** recordTick() is called every 25 ms. If it was not called for this long, the process had no CPU time, was stopped or was suspended.
+     */
+    static constexpr std::chrono::milliseconds stallThreshold { 200 };
+    /** Two calls to the store take this long. If the list of servers is unconfirmed for longer, entries may have expired in this gap. */
+    static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
+
+    /** The objects must outlive the view. */
+    StoreView(const Clock &clock, EventSink &events);
+
+    /**
+     * Puts a configuration in force.
+     * @return the changes by servers of services that come into use, or nothing if the configuration is not newer than the one in force
+     */
+    std::optional<DirectoryChanges> applyConfiguration(StreamConfiguration configuration);
+
+    /**
+     * Replaces the list of servers; see StreamRouter::replaceServers(). The caller confirms the list after it has applied the changes.
+     * @return the changes, or nothing if the list is of an earlier era
+     */
+    std::optional<DirectoryChanges> replaceServers(
+        const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position);
+
+    /**
+     * Applies changes of servers; see StreamRouter::applyServerUpdates(). The caller confirms the list after it has applied the changes.
+     * @return the changes, or nothing if they are of another era
+     */
+    std::optional<DirectoryChanges> applyServerUpdates(const ServerUpdates &updates);
+
+    /** Records that the list of servers was complete at @p time. */
+    void confirmServers(TimePoint time);
+
+    /** Records that at @p time the store, up to @p position, held no configuration newer than the one in force. */
+    void confirmConfiguration(StorePosition position, TimePoint time);
+
+    /** Records a call of StreamRouter::tick(), and a stall of the process if the last one is too long ago. */
+    void recordTick();
+
+    /** Forgets removed routes that no flow can be left on. */
+    void expireRemovedRoutes();
+
+    /** Returns the earliest time at which a message may have arrived; see StreamRouter::earliestArrival(). */
+    TimePoint earliestArrival(TimePoint after) const;
+
+    /** Returns how recent the views are, for other instances. */
+    ViewStatus viewStatus() const;
+
+    /** Returns whether a configuration and a list of servers are known. */
+    bool isReady() const;
+
+    /** Returns whether a configuration has removed the route of @p address and flows may be left on it. */
+    bool wasRouteRemoved(Endpoint address) const;
+
+    /** Returns whether the list is confirmed and entries that expired in the last gap are back. */
+    bool isContinuous() const;
+
+    /** Returns when the list of servers was confirmed again after a gap. */
+    TimePoint confirmationGapEnd() const;
+
+    const ViewAge &serversAge() const;
+    const ViewAge &configurationAge() const;
+    const StreamConfiguration &configuration() const;
+    const ServerDirectory &directory() const;
+    ServerDirectory &directory();
+
+    /** Records an event about a flow, with the versions and ages of the views. */
+    void recordFlowEvent(
+        EventSeverity severity, std::string_view name, Endpoint client, Endpoint service, std::vector<EventField> fields) const;
+
+    void writeMetrics(MetricWriter &writer) const override;
+
+private:
+    DirectoryChanges useTargetServices();
+    void logUnusedEntries();
+    void advanceCheckedPosition(StorePosition position);
+    bool recordEra(std::string_view view, StorePosition before, StorePosition now);
+
+    const Clock &m_clock;
+    EventSink &m_events;
+    ServerDirectory m_directory;
+    StreamConfiguration m_configuration;
+    std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
+    ViewAge m_configurationAge;
+    ViewAge m_serversAge;
+    StorePosition m_configurationCheckedPosition;
+    std::size_t m_loggedUnusedCount = 0; // of entries whose service is not in use
+    TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
+    TimePoint m_lastTick {}; // TimePoint() before the first one
+    TimePoint m_stallStart {}; // of the last stall
+    TimePoint m_stallEnd {};
+};
+
+} // namespace Samphirepitch
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -10,17 +10,15 @@
 #include "stream/gossipcodec.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverfailuredetector.h"
+#include "stream/serverlifecycle.h"
+#include "stream/storeview.h"
 #include "stream/streamconfiguration.h"
 #include "stream/streamcounters.h"
 #include "stream/streamobserver.h"
-#include "stream/viewage.h"
 
 #include <limits>
-#include <map>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace Samphirepitch
@@ -41,13 +39,6 @@
     std::uint32_t token = 0; /**< set only for Forward */
 };
 
-/** A backend server that should be probed. */
-struct ProbeTarget {
-    std::uint32_t token = 0; /**< token of the probed incarnation */
-    std::string id;
-    Endpoint address;
-};
-
 /**
  * Decides where each packet of a stream flow is sent. A new flow is placed by the load, status and latency of the servers. All its later
  * packets carry a token that identifies the server, so that instances that have never seen the flow can forward them as well.
@@ -64,17 +55,6 @@
         StreamObserver &observer;
     };
 
-    /**
-     * If the list of servers proves that a server has ended, the proof holds for this long even if the list is not confirmed again.
-     * Afterwards it holds only while the list is confirmed, because the server may have restarted with the same id. A process takes about
-     * this long to start and to receive flows.
-     */
-    static constexpr std::chrono::milliseconds endProofLifetime { 1500 };
-    /** tick() is called every 25 ms. If it was not called for this long, the process had no CPU time, was stopped or was suspended. */
-    static constexpr std::chrono::milliseconds stallThreshold { 200 };
-    /** Two calls to the store take this long. If the list of servers is unconfirmed for longer, entries may have expired in this gap. */
-    static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
-
     /**
      * @param failureDomain the failure domain of this instance; its servers are preferred
      * @param maxFlows the largest number of flows that are tracked for load and failure detection
@@ -177,54 +157,19 @@
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
     void applyChanges(const DirectoryChanges &changes);
-    void useTargetServices();
-    void logUnusedEntries();
-    void advanceCheckedPosition(StorePosition position);
-    bool recordEra(std::string_view view, StorePosition before, StorePosition now);
-    void endServer(const DirectoryRecord &record, std::string_view proof);
-    void endReusedServer(const DirectoryRecord &record);
-    bool isViewContinuous() const;
-    void resetFlowsOfSilentServer(std::uint32_t token);
-    const DirectoryRecord *findReferenceServer(const ProbeTarget &suspected);
-    bool isEndProven(std::uint32_t token) const;
-    bool hasServerFailedSince(const StreamFlow &flow) const;
-    bool mayRetry(const StreamFlow &flow) const;
-    std::optional<StreamOutcome> resetReason(const StreamPacket &packet, const StreamRoute &route, std::uint32_t token) const;
-    void resetAll(const std::vector<StreamFlow> &flows, StreamOutcome outcome);
-    void appendResetEvidence(std::uint32_t token, TimePoint openSince, std::vector<EventField> &fields) const;
-    void recordLiveness(std::uint32_t token, TimePoint time);
-    void confirmRemovals();
-    void confirmRecoveries();
+    void forgetServers();
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
-    void logServerStatus(const DirectoryRecord &record, std::string_view evidence);
 
     const Clock &m_clock;
     EventSink &m_events;
     StreamObserver &m_observer;
-    RandomSource &m_random;
-    std::string m_failureDomain;
-    ServerDirectory m_directory;
-    ServerFailureDetector m_failureDetector;
-    ServerLatencyTracker m_latencyTracker;
+    StoreView m_view;
     FlowTracker m_flows;
-    FlowPlacement m_placement;
-    StreamConfiguration m_configuration;
-    std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
-    ViewAge m_configurationAge;
-    ViewAge m_serversAge;
     StreamCounters m_counters;
-    std::vector<StreamReset> m_resets;
-    // By token: unlisted servers whose end is not proven, with the last time after the removal at which they are known to have run.
-    std::unordered_map<std::uint32_t, TimePoint> m_unconfirmedRemovals;
-    std::vector<EndedServer> m_endedServers;
-    StorePosition m_configurationCheckedPosition;
-    std::size_t m_loggedUnusedCount = 0; // of entries whose service is not in use
+    ServerLifecycle m_lifecycle;
+    FlowPlacement m_placement;
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
-    TimePoint m_confirmationGapEnd {}; // when the list of servers was confirmed again after a gap
     TimePoint m_nextExpiry {};
-    TimePoint m_lastTick {}; // TimePoint() before the first one
-    TimePoint m_stallStart {}; // of the last stall
-    TimePoint m_stallEnd {};
 };
 
 } // namespace Samphirepitch
