Hold back less urgent requests while a service is short

While the servers of a service could not do the work that arrived, instances sent them everything: four of ten arrivals found a full server and were rejected, each of them a handshake and a repeat, and the most urgent requests suffered like all others. FlowAdmission limits the requests that an instance has in flight by its share of the usable slots, lets the most urgent priority pass, and keeps the packets of others in a queue ordered by priority, deadline and age. It acts only on services whose routes have several priorities, and only while they are short or the instance has just started.

--- /dev/null
+++ b/src/shortage/requestqueue.cpp
@@ -0,0 +1,98 @@
+#include "shortage/requestqueue.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Samphirepitch
+{
+
+namespace
+{
+
+/** Returns the sort key of a request; the smaller, the earlier it is sent. */
+auto sortKey(const QueuedRequest &request, TimePoint now)
+{
+    return std::tuple(request.priority, request.targetDeadline < now, -request.arrivedAt.time_since_epoch().count(), request.work);
+}
+
+} // namespace
+
+void RequestQueue::push(QueuedRequest request)
+{
+    m_requests.push_back(std::move(request));
+}
+
+std::optional<QueuedRequest> RequestQueue::pop(TimePoint now)
+{
+    const auto first = std::min_element(m_requests.begin(), m_requests.end(),
+        [now](const QueuedRequest &left, const QueuedRequest &right) { return sortKey(left, now) < sortKey(right, now); });
+    if (first == m_requests.end()) {
+        return std::nullopt;
+    }
+    QueuedRequest request = std::move(*first);
+    m_requests.erase(first);
+    return request;
+}
+
+std::optional<QueuedRequest> RequestQueue::pop(std::uint32_t priority, TimePoint now)
+{
+    auto first = m_requests.end();
+    for (auto candidate = m_requests.begin(); candidate != m_requests.end(); ++candidate) {
+        if (candidate->priority == priority && (first == m_requests.end() || sortKey(*candidate, now) < sortKey(*first, now))) {
+            first = candidate;
+        }
+    }
+    if (first == m_requests.end()) {
+        return std::nullopt;
+    }
+    QueuedRequest request = std::move(*first);
+    m_requests.erase(first);
+    return request;
+}
+
+std::vector<QueuedRequest> RequestQueue::takeExpired(TimePoint now)
+{
+    const auto firstExpired = std::stable_partition(
+        m_requests.begin(), m_requests.end(), [now](const QueuedRequest &request) { return request.deadline > now; });
+    std::vector<QueuedRequest> expired(std::make_move_iterator(firstExpired), std::make_move_iterator(m_requests.end()));
+    m_requests.erase(firstExpired, m_requests.end());
+    return expired;
+}
+
+std::vector<QueuedRequest> RequestQueue::takeExcess(std::size_t maxSize, TimePoint now)
+{
+    std::vector<QueuedRequest> excess;
+    while (m_requests.size() > maxSize) {
+        const auto last = std::max_element(m_requests.begin(), m_requests.end(),
+            [now](const QueuedRequest &left, const QueuedRequest &right) { return sortKey(left, now) < sortKey(right, now); });
+        excess.push_back(std::move(*last));
+        m_requests.erase(last);
+    }
+    return excess;
+}
+
+bool RequestQueue::remove(Endpoint client, Endpoint address)
+{
+    return std::erase_if(m_requests, [=](const QueuedRequest &request) { return request.client == client && request.address == address; })
+        > 0;
+}
+
+bool RequestQueue::contains(Endpoint client, Endpoint address) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(),
+        [=](const QueuedRequest &request) { return request.client == client && request.address == address; });
+}
+
+std::size_t RequestQueue::size() const
+{
+    return m_requests.size();
+}
+
+std::size_t RequestQueue::sizeOf(std::uint32_t priority) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_requests.begin(), m_requests.end(), [priority](const QueuedRequest &request) { return request.priority == priority; }));
+}
+
+} // namespace Samphirepitch
--- /dev/null
+++ b/src/shortage/requestqueue.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/endpoint.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Samphirepitch
+{
+
+/** A request that waits in this instance until its service has room. */
+struct QueuedRequest {
+    Endpoint client;
+    Endpoint address; /**< service address that the client sent it to */
+    std::uint32_t priority = 0; /**< 0 is the most urgent */
+    bool opens = false; /**< whether an opening packet waits, and not the data of an open flow */
+    double work = 0; /**< expected time at a server in milliseconds; 0 if unknown */
+    TimePoint arrivedAt {};
+    TimePoint targetDeadline {}; /**< until which it has to be sent so that its response meets the target latency */
+    TimePoint deadline {}; /**< until which its client waits */
+
+    friend bool operator==(const QueuedRequest &, const QueuedRequest &) = default;
+};
+
+/**
+ * The requests of one service that wait in this instance, ordered by what their delay costs callers: the more urgent first, then those that
+ * can still meet their target latency, then the newest, then those with the least work. Newest first: under a lasting shortage, the
+ * oldest first would make every request late.
+ */
+class RequestQueue
+{
+public:
+    /** Adds a request. The queue must not contain another one of the same flow. */
+    void push(QueuedRequest request);
+
+    /** Removes and returns the request whose delay costs most, or nothing if the queue is empty. */
+    std::optional<QueuedRequest> pop(TimePoint now);
+
+    /** Removes and returns the most urgent request of a priority, or nothing. */
+    std::optional<QueuedRequest> pop(std::uint32_t priority, TimePoint now);
+
+    /** Removes and returns the requests whose deadline has passed. */
+    std::vector<QueuedRequest> takeExpired(TimePoint now);
+
+    /**
+     * Removes and returns the requests that cost least, so that @p maxSize remain.
+     * @param maxSize how many requests the service can serve within the time that their callers wait
+     */
+    std::vector<QueuedRequest> takeExcess(std::size_t maxSize, TimePoint now);
+
+    /** Removes the request of a flow. @return whether there was one */
+    bool remove(Endpoint client, Endpoint address);
+
+    /** Returns whether a request of a flow waits. */
+    bool contains(Endpoint client, Endpoint address) const;
+
+    std::size_t size() const;
+
+    /** Returns how many requests of a priority wait. */
+    std::size_t sizeOf(std::uint32_t priority) const;
+
+private:
+    std::vector<QueuedRequest> m_requests; // few: what a service serves within the time limit of its callers
+};
+
+} // namespace Samphirepitch
--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -56,6 +56,19 @@
     return !flow.finished && !isAfter(packet.sequence, flow.nextSequence) && !isOutsideWindow(packet.sequence, flow.nextSequence);
 }
 
+bool FlowTracker::beginsRequest(const StreamPacket &packet, std::uint32_t token) const
+{
+    if (packet.length == 0) {
+        return false;
+    }
+    const StreamFlow *const flow = find(packet.client, packet.service);
+    if (flow == nullptr || !flow->open || isOfLaterFlow(packet, token, *flow)) {
+        return true;
+    }
+    const bool isNew = isAfter(packet.sequence + packet.length, flow->nextSequence);
+    return isNew && (!flow->awaitingResponse || isAfter(packet.acknowledgement, flow->acknowledged));
+}
+
 bool FlowTracker::recordOpening(const StreamPacket &packet, std::uint32_t token, TimePoint now)
 {
     const std::uint64_t key = flowKey(packet.client, packet.service);
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -99,6 +99,13 @@
      */
     static bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow);
 
+    /**
+     * Returns whether a packet that is not an opening packet begins a request: it contains new data and no request of its flow is waiting
+     * for a response. A packet of a flow that isn't tracked begins one if it has data.
+     * @param token the server that the packet is sent to
+     */
+    bool beginsRequest(const StreamPacket &packet, std::uint32_t token) const;
+
     /**
      * Records an opening packet.
      * @param token the server that the packet is sent to
--- a/src/stream/streamforwarder.cpp
+++ b/src/stream/streamforwarder.cpp
@@ -19,7 +19,7 @@
 // Interval of the periodic work: a quarter of the time after which a response is overdue.
 constexpr milliseconds checkInterval { 25 };
 
-// Interval while packets are held. They wait for the first responses of the store, which take a few milliseconds.
+// Interval while packets are held. They wait for the first responses of the store or for room at a server, which takes a few milliseconds.
 constexpr milliseconds heldCheckInterval { 5 };
 
 // Time limit of a probe: many round trips between failure domains. A running host refuses a connection within one round trip.
@@ -100,6 +100,7 @@
         }
         m_batch.flush(m_socket.native_handle());
     }
+    sendResolved();
     sendResets();
 }
 
@@ -107,10 +108,12 @@
 {
     asio::steady_timer timer(m_executor);
     while (true) {
-        timer.expires_after(m_heldPackets.empty() ? checkInterval : heldCheckInterval);
+        const bool holdsAny = !m_heldPackets.empty() || m_router.holdsRequests();
+        timer.expires_after(holdsAny ? heldCheckInterval : checkInterval);
         co_await timer.async_wait(asio::use_awaitable);
         sendHeld();
         m_router.tick();
+        sendResolved();
         startDueProbes();
         sendResets();
     }
@@ -133,6 +136,9 @@
     } else if (decision.action == StreamDecision::Action::Forward) {
         m_codec.writeToken(bytes, decision.token);
         m_batch.addPrefixed(m_socket.native_handle(), decision.server->address, m_codec.prefix(decision.server->number), bytes);
+    } else if (decision.action == StreamDecision::Action::Hold) {
+        // A packet that is not kept is sent again by its client, like a lost one.
+        m_unkeptCount += m_waitingPackets.keep(*packet, bytes) ? 0 : 1;
     }
 }
 
@@ -166,6 +172,26 @@
     m_batch.flush(m_socket.native_handle());
 }
 
+void StreamForwarder::sendResolved()
+{
+    const std::vector<HeldResolution> resolved = m_router.takeResolvedRequests();
+    for (const HeldResolution &resolution : resolved) {
+        std::vector<std::vector<std::uint8_t>> packets = m_waitingPackets.take(resolution.client, resolution.address);
+        if (resolution.kind == HeldResolution::Kind::Refuse) {
+            sendReset({ resolution.client, resolution.address, 0 }); // the flow is not open, so any number will do
+            continue;
+        }
+        for (std::vector<std::uint8_t> &packet : packets) {
+            if (resolution.kind == HeldResolution::Kind::Release) {
+                forward(packet);
+            }
+        }
+    }
+    if (!resolved.empty()) {
+        m_batch.flush(m_socket.native_handle());
+    }
+}
+
 void StreamForwarder::startDueProbes()
 {
     for (ProbeTarget &target : m_router.takeDueProbes(maxRunningProbes - m_runningProbes)) {
@@ -194,6 +220,8 @@
     writer.counter("samphirepitch_datagrams_received_total", "Datagrams received from the fabric.", {}, m_receivedCount);
     writer.counter(
         "samphirepitch_packets_held_total", "Packets held because they arrived before routes and servers were known.", {}, m_heldCount);
+    writer.counter("samphirepitch_waiting_packets_unkept_total", "Packets of waiting requests that were dropped for lack of space.", {},
+        m_unkeptCount);
     writer.counter("samphirepitch_datagrams_unsent_total", "Datagrams to servers that the socket did not accept.", {}, m_batch.dropped());
     writer.counter("samphirepitch_resets_sent_total", "Resets sent to clients.", {}, m_resetsSent);
     writer.counter("samphirepitch_server_connections_total", "Connections attempted to probe servers.", {}, m_probeCount);
--- a/src/stream/streamforwarder.h
+++ b/src/stream/streamforwarder.h
@@ -5,6 +5,7 @@
 #include "core/error.h"
 #include "core/metricsource.h"
 #include "data/datagrambatch.h"
+#include "shortage/waitingpackets.h"
 #include "stream/connectprobe.h"
 #include "stream/heldpackets.h"
 #include "stream/packetcodec.h"
@@ -54,6 +55,9 @@
     /** Forwards the packets that were held during the start, if the router is ready. */
     void sendHeld();
 
+    /** Sends, refuses or drops the packets of requests that waited for room, as the router has decided. */
+    void sendResolved();
+
     /** Returns the bound address. */
     Endpoint address() const;
 
@@ -78,8 +82,10 @@
     asio::ip::udp::socket m_socket;
     DatagramBatch m_batch;
     HeldPackets m_heldPackets;
+    WaitingPackets m_waitingPackets;
     std::uint64_t m_receivedCount = 0;
     std::uint64_t m_heldCount = 0;
+    std::uint64_t m_unkeptCount = 0; // packets of waiting requests for which there was no space
     std::uint64_t m_resetsSent = 0;
     std::uint64_t m_probeCount = 0;
     std::size_t m_runningProbes = 0;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -12,6 +12,10 @@
 // Flows and servers expire after several seconds, so checking once per second is precise enough.
 constexpr std::chrono::seconds expiryInterval { 1 };
 
+// The usable slots of a service change when servers fail, which takes about this long to detect. Counting them takes time in proportion to
+// the number of servers.
+constexpr std::chrono::milliseconds slotCountInterval { 200 };
+
 // Used until a configuration sets another value.
 constexpr std::chrono::seconds defaultIdleTimeout { 15 };
 
@@ -32,6 +36,7 @@
     , m_placement({ dependencies.clock, dependencies.random, dependencies.events, dependencies.selector, m_view.directory(),
                       m_lifecycle.failureDetector(), m_lifecycle.latencyTracker(), m_flows, {} },
           std::move(failureDomain))
+    , m_admission({ dependencies.clock, dependencies.events })
 {
 }
 
@@ -92,9 +97,18 @@
     }
     const NewFlow flow { &route, m_placement.targetService(route) };
     const std::string &service = flow.service;
+    const FlowAdmission::Verdict verdict = m_admission.decide({ packet.client, packet.service, &route, service, 0, true });
+    if (verdict == FlowAdmission::Verdict::Hold) {
+        return hold();
+    }
+    if (verdict == FlowAdmission::Verdict::Refuse) {
+        m_flows.remove(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::NoRoom);
+    }
     const std::optional<FlowPlacement::Choice> choice = m_placement.choose(flow, excludedToken, m_view.confirmationGapEnd());
     if (!choice) {
         m_flows.remove(packet.client, packet.service);
+        m_admission.recordEnd(packet.client, packet.service);
         return refuse(packet, StreamOutcome::NoServer);
     }
     const DirectoryRecord *const record = choice->record;
@@ -131,9 +145,25 @@
     }
     if (packet.resets) {
         m_flows.remove(packet.client, packet.service);
-    } else {
-        trackPacket(packet, token);
+        m_admission.recordEnd(packet.client, packet.service);
+        return forward(*record, StreamOutcome::Known);
+    }
+    // Data and the end of a flow must not overtake data that is held.
+    const bool hasOrder = packet.length > 0 || packet.finishes;
+    if (hasOrder && m_admission.isHeld(packet.client, packet.service)) {
+        return hold();
     }
+    if (m_flows.beginsRequest(packet, token)) {
+        const FlowAdmission::Verdict verdict
+            = m_admission.decide({ packet.client, packet.service, &route, record->server.service, token, false });
+        if (verdict == FlowAdmission::Verdict::Hold) {
+            return hold();
+        }
+        if (verdict == FlowAdmission::Verdict::Refuse) {
+            return drop(packet, StreamOutcome::NoRoom); // an open flow is not reset; its client sends the data again
+        }
+    }
+    trackPacket(packet, token);
     return forward(*record, StreamOutcome::Known);
 }
 
@@ -161,6 +191,12 @@
     return { .action = StreamDecision::Action::Drop, .outcome = outcome };
 }
 
+StreamDecision StreamRouter::hold()
+{
+    m_counters.count(StreamOutcome::Held);
+    return { .action = StreamDecision::Action::Hold, .outcome = StreamOutcome::Held };
+}
+
 StreamDecision StreamRouter::forward(const DirectoryRecord &record, StreamOutcome outcome)
 {
     m_counters.count(outcome);
@@ -182,12 +218,17 @@
     m_lifecycle.failureDetector().recordForwardedPacket(token); // the next probe decides whether this flow is reset
     if (observation.opened) {
         m_observer.recordOpeningTime(now - placedAt);
+        m_admission.recordOpened(packet.client, packet.service, now - placedAt);
     }
     if (observation.responseTime) {
+        m_admission.recordResponse(packet.client, packet.service, *observation.responseTime);
         m_observer.recordResponseTime(*observation.responseTime);
         m_lifecycle.latencyTracker().recordResponse(token, *observation.responseTime, now);
         m_lifecycle.recordLiveness(token, now - *observation.responseTime);
     }
+    if (packet.length > 0) {
+        m_admission.recordRequest(packet.client, packet.service, token);
+    }
     if (observation.serverResponded) {
         m_lifecycle.failureDetector().recordResponse(token, now);
     } else if (observation.retransmitted && m_lifecycle.failureDetector().recordRetransmission(token, now)) {
@@ -210,6 +251,7 @@
         m_lifecycle.failureDetector().requestProbe(token);
         m_lifecycle.latencyTracker().recordOverdueResponse(token, now);
     });
+    tickAdmission();
     if (now < m_nextExpiry) {
         return;
     }
@@ -244,6 +286,7 @@
     writer.gauge("samphirepitch_servers_slow", "Backend servers that respond much later than others.", {},
         static_cast<double>(m_placement.slowCount()));
     m_view.writeMetrics(writer);
+    m_admission.writeMetrics(writer);
 }
 
 bool StreamRouter::applyConfiguration(StreamConfiguration configuration)
@@ -253,6 +296,7 @@
         return false;
     }
     applyChanges(*changes);
+    m_admission.applyConfiguration(m_view.configuration());
     const auto hasNoRoute = [this](const StreamFlow &flow) { return m_view.configuration().find(flow.service) == nullptr; };
     m_lifecycle.resetAll(m_flows.removeMatching(hasNoRoute, m_clock.now()), StreamOutcome::RouteRemoved);
     return true;
@@ -341,7 +385,70 @@
 
 std::vector<StreamReset> StreamRouter::takeResets()
 {
-    return m_lifecycle.takeResets();
+    std::vector<StreamReset> resets = m_lifecycle.takeResets();
+    for (const StreamReset &reset : resets) {
+        m_admission.recordEnd(reset.client, reset.service);
+    }
+    return resets;
+}
+
+std::vector<HeldResolution> StreamRouter::takeResolvedRequests()
+{
+    std::vector<HeldResolution> resolved = m_admission.takeResolved();
+    for (const HeldResolution &resolution : resolved) {
+        if (resolution.kind == HeldResolution::Kind::Refuse) {
+            m_counters.count(StreamOutcome::NoRoom);
+        }
+    }
+    return resolved;
+}
+
+bool StreamRouter::holdsRequests() const
+{
+    return m_admission.holdsAny();
+}
+
+void StreamRouter::useRoster(const InstanceRoster &roster)
+{
+    m_roster = &roster;
+}
+
+void StreamRouter::useLoadView(const LoadView &loadView)
+{
+    m_loadView = &loadView;
+}
+
+const FlowAdmission &StreamRouter::admission() const
+{
+    return m_admission;
+}
+
+void StreamRouter::tickAdmission()
+{
+    const TimePoint now = m_clock.now();
+    if (now >= m_nextSlotCount) {
+        m_nextSlotCount = now + slotCountInterval;
+        for (const std::string &service : m_admission.services()) {
+            m_admission.setUsableSlots(service, usableSlots(service));
+        }
+    }
+    const auto isUsable
+        = [this, now](std::uint32_t token) { return m_lifecycle.failureDetector().status(token, now) == ServerStatus::Trusted; };
+    m_admission.tick(m_roster == nullptr ? 1 : m_roster->aliveCount(now), m_loadView, isUsable);
+}
+
+std::uint32_t StreamRouter::usableSlots(const std::string &service) const
+{
+    const TimePoint now = m_clock.now();
+    const StreamRoute anyRoute;
+    const NewFlow flow { &anyRoute, service };
+    std::uint32_t slots = 0;
+    for (const DirectoryRecord *const record : m_view.directory().listed(service)) {
+        const bool isTrusted = m_lifecycle.failureDetector().status(record->token, now) == ServerStatus::Trusted;
+        const bool mayServe = isTrusted && record->takesFlows && !record->tokenTaken;
+        slots += mayServe && m_placement.forbiddingPolicy(*record, flow) == nullptr ? record->server.slots : 0;
+    }
+    return slots;
 }
 
 bool StreamRouter::isReady() const
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -4,10 +4,12 @@
 #include "core/eventsink.h"
 #include "core/metricsource.h"
 #include "core/random.h"
+#include "shortage/flowadmission.h"
 #include "stream/discovery.h"
 #include "stream/flowplacement.h"
 #include "stream/flowtracker.h"
 #include "stream/gossipcodec.h"
+#include "stream/instanceroster.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverfailuredetector.h"
 #include "stream/serverlifecycle.h"
@@ -24,6 +26,8 @@
 namespace Samphirepitch
 {
 
+class LoadView;
+
 /** The decision about one packet. */
 struct StreamDecision {
     /** What the instance does with the packet. */
@@ -31,6 +35,7 @@
         Forward, /**< Sends it to the server, with the token set. */
         Reset, /**< Sends a reset to the client, which may retry at once. */
         Drop,
+        Hold, /**< Keeps the packet until takeResolvedRequests() names its flow. */
     };
 
     Action action = Action::Drop;
@@ -137,6 +142,21 @@
     /** Returns the resets that have become due since the last call. */
     std::vector<StreamReset> takeResets();
 
+    /** Returns the flows whose held packets were decided about since the last call. Released packets have to be routed once more. */
+    std::vector<HeldResolution> takeResolvedRequests();
+
+    /** Returns whether packets of requests are held, so that tick() should be called every few milliseconds. */
+    bool holdsRequests() const;
+
+    /** Sets the instances that share the servers with this one. The roster must outlive the router. */
+    void useRoster(const InstanceRoster &roster);
+
+    /** Sets what other instances report about the load. The view must outlive the router. */
+    void useLoadView(const LoadView &loadView);
+
+    /** Returns the load of the services with several priorities. */
+    const FlowAdmission &admission() const;
+
     /** Returns whether a configuration and a list of servers are known. */
     bool isReady() const;
 
@@ -153,11 +173,14 @@
     StreamDecision routeSubsequent(const StreamPacket &packet, const StreamRoute &route);
     StreamDecision place(const StreamPacket &packet, const StreamRoute &route, bool isRetransmission);
     StreamDecision refuse(const StreamPacket &packet, StreamOutcome outcome);
+    StreamDecision hold();
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
     void applyChanges(const DirectoryChanges &changes);
     void forgetServers();
+    void tickAdmission();
+    std::uint32_t usableSlots(const std::string &service) const;
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
 
     const Clock &m_clock;
@@ -168,6 +191,10 @@
     StreamCounters m_counters;
     ServerLifecycle m_lifecycle;
     FlowPlacement m_placement;
+    FlowAdmission m_admission;
+    const InstanceRoster *m_roster = nullptr; // without one, this instance is the only one
+    const LoadView *m_loadView = nullptr;
+    TimePoint m_nextSlotCount {};
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
     TimePoint m_nextExpiry {};
 };
