Give the router the instances that share the servers

The limits of requests in flight and of cold servers are shares of all instances. PeerRoster answers from the peer directory which instances there are, dead ones within their retention included, and whether this instance has run long enough to know most of them.

--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -96,6 +96,7 @@
         return tl::unexpected(peers.error());
     }
     m_peerSynchronizer = *std::move(peers);
+    m_router.useRoster(m_peerSynchronizer->roster());
     m_watcher = std::make_unique<DiscoveryWatcher>(
         DiscoveryWatcher::Dependencies { m_clock, m_timer, m_random, m_events, *m_adapters.discovery, m_router, *m_peerSynchronizer },
         DiscoveryWatcher::LongPollWaits { values.serversLongPollWait, values.configurationLongPollWait });
--- a/src/stream/peerdirectory.cpp
+++ b/src/stream/peerdirectory.cpp
@@ -122,6 +122,16 @@
     }));
 }
 
+std::vector<std::string> PeerDirectory::recentIds() const
+{
+    std::vector<std::string> ids { m_self.id };
+    for (const auto &[id, entry] : m_entries) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
 std::vector<Endpoint> PeerDirectory::children(TimePoint now) const
 {
     const std::vector<PeerRecord> records = ranking(now);
--- a/src/stream/peerdirectory.h
+++ b/src/stream/peerdirectory.h
@@ -70,6 +70,9 @@
     /** Returns the number of live instances, with this one. */
     std::size_t aliveCount(TimePoint now) const;
 
+    /** Returns the ids of all known instances, alive or dead, with this one, sorted. */
+    std::vector<std::string> recentIds() const;
+
     /** Returns the addresses of this instance's children in the tree. */
     std::vector<Endpoint> children(TimePoint now) const;
 
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -62,6 +62,7 @@
     , m_router(dependencies.router)
     , m_network(std::move(network))
     , m_directory(std::move(self))
+    , m_roster(m_directory, m_clock.now(), !m_network.seeds.empty())
     , m_socket(m_executor)
     , m_stateTransfer(m_executor, m_clock, m_network.deployment, *this)
 {
@@ -479,6 +480,11 @@
     return m_directory;
 }
 
+const InstanceRoster &PeerSynchronizer::roster() const
+{
+    return m_roster;
+}
+
 void PeerSynchronizer::writeMetrics(MetricWriter &writer) const
 {
     const TimePoint now = m_clock.now();
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -8,6 +8,7 @@
 #include "stream/discoverywatcher.h"
 #include "stream/gossipcodec.h"
 #include "stream/peerdirectory.h"
+#include "stream/peerroster.h"
 #include "stream/peerstatetransfer.h"
 
 #include <asio/any_io_executor.hpp>
@@ -88,6 +89,7 @@
     void reportFailure(std::string_view event, const std::string &peer, const Error &error) override;
 
     const PeerDirectory &directory() const;
+    const InstanceRoster &roster() const;
 
     void writeMetrics(MetricWriter &writer) const override;
 
@@ -117,6 +119,7 @@
     StreamRouter &m_router;
     NetworkOptions m_network;
     PeerDirectory m_directory;
+    PeerRoster m_roster;
     asio::ip::udp::socket m_socket;
     PeerStateTransfer m_stateTransfer;
     std::set<Endpoint> m_activePulls; // peers from which a pull is running
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -12,8 +12,8 @@
 // Flows and servers expire after several seconds, so checking once per second is precise enough.
 constexpr std::chrono::seconds expiryInterval { 1 };
 
-// The usable slots of a service change when servers fail, which takes about this long to detect. Counting them takes time in proportion to
-// the number of servers.
+// The usable slots of a service change when servers fail, which takes about this long to detect. Counting them and the instances takes time
+// in proportion to their number.
 constexpr std::chrono::milliseconds slotCountInterval { 200 };
 
 // Used until a configuration sets another value.
@@ -428,13 +428,14 @@
     const TimePoint now = m_clock.now();
     if (now >= m_nextSlotCount) {
         m_nextSlotCount = now + slotCountInterval;
+        m_instanceCount = m_roster == nullptr ? 1 : m_roster->aliveCount(now);
         for (const std::string &service : m_admission.services()) {
             m_admission.setUsableSlots(service, usableSlots(service));
         }
     }
     const auto isUsable
         = [this, now](std::uint32_t token) { return m_lifecycle.failureDetector().status(token, now) == ServerStatus::Trusted; };
-    m_admission.tick(m_roster == nullptr ? 1 : m_roster->aliveCount(now), m_loadView, isUsable);
+    m_admission.tick(m_instanceCount, m_loadView, isUsable);
 }
 
 std::uint32_t StreamRouter::usableSlots(const std::string &service) const
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -194,7 +194,8 @@
     FlowAdmission m_admission;
     const InstanceRoster *m_roster = nullptr; // without one, this instance is the only one
     const LoadView *m_loadView = nullptr;
-    TimePoint m_nextSlotCount {};
+    std::size_t m_instanceCount = 1;
+    TimePoint m_nextSlotCount {}; // when the slots and instances are counted again
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
     TimePoint m_nextExpiry {};
 };
