Keep held requests in time and slow servers apart

Requests now wait for a fifth of their target at most, an opening packet beyond what can be served in that time is refused at once, data of open flows keeps its place until its client gives up, requests at slow or failed servers don't count, and the window of a starting instance holds for the most urgent requests too. Opening a flow counts as time in flight, and 2.6 requests a slot keep 98% of the slots busy.

--- a/src/shortage/flowadmission.cpp
+++ b/src/shortage/flowadmission.cpp
@@ -42,10 +42,14 @@
 void FlowAdmission::applyConfiguration(const StreamConfiguration &configuration)
 {
     std::map<std::string, std::set<std::uint32_t>> priorities;
+    std::map<std::string, milliseconds> targets;
     for (const auto &[address, route] : configuration.routes) {
         for (const RouteTarget &target : route.targets) {
             if (route.priority && target.weight > 0) {
                 priorities[target.service].insert(*route.priority);
+                milliseconds &shortest = targets[target.service];
+                const bool isShorter = shortest.count() == 0 || route.targetLatency < shortest;
+                shortest = route.targetLatency.count() > 0 && isShorter ? route.targetLatency : shortest;
             }
         }
     }
@@ -54,6 +58,7 @@
             ServiceLoadState &state = m_services[service];
             state.name = service;
             state.mostUrgent = *known.begin();
+            state.target = targets[service];
         }
     }
     // Requests in flight and held ones refer to their service, so a service stays until nothing of it is left.
@@ -89,7 +94,7 @@
 FlowAdmission::Verdict FlowAdmission::decide(const AdmissionRequest &request)
 {
     ServiceLoadState *const service = findService(request);
-    if (service == nullptr) {
+    if (service == nullptr || request.use != ServerUse::Usable) {
         return Verdict::Admit;
     }
     const std::uint64_t key = flowKey(request.client, request.address);
@@ -116,19 +121,23 @@
 {
     const TimePoint now = m_clock.now();
     const StreamRoute &route = *request.route;
-    milliseconds timeLimit = route.timeLimit.count() > 0 ? route.timeLimit : openingTimeout;
-    timeLimit = request.opens ? std::min(timeLimit, openingTimeout) : timeLimit;
+    const milliseconds timeLimit = route.timeLimit.count() > 0 ? route.timeLimit : openingTimeout;
     const milliseconds target = route.targetLatency.count() > 0 ? std::min(route.targetLatency, timeLimit) : timeLimit;
+    const std::chrono::nanoseconds longestWait = std::chrono::duration_cast<std::chrono::nanoseconds>(target * waitPart);
+    const std::chrono::nanoseconds shortestWait = std::chrono::duration_cast<std::chrono::nanoseconds>(target * minWaitPart);
+    const std::chrono::nanoseconds left
+        = target - std::chrono::duration_cast<std::chrono::nanoseconds>(service.limit.responseTime() * responseTimeReserve);
+    const std::chrono::nanoseconds maxWait = std::clamp(left, shortestWait, longestWait);
     service.queue.push({ .client = request.client,
         .address = request.address,
         .priority = *route.priority,
         .opens = request.opens,
         .arrivedAt = now,
-        .targetDeadline = now + target - service.limit.responseTime(),
-        .deadline = now + timeLimit - service.limit.responseTime() });
+        .targetDeadline = now + maxWait,
+        .deadline = request.opens ? now + maxWait : now + timeLimit - service.limit.responseTime() });
     AdmissionCounts &counts = service.counts[*route.priority];
     ++counts.held;
-    const double servable = service.limit.requestsPerSecond() * std::chrono::duration<double>(timeLimit).count();
+    const double servable = service.limit.requestsPerSecond() * std::chrono::duration<double>(maxWait).count();
     const std::size_t maxSize = std::max(minQueueSize, static_cast<std::size_t>(servable));
     Verdict verdict = Verdict::Hold;
     for (const QueuedRequest &excess : service.queue.takeExcess(maxSize, now)) {
@@ -151,7 +160,7 @@
     service.limit.recordStart(priority == service.mostUrgent ? service.urgentInFlight : service.inFlight, now);
     ++service.inFlight;
     service.urgentInFlight += priority == service.mostUrgent ? 1 : 0;
-    m_inFlight[key] = { .service = &service, .priority = priority, .token = token, .since = now, .deadline = now + idleTime };
+    m_inFlight[key] = { .service = &service, .priority = priority, .token = token, .startedAt = now, .deadline = now + idleTime };
 }
 
 FlowAdmission::InFlight::iterator FlowAdmission::finish(InFlight::iterator request)
@@ -168,7 +177,6 @@
     if (found == m_inFlight.end()) {
         return;
     }
-    found->second.since = m_clock.now();
     found->second.deadline = m_clock.now() + idleTime;
     const double time = std::chrono::duration<double, std::milli>(openingTime).count();
     double &network = found->second.service->networkMs;
@@ -183,7 +191,6 @@
     }
     found->second.token = token;
     found->second.awaitsResponse = true;
-    found->second.since = m_clock.now();
     found->second.deadline = m_clock.now() + maxInFlightTime;
 }
 
@@ -195,7 +202,7 @@
     }
     ServiceLoadState &service = *found->second.service;
     const auto network = std::chrono::nanoseconds(std::llround(service.networkMs * 1e6));
-    service.limit.recordResponse(responseTime, network);
+    service.limit.recordResponse(m_clock.now() - found->second.startedAt, std::max(responseTime - network, std::chrono::nanoseconds(0)));
     finish(found);
     release(service);
 }
@@ -260,12 +267,12 @@
     }
 }
 
-void FlowAdmission::expire(const std::function<bool(std::uint32_t token)> &isUsable)
+void FlowAdmission::expire(const std::function<ServerUse(std::uint32_t token)> &useOf)
 {
     const TimePoint now = m_clock.now();
     for (auto request = m_inFlight.begin(); request != m_inFlight.end();) {
-        const bool isLost = request->second.token != 0 && !isUsable(request->second.token);
-        request = isLost || now >= request->second.deadline ? finish(request) : std::next(request);
+        const bool counts = request->second.token == 0 || useOf(request->second.token) == ServerUse::Usable;
+        request = !counts || now >= request->second.deadline ? finish(request) : std::next(request);
     }
     for (auto &[name, service] : m_services) {
         for (const QueuedRequest &request : service.queue.takeExpired(now)) {
@@ -274,12 +281,12 @@
     }
 }
 
-void FlowAdmission::tick(std::size_t instances, const LoadView *reports, const std::function<bool(std::uint32_t token)> &isUsable)
+void FlowAdmission::tick(std::size_t instances, const LoadView *reports, const std::function<ServerUse(std::uint32_t token)> &useOf)
 {
     const TimePoint now = m_clock.now();
     const std::chrono::nanoseconds elapsed = m_lastTick == TimePoint() ? std::chrono::nanoseconds(0) : now - m_lastTick;
     m_lastTick = now;
-    expire(isUsable);
+    expire(useOf);
     for (auto &[name, service] : m_services) {
         service.averageInFlight.record(static_cast<double>(service.inFlight), elapsed, ServiceLoadState::smoothing);
         service.averageUrgent.record(static_cast<double>(service.urgentInFlight), elapsed, ServiceLoadState::smoothing);
@@ -299,7 +306,8 @@
                 share *= std::clamp(service.requestsPerSecond.value() / meanDemand, 1 / maxShareFactor, maxShareFactor);
             }
         }
-        service.limit.setShare(service.usableSlots, share);
+        const double load = service.usableSlots == 0 ? 0 : meanInFlight * count / service.usableSlots;
+        service.limit.setShare(service.usableSlots, share, load, service.target);
         const double urgentPart = service.averageInFlight.value() > 0 ? service.averageUrgent.value() / service.averageInFlight.value() : 0;
         service.urgentMonitor.record(meanInFlight * count * urgentPart, service.usableSlots, now);
         if (service.monitor.record(meanInFlight * count, service.usableSlots, now)) {
--- a/src/shortage/flowadmission.h
+++ b/src/shortage/flowadmission.h
@@ -19,6 +19,13 @@
 
 class LoadView;
 
+/** What a server counts for in the admission of requests. */
+enum class ServerUse {
+    Usable,
+    Slow, /**< It responds much later than others; requests at it need no room at them. */
+    Unusable, /**< It has failed, so that requests at it get no response. */
+};
+
 /** A request as the admission sees it: an opening packet, or the first data of a request on an open flow. */
 struct AdmissionRequest {
     Endpoint client;
@@ -27,6 +34,7 @@
     std::string service; /**< that the request is for */
     std::uint32_t token = 0; /**< of the server of an open flow; 0 for an opening packet */
     bool opens = false;
+    ServerUse use = ServerUse::Usable; /**< of the server of an open flow */
 };
 
 /** What became of a request that was held. */
@@ -50,7 +58,8 @@
  * only while such a service is short or the instance has just started; otherwise every request is admitted.
  *
  * The most urgent requests are admitted as long as they alone do not use up the servers. All others start only if the requests of this
- * instance in flight are below its limit, and wait in a queue otherwise. See docs/design/shortage.md.
+ * instance in flight are below its limit, and wait in a queue otherwise. Requests of open flows at slow servers are admitted and not
+ * counted: they would use up the limit while the other servers have room. See docs/design/shortage.md.
  */
 class FlowAdmission : public MetricSource
 {
@@ -69,6 +78,15 @@
 
     /** A request of each priority starts at least this often, so that none waits for ever. */
     static constexpr std::chrono::milliseconds starvationInterval { 1000 };
+    /**
+     * A request should not wait longer than this part of its target latency. The rest is for the wait at the server, its work, the way, and
+     * another attempt if it is refused.
+     */
+    static constexpr double waitPart = 0.2;
+    /** It may wait this part in any case, if the servers are so slow that no response meets the target. */
+    static constexpr double minWaitPart = 0.1;
+    /** Most responses take at most this many times the average, so that a request which waits until so long before its target meets it. */
+    static constexpr double responseTimeReserve = 1.5;
     /** A client gives an opening packet up after this time. */
     static constexpr std::chrono::milliseconds openingTimeout { 1400 };
     /**
@@ -115,9 +133,9 @@
      * Updates the state of all services and decides about held requests. Must be called every few tens of milliseconds.
      * @param instances the number of live instances, with this one
      * @param reports what other instances report; may be null
-     * @param isUsable returns whether new flows may go to the server with a token; requests at others count no more
+     * @param useOf returns what the server with a token counts for; only requests at usable servers count
      */
-    void tick(std::size_t instances, const LoadView *reports, const std::function<bool(std::uint32_t token)> &isUsable);
+    void tick(std::size_t instances, const LoadView *reports, const std::function<ServerUse(std::uint32_t token)> &useOf);
 
     /** Returns the held requests that were decided about since the last call, in the order in which they are to be sent. */
     std::vector<HeldResolution> takeResolved();
@@ -134,7 +152,7 @@
         std::uint32_t priority = 0;
         std::uint32_t token = 0; // 0 until the request is sent
         bool awaitsResponse = false; // whether its data was sent
-        TimePoint since {}; // when its last step was: opening packet, open flow or data
+        TimePoint startedAt {}; // when its opening packet, or the data of a request on an open flow, was sent
         TimePoint deadline {}; // from then on it counts no more
     };
 
@@ -146,7 +164,7 @@
     InFlight::iterator finish(InFlight::iterator request);
     void resolve(ServiceLoadState &service, const QueuedRequest &request, HeldResolution::Kind kind, std::string_view reason);
     void release(ServiceLoadState &service);
-    void expire(const std::function<bool(std::uint32_t token)> &isUsable);
+    void expire(const std::function<ServerUse(std::uint32_t token)> &useOf);
     void logState(const ServiceLoadState &service, bool isShort, std::size_t instances, const LoadView *reports);
 
     const Clock &m_clock;
--- a/src/shortage/inflightlimit.cpp
+++ b/src/shortage/inflightlimit.cpp
@@ -15,6 +15,9 @@
 // A limit below this is treated as this one, so that the time to the next request stays finite.
 constexpr double minLimit = 0.01;
 
+// Requests that wait are checked at least this often.
+constexpr std::chrono::milliseconds maxStartDelay { 5 };
+
 double toMilliseconds(std::chrono::nanoseconds time)
 {
     return std::chrono::duration<double, std::milli>(time).count();
@@ -27,18 +30,22 @@
 
 } // namespace
 
-void InFlightLimit::setShare(double slots, double share)
+void InFlightLimit::setShare(double slots, double share, double load, std::chrono::nanoseconds target)
 {
-    m_share = slots * inFlightPerSlot * std::clamp(share, 0.0, 1.0);
+    // With several requests for each slot, most of the time at a server is spent waiting for the others.
+    const double workMs = toMilliseconds(responseTime()) * serverPart() / std::max(load, 1.0);
+    const double byTarget = target.count() == 0 ? maxInFlightPerSlot : toMilliseconds(target) * targetPart / workMs;
+    m_share = slots * std::clamp(byTarget, 1.0, maxInFlightPerSlot) * std::clamp(share, 0.0, 1.0);
 }
 
-void InFlightLimit::recordResponse(std::chrono::nanoseconds responseTime, std::chrono::nanoseconds networkTime)
+void InFlightLimit::recordResponse(std::chrono::nanoseconds inFlightTime, std::chrono::nanoseconds serverTime)
 {
-    const double time = toMilliseconds(responseTime);
-    m_responseMs = m_responseMs == 0 ? time : m_responseMs + (time - m_responseMs) * averageStep;
-    m_networkMs = std::min(toMilliseconds(networkTime), m_responseMs);
-    m_shortestMs = m_shortestMs == 0 ? m_responseMs : std::min(m_shortestMs, m_responseMs);
-    if (m_window < maxWindow && m_responseMs < m_shortestMs * growthTolerance) {
+    const bool isFirst = m_inFlightMs == 0;
+    const double step = isFirst ? 1 : averageStep;
+    m_inFlightMs += (toMilliseconds(inFlightTime) - m_inFlightMs) * step;
+    m_serverMs += (toMilliseconds(serverTime) - m_serverMs) * step;
+    m_shortestMs = isFirst ? m_inFlightMs : std::min(m_shortestMs, m_inFlightMs);
+    if (m_window < maxWindow && m_inFlightMs < m_shortestMs * growthTolerance) {
         m_window += 1;
     }
 }
@@ -60,7 +67,9 @@
     if (static_cast<double>(inFlight) >= whole) {
         // A request that uses the fraction of the limit takes all of it for its response time and then pauses, so that the average holds.
         const double fraction = std::max(allowed - whole, minLimit);
-        m_nextExtra = now + fromMilliseconds(toMilliseconds(responseTime()) / fraction);
+        // The pause counts from when it could have started, since this is checked only every few milliseconds.
+        const TimePoint due = std::max(m_nextExtra, now - std::chrono::milliseconds(maxStartDelay));
+        m_nextExtra = std::min(due, now) + fromMilliseconds(toMilliseconds(responseTime()) / fraction);
     }
 }
 
@@ -78,12 +87,12 @@
 
 std::chrono::nanoseconds InFlightLimit::responseTime() const
 {
-    return m_responseMs == 0 ? std::chrono::nanoseconds(defaultResponseTime) : fromMilliseconds(m_responseMs);
+    return m_inFlightMs == 0 ? std::chrono::nanoseconds(defaultResponseTime) : fromMilliseconds(m_inFlightMs);
 }
 
 double InFlightLimit::serverPart() const
 {
-    return m_responseMs == 0 ? 1 : std::clamp((m_responseMs - m_networkMs) / m_responseMs, minServerPart, 1.0);
+    return m_inFlightMs == 0 ? 1 : std::clamp(m_serverMs / m_inFlightMs, minServerPart, 1.0);
 }
 
 double InFlightLimit::requestsPerSecond() const
--- a/src/shortage/inflightlimit.h
+++ b/src/shortage/inflightlimit.h
@@ -17,10 +17,15 @@
 {
 public:
     /**
-     * Requests in flight per slot. The half above 1 waits at the servers, so that a slot that becomes free has work at once; the time that
-     * a response is on its way is about as long as half of a request.
+     * Requests in flight per slot. No instance knows all requests at a server, so they spread over the servers at random. With servers of
+     * two slots, 2.6 for each slot leave 2% of the slots idle and put more than ten requests on 2% of the servers; 1.5 leave 13% idle.
      */
-    static constexpr double inFlightPerSlot = 1.5;
+    static constexpr double maxInFlightPerSlot = 2.6;
+    /**
+     * The part of the shortest target latency that requests may spend at a server. The wait there costs nobody the target, and the rest is
+     * for the way and for the time that they waited in the instance. Slow servers get fewer requests per slot for this reason.
+     */
+    static constexpr double targetPart = 0.6;
     /**
      * Requests that may be in flight when the instance starts, before anything shows how many other instances share the servers. All
      * instances may start at once, with the backlog of their clients.
@@ -39,15 +44,17 @@
      * Sets the share of this instance.
      * @param slots requests that the usable servers can run at the same time
      * @param share the part of the slots that this instance may use, from 0 to 1
+     * @param load requests of all instances at the servers, for each slot
+     * @param target the shortest target latency of the requests; 0 if unknown
      */
-    void setShare(double slots, double share);
+    void setShare(double slots, double share, double load, std::chrono::nanoseconds target);
 
     /**
-     * Records a response.
-     * @param responseTime from the request to the response, as this instance sees it
-     * @param networkTime the part of it that is spent on the way
+     * Records the response to a request.
+     * @param inFlightTime from the start of the request, with the opening of its flow, to the response
+     * @param serverTime the part of it that the request spent at its server
      */
-    void recordResponse(std::chrono::nanoseconds responseTime, std::chrono::nanoseconds networkTime);
+    void recordResponse(std::chrono::nanoseconds inFlightTime, std::chrono::nanoseconds serverTime);
 
     /** Returns whether a request may start although @p inFlight requests of this instance are in flight. */
     bool mayStart(std::size_t inFlight, TimePoint now) const;
@@ -61,10 +68,10 @@
     /** Returns the requests that may be in flight on average. May be below 1. */
     double limit() const;
 
-    /** Returns the average response time, or defaultResponseTime if there was no response yet. */
+    /** Returns the average time for which a request is in flight, or defaultResponseTime if there was no response yet. */
     std::chrono::nanoseconds responseTime() const;
 
-    /** Returns the part of the response time that a request spends at its server, from 0.1 to 1. */
+    /** Returns the part of that time which a request spends at its server, from 0.1 to 1. */
     double serverPart() const;
 
     /** Returns the requests a second that the limit allows. */
@@ -73,9 +80,9 @@
 private:
     double m_share = maxWindow; // requests at the servers
     double m_window = initialWindow;
-    double m_responseMs = 0; // 0 before the first response
-    double m_networkMs = 0;
-    double m_shortestMs = 0; // the shortest average response time
+    double m_inFlightMs = 0; // 0 before the first response
+    double m_serverMs = 0;
+    double m_shortestMs = 0; // the shortest average of m_inFlightMs
     TimePoint m_nextExtra {}; // when a request above the whole part of the limit may start
 };
 
--- a/src/shortage/requestqueue.cpp
+++ b/src/shortage/requestqueue.cpp
@@ -13,7 +13,7 @@
 /** Returns the sort key of a request; the smaller, the earlier it is sent. */
 auto sortKey(const QueuedRequest &request, TimePoint now)
 {
-    return std::tuple(request.priority, request.targetDeadline < now, -request.arrivedAt.time_since_epoch().count(), request.work);
+    return std::tuple(request.priority, request.targetDeadline < now, request.arrivedAt, request.work);
 }
 
 } // namespace
@@ -60,12 +60,18 @@
     return expired;
 }
 
-std::vector<QueuedRequest> RequestQueue::takeExcess(std::size_t maxSize, TimePoint now)
+std::vector<QueuedRequest> RequestQueue::takeExcess(std::size_t maxOpenings, TimePoint now)
 {
     std::vector<QueuedRequest> excess;
-    while (m_requests.size() > maxSize) {
-        const auto last = std::max_element(m_requests.begin(), m_requests.end(),
-            [now](const QueuedRequest &left, const QueuedRequest &right) { return sortKey(left, now) < sortKey(right, now); });
+    auto openings = static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [](const QueuedRequest &request) { return request.opens; }));
+    for (; openings > maxOpenings; --openings) {
+        auto last = m_requests.end();
+        for (auto candidate = m_requests.begin(); candidate != m_requests.end(); ++candidate) {
+            if (candidate->opens && (last == m_requests.end() || sortKey(*last, now) < sortKey(*candidate, now))) {
+                last = candidate;
+            }
+        }
         excess.push_back(std::move(*last));
         m_requests.erase(last);
     }
--- a/src/shortage/requestqueue.h
+++ b/src/shortage/requestqueue.h
@@ -20,16 +20,18 @@
     bool opens = false; /**< whether an opening packet waits, and not the data of an open flow */
     double work = 0; /**< expected time at a server in milliseconds; 0 if unknown */
     TimePoint arrivedAt {};
-    TimePoint targetDeadline {}; /**< until which it has to be sent so that its response meets the target latency */
-    TimePoint deadline {}; /**< until which its client waits */
+    TimePoint targetDeadline {}; /**< until which it should be sent, so that its response meets the target latency */
+    TimePoint deadline {}; /**< until which it may wait at all */
 
     friend bool operator==(const QueuedRequest &, const QueuedRequest &) = default;
 };
 
 /**
  * The requests of one service that wait in this instance, ordered by what their delay costs callers: the more urgent first, then those that
- * can still meet their target latency, then the newest, then those with the least work. Newest first: under a lasting shortage, the
- * oldest first would make every request late.
+ * can still meet their target latency, then the oldest, then those with the least work.
+ *
+ * Oldest first makes every request late if more arrive than can be served. That is kept from happening by the two deadlines: opening
+ * packets for which there is no time are refused, and data that can't meet its target goes behind all that can.
  */
 class RequestQueue
 {
@@ -47,10 +49,11 @@
     std::vector<QueuedRequest> takeExpired(TimePoint now);
 
     /**
-     * Removes and returns the requests that cost least, so that @p maxSize remain.
-     * @param maxSize how many requests the service can serve within the time that their callers wait
+     * Removes and returns the opening packets that would be sent last, so that at most @p maxOpenings of them remain. Data of open flows
+     * stays until its deadline: its client can't be told that there is no room, and would send it again.
+     * @param maxOpenings how many requests the service can serve within the time that an opening packet may wait
      */
-    std::vector<QueuedRequest> takeExcess(std::size_t maxSize, TimePoint now);
+    std::vector<QueuedRequest> takeExcess(std::size_t maxOpenings, TimePoint now);
 
     /** Removes the request of a flow. @return whether there was one */
     bool remove(Endpoint client, Endpoint address);
--- a/src/shortage/serviceload.cpp
+++ b/src/shortage/serviceload.cpp
@@ -18,7 +18,8 @@
 
 bool ServiceLoadState::isLimited(TimePoint now) const
 {
-    return usableSlots > 0 && (monitor.isShort(now) || limit.isStarting());
+    // While requests wait, others must not pass them, also if the averages don't show the shortage yet.
+    return usableSlots > 0 && (monitor.isShort(now) || limit.isStarting() || queue.size() > 0);
 }
 
 bool ServiceLoadState::mayStart(std::uint32_t priority, TimePoint now) const
@@ -27,7 +28,8 @@
         return true;
     }
     if (priority == mostUrgent) {
-        return !urgentMonitor.isShort(now) || limit.mayStart(urgentInFlight, now);
+        const bool mayUseUp = urgentMonitor.isShort(now) || limit.isStarting();
+        return !mayUseUp || limit.mayStart(urgentInFlight, now);
     }
     return limit.mayStart(inFlight, now);
 }
--- a/src/shortage/serviceload.h
+++ b/src/shortage/serviceload.h
@@ -45,6 +45,7 @@
 
     std::string name;
     std::uint32_t mostUrgent = 0; /**< the most urgent priority of its routes */
+    std::chrono::milliseconds target { 0 }; /**< the shortest target latency of its routes; 0 if unknown */
     std::uint32_t usableSlots = 0;
     std::size_t inFlight = 0; /**< requests of this instance */
     std::size_t urgentInFlight = 0; /**< those of them with the most urgent priority */
--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -166,6 +166,11 @@
     m_slowServers.erase(token);
 }
 
+bool FlowPlacement::isSlow(std::uint32_t token) const
+{
+    return m_slowServers.contains(token);
+}
+
 std::size_t FlowPlacement::slowCount() const
 {
     return m_slowServers.size();
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -79,6 +79,9 @@
     /** Discards the logged state of a server. */
     void forget(std::uint32_t token);
 
+    /** Returns whether a server was much slower than others when it was last compared; see slowThreshold. */
+    bool isSlow(std::uint32_t token) const;
+
     /** Returns the number of servers that are currently logged as slow. */
     std::size_t slowCount() const;
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -97,7 +97,8 @@
     }
     const NewFlow flow { &route, m_placement.targetService(route) };
     const std::string &service = flow.service;
-    const FlowAdmission::Verdict verdict = m_admission.decide({ packet.client, packet.service, &route, service, 0, true });
+    const FlowAdmission::Verdict verdict
+        = m_admission.decide({ packet.client, packet.service, &route, service, 0, true, ServerUse::Usable });
     if (verdict == FlowAdmission::Verdict::Hold) {
         return hold();
     }
@@ -155,7 +156,7 @@
     }
     if (m_flows.beginsRequest(packet, token)) {
         const FlowAdmission::Verdict verdict
-            = m_admission.decide({ packet.client, packet.service, &route, record->server.service, token, false });
+            = m_admission.decide({ packet.client, packet.service, &route, record->server.service, token, false, serverUse(token) });
         if (verdict == FlowAdmission::Verdict::Hold) {
             return hold();
         }
@@ -433,20 +434,25 @@
             m_admission.setUsableSlots(service, usableSlots(service));
         }
     }
-    const auto isUsable
-        = [this, now](std::uint32_t token) { return m_lifecycle.failureDetector().status(token, now) == ServerStatus::Trusted; };
-    m_admission.tick(m_instanceCount, m_loadView, isUsable);
+    m_admission.tick(m_instanceCount, m_loadView, [this](std::uint32_t token) { return serverUse(token); });
+}
+
+ServerUse StreamRouter::serverUse(std::uint32_t token) const
+{
+    if (m_lifecycle.failureDetector().status(token, m_clock.now()) != ServerStatus::Trusted) {
+        return ServerUse::Unusable;
+    }
+    return m_placement.isSlow(token) ? ServerUse::Slow : ServerUse::Usable;
 }
 
 std::uint32_t StreamRouter::usableSlots(const std::string &service) const
 {
-    const TimePoint now = m_clock.now();
     const StreamRoute anyRoute;
     const NewFlow flow { &anyRoute, service };
     std::uint32_t slots = 0;
     for (const DirectoryRecord *const record : m_view.directory().listed(service)) {
-        const bool isTrusted = m_lifecycle.failureDetector().status(record->token, now) == ServerStatus::Trusted;
-        const bool mayServe = isTrusted && record->takesFlows && !record->tokenTaken;
+        const bool isUsable = serverUse(record->token) == ServerUse::Usable;
+        const bool mayServe = isUsable && record->takesFlows && !record->tokenTaken;
         slots += mayServe && m_placement.forbiddingPolicy(*record, flow) == nullptr ? record->server.slots : 0;
     }
     return slots;
