Decode priorities, time limits and cold limits

The configuration gains the urgency of requests for each route and a limit of new flows to cold servers for each service. Instances that read the state of a peer need the same values as those that read the store.

- platform/objectdecoder reads priority, timeout_ms, target_latency_ms and cold_per_s.
An invalid value costs only itself and is reported with the ignored values; a member that is missing or null is not reported.
A number beyond a double in one of these members of a route no longer costs the route.
- Two routes at one address, or two services with one name, keep only values that are equal.
- GossipCodec writes the values at the end of a route and of a state, and only where one is set: a state of an earlier build is read, and an earlier build reads a state that doesn't use them.
A cold limit travels as the bits of the double, so that all instances compare equal.

--- a/src/peer/internal/fieldreader.h
+++ b/src/peer/internal/fieldreader.h
@@ -123,6 +123,12 @@
         }
     }
 
+    /** Returns whether fields follow that earlier builds don't write. */
+    bool tail(bool)
+    {
+        return !m_fault && m_position < m_array.size;
+    }
+
     /** Reports a fault if there are unread fields. */
     void finish()
     {
--- a/src/peer/internal/fieldwriter.h
+++ b/src/peer/internal/fieldwriter.h
@@ -71,6 +71,12 @@
         ++m_count;
     }
 
+    /** Returns whether fields follow that earlier builds can't read. */
+    bool tail(bool isSet) const
+    {
+        return isSet;
+    }
+
     std::uint32_t count() const
     {
         return m_count;
@@ -129,6 +135,15 @@
         m_packer.pack_uint64(static_cast<std::uint64_t>(value.address()) << 16 | value.port());
     }
 
+    /**
+     * Returns whether fields follow that earlier builds can't read. They are written only if one of them is set, so that earlier builds
+     * still read the values in which they are not used.
+     */
+    bool tail(bool isSet) const
+    {
+        return isSet;
+    }
+
     template<typename Value>
     void nested(const Value &value)
     {
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -5,6 +5,8 @@
 #include "stream/streamlimits.h"
 
 #include <algorithm>
+#include <bit>
+#include <limits>
 #include <map>
 
 namespace Samphirepitch
@@ -15,6 +17,7 @@
 
 using StreamLimits::maxNameSize;
 constexpr std::uint64_t maxIdleTimeout = std::chrono::milliseconds(StreamLimits::maxIdleTimeout).count();
+constexpr std::uint64_t maxTimeLimit = std::chrono::milliseconds(StreamLimits::maxTimeLimit).count();
 constexpr std::size_t maxDepth = 8; // levels of nested arrays
 constexpr std::uint64_t neverConfirmed = 0xffffffff; // the age, in milliseconds, that stands for a view that was never confirmed
 
@@ -49,15 +52,6 @@
     visitor.number(value.weight);
 }
 
-template<typename Visitor, MaybeConst<StreamRoute> Value>
-void visitFields(Visitor &visitor, Value &value)
-{
-    visitor.text(value.name, maxNameSize);
-    visitor.endpoint(value.address);
-    visitor.boolean(value.idempotent);
-    visitor.list(value.targets, StreamLimits::maxRouteTargets, eachRecord);
-}
-
 namespace
 {
 
@@ -135,6 +129,23 @@
     std::uint64_t revision = 0;
 };
 
+/** The encoded form of a StreamRoute. Times are in milliseconds; 0 stands for an unknown one. */
+struct WireRoute {
+    std::string name;
+    Endpoint address;
+    bool idempotent = false;
+    std::vector<RouteTarget> targets;
+    std::uint64_t priorityPlusOne = 0; /**< 0 if the priority is unknown */
+    std::uint64_t timeLimit = 0;
+    std::uint64_t targetLatency = 0;
+};
+
+/** The encoded form of the limits of a service. */
+struct WireService {
+    std::string name;
+    std::uint64_t coldFlowsPerSecond = 0; /**< the bits of the double */
+};
+
 /** The encoded form of a GossipMessage. */
 struct WireMessage {
     std::string deployment;
@@ -156,8 +167,9 @@
     std::vector<WireServer> changes;
     std::uint64_t version = 0; /**< of the configuration */
     std::uint64_t idleTimeout = 0; /**< milliseconds */
-    std::vector<StreamRoute> routes;
+    std::vector<WireRoute> routes;
     std::vector<PeerRecord> records;
+    std::vector<WireService> services;
 };
 
 template<typename Visitor, MaybeConst<WireView> Value>
@@ -189,6 +201,27 @@
     visitor.number(value.revision);
 }
 
+template<typename Visitor, MaybeConst<WireRoute> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.text(value.name, maxNameSize);
+    visitor.endpoint(value.address);
+    visitor.boolean(value.idempotent);
+    visitor.list(value.targets, StreamLimits::maxRouteTargets, eachRecord);
+    if (visitor.tail(value.priorityPlusOne > 0 || value.timeLimit > 0 || value.targetLatency > 0)) {
+        visitor.number(value.priorityPlusOne);
+        visitor.number(value.timeLimit);
+        visitor.number(value.targetLatency);
+    }
+}
+
+template<typename Visitor, MaybeConst<WireService> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.text(value.name, maxNameSize);
+    visitor.number(value.coldFlowsPerSecond);
+}
+
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -214,6 +247,9 @@
     visitor.number(value.idleTimeout);
     visitor.list(value.routes, GossipCodec::maxRoutes, eachRecord);
     visitor.list(value.records, GossipCodec::maxInstances, eachRecord);
+    if (visitor.tail(!value.services.empty())) {
+        visitor.list(value.services, GossipCodec::maxServices, eachRecord);
+    }
 }
 
 WireView toWire(const ViewStatus &view, const WireTime &time)
@@ -251,6 +287,31 @@
         time.fromRemaining(server.coldRemaining), static_cast<std::int64_t>(server.startedAt), { era, server.revision } };
 }
 
+WireRoute toWire(const StreamRoute &route)
+{
+    return { route.name, route.address, route.idempotent, route.targets, route.priority ? std::uint64_t { *route.priority } + 1 : 0,
+        static_cast<std::uint64_t>(route.timeLimit.count()), static_cast<std::uint64_t>(route.targetLatency.count()) };
+}
+
+StreamRoute fromWire(const WireRoute &route)
+{
+    StreamRoute result { .name = route.name, .address = route.address, .targets = route.targets, .idempotent = route.idempotent };
+    if (route.priorityPlusOne > 0 && route.priorityPlusOne <= std::uint64_t { StreamLimits::maxPriority } + 1) {
+        result.priority = static_cast<std::uint32_t>(route.priorityPlusOne - 1);
+    }
+    result.timeLimit = std::chrono::milliseconds(std::min(route.timeLimit, maxTimeLimit));
+    result.targetLatency = std::chrono::milliseconds(std::min(route.targetLatency, maxTimeLimit));
+    return result;
+}
+
+/** Returns the limit that @p bits encode, or 0 if it is one that no instance sends. */
+double coldLimitFromBits(std::uint64_t bits)
+{
+    static_assert(std::numeric_limits<double>::is_iec559, "the bits of a double mean the same on all machines");
+    const auto limit = std::bit_cast<double>(bits);
+    return limit >= 0 && limit <= StreamLimits::maxColdFlowsPerSecond ? limit : 0;
+}
+
 std::vector<WireServer> toWire(const std::vector<ServerUpdate> &changes, const WireTime &time)
 {
     std::vector<WireServer> wire;
@@ -336,9 +397,12 @@
 {
     const WireTime time(now);
     WireState wire { state.deployment, state.sender, toWire(state.view, time), state.baseRevision, toWire(state.changes, time),
-        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records };
+        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records, {} };
     for (const auto &[address, route] : state.configuration.routes) {
-        wire.routes.push_back(route);
+        wire.routes.push_back(toWire(route));
+    }
+    for (const auto &[name, limits] : state.configuration.services) {
+        wire.services.push_back({ name, std::bit_cast<std::uint64_t>(limits.coldFlowsPerSecond) });
     }
     return pack(wire);
 }
@@ -372,8 +436,11 @@
     state.configuration.version = wire->version;
     state.configuration.position = state.view.configurationPosition;
     state.configuration.idleTimeout = std::chrono::milliseconds(std::min(wire->idleTimeout, maxIdleTimeout));
-    for (const StreamRoute &route : wire->routes) {
-        state.configuration.routes.emplace(route.address, route);
+    for (const WireRoute &route : wire->routes) {
+        state.configuration.routes.emplace(route.address, fromWire(route));
+    }
+    for (const WireService &service : wire->services) {
+        state.configuration.services.emplace(service.name, ServiceLimits { coldLimitFromBits(service.coldFlowsPerSecond) });
     }
     return result;
 }
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -76,6 +76,7 @@
     static constexpr std::size_t maxRecords = 8; /**< other instances in one message */
     static constexpr std::size_t maxServers = 100000; /**< in one state; above the planned 74,000 */
     static constexpr std::size_t maxRoutes = 20000; /**< in one state */
+    static constexpr std::size_t maxServices = 20000; /**< services with limits in one state */
     static constexpr std::size_t maxInstances = 20000; /**< instances in one state */
 
     /** Encodes a message. @param now the time from which ages and remaining times are computed */
--- a/tests/adapter/objectdecodertests.cpp
+++ b/tests/adapter/objectdecodertests.cpp
@@ -361,3 +361,81 @@
     REQUIRE(decoded.has_value());
     CHECK(decoded->configuration.find(Endpoint(0xc6120001, 8443))->targets.size() == 2);
 }
+
+TEST_CASE("priority, time limit, target latency and cold limit are decoded, and none of them is required", "[adapter][objectdecoder]")
+{
+    Json spec = configurationSpec();
+    spec["routes"][0]["target_latency_ms"] = 150;
+    spec["services"][0]["cold_per_s"] = 12.5;
+    spec["services"][1]["cold_per_s"] = 0;
+    const auto decoded = decodeSpec(spec);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->ignored.empty());
+    const StreamRoute *const route = decoded->configuration.find(Endpoint(0xc6120001, 8443));
+    CHECK(route->priority == std::optional<std::uint32_t>(2));
+    CHECK(route->timeLimit == milliseconds(1000));
+    CHECK(route->targetLatency == milliseconds(150));
+    CHECK(decoded->configuration.services == std::map<std::string, ServiceLimits> { { "huvo11a", { 12.5 } } });
+    const StreamRoute *const other = decoded->configuration.find(Endpoint(0xc6120002, 443));
+    CHECK_FALSE(other->priority.has_value());
+    CHECK(other->timeLimit == milliseconds(0));
+    CHECK(other->targetLatency == milliseconds(0));
+    spec["services"][0]["cold_per_s"] = 13;
+    CHECK_FALSE(decodeSpec(spec)->configuration == decoded->configuration);
+}
+
+TEST_CASE("an invalid priority, time or limit costs only itself", "[adapter][objectdecoder][odd]")
+{
+    // Guards against a route that is lost, or a request that is judged by a nonsensical time, because of one odd number.
+    const auto [key, value] = GENERATE(table<std::string, std::string>({ { "priority", "-1" }, { "priority", "1.5" },
+        { "priority", "\"0\"" }, { "priority", "256" }, { "priority", "1e400" }, { "timeout_ms", "0" }, { "timeout_ms", "-1000" },
+        { "timeout_ms", "\"1s\"" }, { "timeout_ms", "86400001" }, { "timeout_ms", "18446744073709551616" }, { "target_latency_ms", "0" },
+        { "target_latency_ms", "[]" }, { "target_latency_ms", "801" }, { "target_latency_ms", "1e400" }, { "cold_per_s", "-0.5" },
+        { "cold_per_s", "\"6\"" }, { "cold_per_s", "true" }, { "cold_per_s", "1e10" }, { "cold_per_s", "1e400" } }));
+    CAPTURE(key, value);
+    Json spec = configurationSpec();
+    Json &route = spec["routes"][0];
+    route["priority"] = 1;
+    route["timeout_ms"] = 800;
+    route["target_latency_ms"] = 150;
+    spec["services"][0]["cold_per_s"] = 6;
+    StreamConfiguration expected = decodeSpec(spec)->configuration;
+    StreamRoute &expectedRoute = expected.routes.at(Endpoint(0xc6120001, 8443));
+    if (key == "priority") {
+        expectedRoute.priority.reset();
+    } else if (key == "timeout_ms") {
+        expectedRoute.timeLimit = milliseconds(0);
+    } else if (key == "target_latency_ms") {
+        expectedRoute.targetLatency = milliseconds(0);
+    } else {
+        expected.services.clear();
+    }
+    (key == "cold_per_s" ? spec["services"][0] : route)[key] = "REPLACED";
+    std::string text = spec.dump();
+    text.replace(text.find("\"REPLACED\""), std::string("\"REPLACED\"").size(), value);
+    const auto decoded = decodeConfiguration({ "main", { 0, 9 } }, JsonText(text));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->configuration == expected);
+    REQUIRE(decoded->ignored.size() == 1);
+    CHECK(decoded->ignored[0].reason.find(key) != std::string::npos);
+}
+
+TEST_CASE("two routes at one address, or two services with one name, keep only the values that are equal", "[adapter][objectdecoder][odd]")
+{
+    Json spec = configurationSpec();
+    spec["routes"][0]["target_latency_ms"] = 150;
+    spec["routes"].push_back(spec["routes"][0]);
+    spec["routes"][2].erase("priority");
+    spec["routes"][2]["timeout_ms"] = 900;
+    spec["services"][0]["cold_per_s"] = 6;
+    spec["services"].push_back({ { "name", "huvo11a" }, { "cold_per_s", 7 } });
+    const auto decoded = decodeSpec(spec);
+    REQUIRE(decoded.has_value());
+    const StreamRoute *const route = decoded->configuration.find(Endpoint(0xc6120001, 8443));
+    CHECK_FALSE(route->priority.has_value());
+    CHECK(route->timeLimit == milliseconds(0));
+    CHECK(route->targetLatency == milliseconds(150));
+    CHECK(route->targets.size() == 2);
+    CHECK(decoded->configuration.services.empty());
+    CHECK(decoded->ignored.size() == 3);
+}
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -172,3 +172,37 @@
     REQUIRE(readState.has_value());
     CHECK(readState->configuration.position == StorePosition(2, 38));
 }
+
+TEST_CASE("the urgency of routes and the limits of services reach all instances unchanged", "[stream][gossipcodec]")
+{
+    // Guards against instances that apply different limits, or an instance that drops them because it read the state of a peer.
+    PeerState state { .sender = record("entry-1"), .view = view(sent) };
+    state.configuration = RouterFixture::configuration(38);
+    const std::string without = GossipCodec::encode(state, sent);
+    StreamRoute &route = state.configuration.routes.begin()->second;
+    route.priority = GENERATE(std::optional<std::uint32_t>(), std::optional<std::uint32_t>(0), std::optional<std::uint32_t>(3));
+    route.timeLimit = milliseconds(1000);
+    route.targetLatency = milliseconds(150);
+    state.configuration.services = { { "pond", { 12.3 } }, { "wuno96b", { 0.1 } } };
+    const auto read = GossipCodec::decodeState(GossipCodec::encode(state, sent), received);
+    REQUIRE(read.has_value());
+    CHECK(read->configuration == state.configuration);
+    // A state that uses none of these fields is encoded as in earlier builds, which refuse fields that they don't know.
+    CHECK(GossipCodec::encode(GossipCodec::decodeState(without, sent).value(), sent) == without);
+    CHECK(without.size() + 3 * 9 < GossipCodec::encode(state, sent).size());
+}
+
+TEST_CASE("a state without the fields of this build is read", "[stream][gossipcodec]")
+{
+    // The bytes were encoded by the build of 2026-12-06 that had no limits of services. Guards against a rolling update in which no
+    // instance that was updated reads the state of one that was not.
+    const std::string hexadecimal = "99a096a7656e7472792d31a161cf00000a0000011e280506c39900000000260000ceffffffffceffffffff009072cd3a989194"
+                                    "a3722d31cf0000c612000101bbc29192a4706f6e640190";
+    std::string bytes;
+    for (std::size_t index = 0; index < hexadecimal.size(); index += 2) {
+        bytes.push_back(static_cast<char>(std::stoi(hexadecimal.substr(index, 2), nullptr, 16)));
+    }
+    const auto read = GossipCodec::decodeState(bytes, received);
+    REQUIRE(read.has_value());
+    CHECK(read->configuration == RouterFixture::configuration(38));
+}
--- a/tests/stream/gossipfuzztests.cpp
+++ b/tests/stream/gossipfuzztests.cpp
@@ -45,6 +45,9 @@
     message.records = { record() };
     PeerState state { .deployment = "dewnet", .sender = record(), .view = message.view, .changes = message.changes };
     state.configuration = RouterFixture::configuration(38);
+    state.configuration.routes.begin()->second.priority = 1;
+    state.configuration.routes.begin()->second.timeLimit = std::chrono::milliseconds(1000);
+    state.configuration.services = { { "pond", { 6.5 } } };
     state.records = { record(), record() };
     const std::string validMessage = GossipCodec::encode(message, now);
     const std::string validState = GossipCodec::encode(state, now);
