Limit the new flows to cold servers over all instances

After a failure domain returns, all instances send new flows to servers that are still slow, and each of them knows only its own flows.

- A flow that only the policy keeps from a server is refused at once with the new outcome cold_limit.
- PlacementPolicy::limitsCapacity() tells the usable slots of a service apart from the share of this instance: a cold server whose share is used up still counts as capacity.

--- a/src/placement/placementpolicy.h
+++ b/src/placement/placementpolicy.h
@@ -37,6 +37,15 @@
     /** Returns whether @p server may get @p flow at the time @p now. */
     virtual PlacementVerdict judge(const DirectoryRecord &server, const NewFlow &flow, TimePoint now) const = 0;
 
+    /**
+     * Returns whether a server that the policy forbids gives its service no capacity at all. A policy that only limits what this instance
+     * sends, while others may send to the server, returns false.
+     */
+    virtual bool limitsCapacity() const
+    {
+        return true;
+    }
+
     /** Records that @p flow was placed on @p server. The default does nothing. */
     virtual void recordPlacement(const DirectoryRecord &server, const NewFlow &flow, TimePoint now)
     {
--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -102,10 +102,10 @@
 void FlowPlacement::addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const
 {
     const TimePoint now = m_dependencies.clock.now();
-    const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
-    if (!record.takesFlows || record.tokenTaken || status == ServerStatus::Gone || forbiddingPolicy(record, flow) != nullptr) {
+    if (!isUsable(record) || forbiddingPolicy(record, flow) != nullptr) {
         return;
     }
+    const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
     const ServerFlowCounts counts = m_dependencies.flows.flowCountsOf(record.token);
     choices.push_back({ &record,
         { .flows = counts.recent,
@@ -116,6 +116,12 @@
             .lastResort = isLastResort || status != ServerStatus::Trusted } });
 }
 
+bool FlowPlacement::isUsable(const DirectoryRecord &record) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    return record.takesFlows && !record.tokenTaken && m_dependencies.failureDetector.status(record.token, now) != ServerStatus::Gone;
+}
+
 const PlacementPolicy *FlowPlacement::forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const
 {
     const TimePoint now = m_dependencies.clock.now();
@@ -124,6 +130,21 @@
     return found == m_dependencies.policies.end() ? nullptr : *found;
 }
 
+bool FlowPlacement::isExcluded(const DirectoryRecord &record, const NewFlow &flow) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    return std::any_of(m_dependencies.policies.begin(), m_dependencies.policies.end(), [&](const PlacementPolicy *policy) {
+        return policy->limitsCapacity() && policy->judge(record, flow, now) == PlacementVerdict::Forbidden;
+    });
+}
+
+bool FlowPlacement::isRestrictedBy(const PlacementPolicy &policy, const NewFlow &flow) const
+{
+    const std::vector<const DirectoryRecord *> &servers = m_dependencies.directory.listed(flow.service);
+    return std::any_of(servers.begin(), servers.end(),
+        [&](const DirectoryRecord *record) { return isUsable(*record) && forbiddingPolicy(*record, flow) == &policy; });
+}
+
 void FlowPlacement::recordPlacement(const DirectoryRecord &record, const NewFlow &flow)
 {
     for (PlacementPolicy *const policy : m_dependencies.policies) {
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -73,6 +73,12 @@
     /** Returns the first policy that forbids a server to get a flow, or null. */
     const PlacementPolicy *forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const;
 
+    /** Returns whether a policy forbids a server to get a flow so that the server gives its service no capacity. */
+    bool isExcluded(const DirectoryRecord &record, const NewFlow &flow) const;
+
+    /** Returns whether a server could take a flow if @p policy didn't forbid it. */
+    bool isRestrictedBy(const PlacementPolicy &policy, const NewFlow &flow) const;
+
     /** Tells the policies that a flow was placed on a server. */
     void recordPlacement(const DirectoryRecord &record, const NewFlow &flow);
 
@@ -86,6 +92,7 @@
     std::vector<const DirectoryRecord *> sample(const std::vector<const DirectoryRecord *> &servers, std::size_t count);
     std::optional<Choice> chooseFrom(std::vector<Choice> choices);
     std::vector<Choice> candidates(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled);
+    bool isUsable(const DirectoryRecord &record) const;
     void addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const;
     std::vector<const DirectoryRecord *> recentlyUnlisted(const std::string &service, TimePoint confirmationGapEnd) const;
     void logSlowdownChange(const Choice &choice);
--- a/src/stream/streamcounters.h
+++ b/src/stream/streamcounters.h
@@ -16,6 +16,7 @@
     NoRoute, /**< no route has the destination address */
     NoServer, /**< no server can take the flow */
     Evacuated, /**< all servers that could take the flow are in evacuated failure domains */
+    ColdLimit, /**< this instance has used up its shares of the cold servers, and no other server can take the flow */
     Held, /**< the packet waits in this instance until its service has room */
     NoRoom, /**< the service has no room for the request within the time that its caller waits */
     ServerGone, /**< the flow's server has ended */
@@ -27,14 +28,14 @@
     Unreadable, /**< the datagram is not a packet of a stream flow */
 };
 
-constexpr std::size_t streamOutcomeCount = 15;
+constexpr std::size_t streamOutcomeCount = 16;
 
 /** Returns the name of an outcome as it appears in logs and metrics. */
 constexpr std::string_view streamOutcomeName(StreamOutcome outcome)
 {
     constexpr std::array<std::string_view, streamOutcomeCount> names { "placed", "placed_again", "known", "no_route", "no_server",
-        "evacuated", "held", "no_room", "server_gone", "server_silent", "route_removed", "unknown_token", "no_token", "not_ready",
-        "unreadable" };
+        "evacuated", "cold_limit", "held", "no_room", "server_gone", "server_silent", "route_removed", "unknown_token", "no_token",
+        "not_ready", "unreadable" };
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -33,8 +33,9 @@
     , m_view(dependencies.clock, dependencies.events)
     , m_flows(maxFlows)
     , m_lifecycle({ dependencies.clock, dependencies.random, dependencies.events, m_view, m_flows, m_counters }, failureDomain)
+    , m_coldShares(dependencies.clock.now())
     , m_placement({ dependencies.clock, dependencies.random, dependencies.events, dependencies.selector, m_view.directory(),
-                      m_lifecycle.failureDetector(), m_lifecycle.latencyTracker(), m_flows, {} },
+                      m_lifecycle.failureDetector(), m_lifecycle.latencyTracker(), m_flows, { &m_coldShares } },
           std::move(failureDomain))
     , m_admission({ dependencies.clock, dependencies.events })
 {
@@ -109,7 +110,11 @@
     if (!choice) {
         m_flows.remove(packet.client, packet.service);
         m_admission.recordEnd(packet.client, packet.service);
-        return refuse(packet, StreamOutcome::NoServer);
+        if (!m_placement.isRestrictedBy(m_coldShares, flow)) {
+            return refuse(packet, StreamOutcome::NoServer);
+        }
+        m_coldShares.recordRefusal();
+        return refuse(packet, StreamOutcome::ColdLimit);
     }
     const DirectoryRecord *const record = choice->record;
     m_flows.recordOpening(packet, record->token, m_clock.now());
@@ -247,6 +252,7 @@
 {
     const TimePoint now = m_clock.now();
     m_view.recordTick();
+    m_coldShares.tick(now);
     m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
         m_lifecycle.failureDetector().requestProbe(token);
         m_lifecycle.latencyTracker().recordOverdueResponse(token, now);
@@ -287,6 +293,7 @@
         static_cast<double>(m_placement.slowCount()));
     m_view.writeMetrics(writer);
     m_admission.writeMetrics(writer);
+    m_coldShares.writeMetrics(writer);
 }
 
 bool StreamRouter::applyConfiguration(StreamConfiguration configuration)
@@ -297,6 +304,7 @@
     }
     applyChanges(*changes);
     m_admission.applyConfiguration(m_view.configuration());
+    m_coldShares.applyConfiguration(m_view.configuration());
     const auto hasNoRoute = [this](const StreamFlow &flow) { return m_view.configuration().find(flow.service) == nullptr; };
     m_lifecycle.resetAll(m_flows.removeMatching(hasNoRoute, m_clock.now()), StreamOutcome::RouteRemoved);
     return true;
@@ -411,6 +419,7 @@
 void StreamRouter::useRoster(const InstanceRoster &roster)
 {
     m_roster = &roster;
+    m_coldShares.useRoster(roster);
 }
 
 void StreamRouter::useLoadView(const LoadView &loadView)
@@ -447,7 +456,7 @@
     for (const DirectoryRecord *const record : m_view.directory().listed(service)) {
         const bool isTrusted = m_lifecycle.failureDetector().status(record->token, now) == ServerStatus::Trusted;
         const bool mayServe = isTrusted && record->takesFlows && !record->tokenTaken;
-        slots += mayServe && m_placement.forbiddingPolicy(*record, flow) == nullptr ? record->server.slots : 0;
+        slots += mayServe && !m_placement.isExcluded(*record, flow) ? record->server.slots : 0;
     }
     return slots;
 }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coldstart/coldsharepolicy.h"
 #include "core/clock.h"
 #include "core/eventsink.h"
 #include "core/metricsource.h"
@@ -190,6 +191,7 @@
     FlowTracker m_flows;
     StreamCounters m_counters;
     ServerLifecycle m_lifecycle;
+    ColdSharePolicy m_coldShares;
     FlowPlacement m_placement;
     FlowAdmission m_admission;
     const InstanceRoster *m_roster = nullptr; // without one, this instance is the only one
