Send no new flow to evacuated failure domains

New flows went to any server that may serve, whatever an operator asked.

EvacuationPolicy forbids the servers of evacuated domains to the placement, also as a last resort. Copies of opening packets that the router forwards without a placement are dropped if their server is in such a domain. If all servers that could take a flow are in evacuated domains, it is refused at once as "evacuated". While the view is enabled, nothing is routed before it is known, and after a stall that made it older than 5 s, opening packets wait for a confirmation for up to 1 s. Messages and states of instances get the evacuations as a trailing field, which is left out where nothing is known, so that such messages stay those of earlier builds.

--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -99,13 +99,18 @@
     return chosen ? std::optional(choices[*chosen]) : std::nullopt;
 }
 
+bool FlowPlacement::couldServe(const DirectoryRecord &record, TimePoint now) const
+{
+    return record.takesFlows && !record.tokenTaken && m_dependencies.failureDetector.status(record.token, now) != ServerStatus::Gone;
+}
+
 void FlowPlacement::addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const
 {
     const TimePoint now = m_dependencies.clock.now();
-    const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
-    if (!record.takesFlows || record.tokenTaken || status == ServerStatus::Gone || forbiddingPolicy(record, flow) != nullptr) {
+    if (!couldServe(record, now) || forbiddingPolicy(record, flow) != nullptr) {
         return;
     }
+    const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
     const ServerFlowCounts counts = m_dependencies.flows.flowCountsOf(record.token);
     choices.push_back({ &record,
         { .flows = counts.recent,
@@ -124,6 +129,21 @@
     return found == m_dependencies.policies.end() ? nullptr : *found;
 }
 
+bool FlowPlacement::isForbiddenEverywhere(const PlacementPolicy &policy, const NewFlow &flow, TimePoint confirmationGapEnd) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    const auto could = [&](const DirectoryRecord *record) { return couldServe(*record, now); };
+    const auto mayTake
+        = [&](const DirectoryRecord *record) { return could(record) && policy.judge(*record, flow, now) == PlacementVerdict::Allowed; };
+    const std::vector<const DirectoryRecord *> &listed = m_dependencies.directory.listed(flow.service);
+    if (std::any_of(listed.begin(), listed.end(), mayTake)) {
+        return false;
+    }
+    const std::vector<const DirectoryRecord *> missing = recentlyUnlisted(flow.service, confirmationGapEnd);
+    return std::none_of(missing.begin(), missing.end(), mayTake)
+        && (std::any_of(listed.begin(), listed.end(), could) || std::any_of(missing.begin(), missing.end(), could));
+}
+
 void FlowPlacement::recordPlacement(const DirectoryRecord &record, const NewFlow &flow)
 {
     for (PlacementPolicy *const policy : m_dependencies.policies) {
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -73,6 +73,13 @@
     /** Returns the first policy that forbids a server to get a flow, or null. */
     const PlacementPolicy *forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const;
 
+    /**
+     * Returns whether all servers that could take a flow, also as a last resort, are forbidden by one policy.
+     * @param confirmationGapEnd as for choose()
+     * @return false if no server could take the flow without the policy either
+     */
+    bool isForbiddenEverywhere(const PlacementPolicy &policy, const NewFlow &flow, TimePoint confirmationGapEnd) const;
+
     /** Tells the policies that a flow was placed on a server. */
     void recordPlacement(const DirectoryRecord &record, const NewFlow &flow);
 
@@ -86,6 +93,7 @@
     std::vector<const DirectoryRecord *> sample(const std::vector<const DirectoryRecord *> &servers, std::size_t count);
     std::optional<Choice> chooseFrom(std::vector<Choice> choices);
     std::vector<Choice> candidates(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled);
+    bool couldServe(const DirectoryRecord &record, TimePoint now) const;
     void addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const;
     std::vector<const DirectoryRecord *> recentlyUnlisted(const std::string &service, TimePoint confirmationGapEnd) const;
     void logSlowdownChange(const Choice &choice);
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -1,5 +1,6 @@
 #include "stream/gossipcodec.h"
 
+#include "evacuation/evacuationview.h"
 #include "peer/internal/fieldreader.h"
 #include "peer/internal/fieldwriter.h"
 #include "stream/streamlimits.h"
@@ -135,6 +136,25 @@
     std::uint64_t revision = 0;
 };
 
+/** The encoded form of an Evacuation. */
+struct WireEvacuation {
+    std::string domain;
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t remaining = 0; /**< milliseconds until the evacuation ends; 0 if it doesn't end by itself */
+};
+
+/** The encoded form of an EvacuationSet and of the part of the view that it belongs to. */
+struct WireEvacuations {
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t age = neverConfirmed; /**< milliseconds */
+    std::uint64_t eraBefore = 0;
+    std::uint64_t revisionBefore = 0;
+    std::uint64_t count = 0;
+    std::vector<WireEvacuation> evacuations;
+};
+
 /** The encoded form of a GossipMessage. */
 struct WireMessage {
     std::string deployment;
@@ -145,6 +165,7 @@
     std::vector<WireServer> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records;
+    std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
 };
 
 /** The encoded form of a PeerState. */
@@ -158,6 +179,7 @@
     std::uint64_t idleTimeout = 0; /**< milliseconds */
     std::vector<StreamRoute> routes;
     std::vector<PeerRecord> records;
+    std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
 };
 
 template<typename Visitor, MaybeConst<WireView> Value>
@@ -189,6 +211,27 @@
     visitor.number(value.revision);
 }
 
+template<typename Visitor, MaybeConst<WireEvacuation> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.text(value.domain, maxNameSize);
+    visitor.number(value.era);
+    visitor.number(value.revision);
+    visitor.number(value.remaining);
+}
+
+template<typename Visitor, MaybeConst<WireEvacuations> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.number(value.era);
+    visitor.number(value.revision);
+    visitor.number(value.age);
+    visitor.number(value.eraBefore);
+    visitor.number(value.revisionBefore);
+    visitor.number(value.count);
+    visitor.list(value.evacuations, EvacuationView::maxEvacuations, eachRecord);
+}
+
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -200,6 +243,7 @@
     visitor.list(value.changes, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.ended, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.records, GossipCodec::maxRecords, eachRecord);
+    visitor.trailing(value.evacuations);
 }
 
 template<typename Visitor, MaybeConst<WireState> Value>
@@ -214,6 +258,7 @@
     visitor.number(value.idleTimeout);
     visitor.list(value.routes, GossipCodec::maxRoutes, eachRecord);
     visitor.list(value.records, GossipCodec::maxInstances, eachRecord);
+    visitor.trailing(value.evacuations);
 }
 
 WireView toWire(const ViewStatus &view, const WireTime &time)
@@ -280,6 +325,38 @@
     return changes;
 }
 
+std::optional<WireEvacuations> toWire(const EvacuationSet &set, const ViewStatus &view, const WireTime &time)
+{
+    if (view.evacuationsPosition.isUnset()) {
+        return std::nullopt;
+    }
+    WireEvacuations wire { view.evacuationsPosition.era(), view.evacuationsPosition.revision(), time.age(view.evacuationsConfirmedAt),
+        set.before.era(), set.before.revision(), set.count, {} };
+    for (const Evacuation &evacuation : set.evacuations) {
+        // At least 1 ms, because 0 stands for an evacuation that doesn't end by itself.
+        const std::uint64_t remaining = evacuation.until == TimePoint() ? 0 : std::max<std::uint64_t>(time.remaining(evacuation.until), 1);
+        wire.evacuations.push_back({ evacuation.domain, evacuation.position.era(), evacuation.position.revision(), remaining });
+    }
+    return wire;
+}
+
+/** Decodes evacuations, and completes the view that they belong to. */
+EvacuationSet fromWire(const std::optional<WireEvacuations> &wire, const WireTime &time, ViewStatus &view)
+{
+    EvacuationSet set;
+    if (!wire || StorePosition(wire->era, wire->revision).isUnset()) {
+        return set;
+    }
+    view.evacuationsPosition = { wire->era, wire->revision };
+    view.evacuationsConfirmedAt = time.fromAge(wire->age);
+    set.before = { wire->eraBefore, wire->revisionBefore };
+    set.count = wire->count;
+    for (const WireEvacuation &evacuation : wire->evacuations) {
+        set.evacuations.push_back({ evacuation.domain, { evacuation.era, evacuation.revision }, time.fromRemaining(evacuation.remaining) });
+    }
+    return set;
+}
+
 template<typename Message>
 std::string pack(const Message &message)
 {
@@ -327,7 +404,7 @@
 {
     const WireTime time(now);
     WireMessage wire { message.deployment, message.sender, toWire(message.view, time), message.pushed, message.baseRevision, {},
-        message.ended, message.records };
+        message.ended, message.records, toWire(message.evacuations, message.view, time) };
     wire.changes = toWire(message.changes, time);
     return pack(wire);
 }
@@ -336,7 +413,8 @@
 {
     const WireTime time(now);
     WireState wire { state.deployment, state.sender, toWire(state.view, time), state.baseRevision, toWire(state.changes, time),
-        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records };
+        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records,
+        toWire(state.evacuations, state.view, time) };
     for (const auto &[address, route] : state.configuration.routes) {
         wire.routes.push_back(route);
     }
@@ -350,8 +428,10 @@
         return tl::unexpected(wire.error());
     }
     const WireTime time(now);
-    return GossipMessage { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records };
+    GossipMessage message { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, {} };
+    message.evacuations = fromWire(wire->evacuations, time, message.view);
+    return message;
 }
 
 Result<PeerState> GossipCodec::decodeState(std::string_view bytes, TimePoint now)
@@ -369,6 +449,7 @@
     state.baseRevision = wire->baseRevision;
     state.changes = fromWire(wire->changes, wire->view.serversEra, time);
     state.records = wire->records;
+    state.evacuations = fromWire(wire->evacuations, time, state.view);
     state.configuration.version = wire->version;
     state.configuration.position = state.view.configurationPosition;
     state.configuration.idleTimeout = std::chrono::milliseconds(std::min(wire->idleTimeout, maxIdleTimeout));
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "evacuation/evacuationset.h"
 #include "stream/discovery.h"
 #include "stream/peerrecord.h"
 #include "stream/streamconfiguration.h"
@@ -16,7 +17,7 @@
 
 /**
  * Up to which position of the store an instance's view of the store is complete, and when that was last confirmed. The view consists of the
- * list of servers and the configuration. Times are sent as ages.
+ * list of servers, the configuration and the evacuations. Times are sent as ages.
  */
 struct ViewStatus {
     StorePosition serversPosition; /**< up to which all changes of servers are known; unset if none */
@@ -25,6 +26,8 @@
     StorePosition configurationCheckedPosition; /**< up to which no newer configuration exists */
     TimePoint serversConfirmedAt {}; /**< when the list of servers was last known to be complete; TimePoint() if never */
     TimePoint configurationConfirmedAt {}; /**< when the configuration was last known to be the newest; TimePoint() if never */
+    StorePosition evacuationsPosition; /**< up to which all evacuations are known; unset if none, also if evacuations are off */
+    TimePoint evacuationsConfirmedAt {}; /**< when the evacuations were last known to be complete; TimePoint() if never */
 
     /** Returns whether the configuration in force replaces that of @p other, in the order of StreamConfiguration::isNewerThan(). */
     bool hasNewerConfiguration(const ViewStatus &other) const
@@ -54,6 +57,7 @@
     std::vector<ServerUpdate> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records; /**< some of the other instances that the sender knows */
+    EvacuationSet evacuations; /**< that the sender knows; without the single ones if they would not fit */
 };
 
 /** The part of an instance's state that a requesting instance lacks, sent over a connection. */
@@ -65,6 +69,7 @@
     std::vector<ServerUpdate> changes;
     StreamConfiguration configuration; /**< empty if the requesting instance has it already */
     std::vector<PeerRecord> records; /**< all live instances if the requesting instance has just started, otherwise empty */
+    EvacuationSet evacuations; /**< all that the sender knows */
 };
 
 /** Encodes messages between instances as msgpack arrays. Points in time are sent as ages or as remaining times. */
@@ -78,6 +83,9 @@
     static constexpr std::size_t maxRoutes = 20000; /**< in one state */
     static constexpr std::size_t maxInstances = 20000; /**< instances in one state */
 
+    static constexpr std::size_t maxEvacuations = 32; /**< in one message; more are pulled as a state */
+    static constexpr std::size_t maxEvacuationBytes = 700; /**< of the domains in one message, so that the rest of it fits a datagram */
+
     /** Encodes a message. @param now the time from which ages and remaining times are computed */
     static std::string encode(const GossipMessage &message, TimePoint now);
 
--- a/src/stream/storeview.cpp
+++ b/src/stream/storeview.cpp
@@ -20,6 +20,7 @@
 StoreView::StoreView(const Clock &clock, EventSink &events)
     : m_clock(clock)
     , m_events(events)
+    , m_evacuations(clock, events)
 {
     m_directory.useServices({}); // until a configuration names some
 }
@@ -113,6 +114,20 @@
     return m_stallEnd > after ? std::max(after, m_stallStart) : now;
 }
 
+bool StoreView::mayLackEvacuations() const
+{
+    const TimePoint now = m_clock.now();
+    const bool isStalled = m_lastTick != TimePoint() && now > m_lastTick + stallThreshold;
+    const bool wasStalled = m_stallEnd != TimePoint() && now < m_stallEnd + stallRecoveryTime;
+    if (!m_evacuations.isEnabled() || !(isStalled || wasStalled)) {
+        return false;
+    }
+    // A view that was too old before the stall is that of an instance without a connection, or the store is down.
+    const TimePoint stallStart = isStalled ? m_lastTick : m_stallStart;
+    const TimePoint limit = m_evacuations.age().confirmed() + evacuationDelay;
+    return stallStart <= limit && limit < now;
+}
+
 void StoreView::confirmServers(TimePoint time)
 {
     if (time > m_serversAge.confirmed() + maxConfirmationGap) {
@@ -136,7 +151,7 @@
 ViewStatus StoreView::viewStatus() const
 {
     return { m_directory.position(), m_configuration.version, m_configuration.position, m_configurationCheckedPosition,
-        m_serversAge.confirmed(), m_configurationAge.confirmed() };
+        m_serversAge.confirmed(), m_configurationAge.confirmed(), m_evacuations.position(), m_evacuations.age().confirmed() };
 }
 
 bool StoreView::recordEra(std::string_view view, StorePosition before, StorePosition now)
@@ -159,7 +174,7 @@
 
 bool StoreView::isReady() const
 {
-    return !m_configuration.position.isUnset() && !m_directory.position().isUnset();
+    return !m_configuration.position.isUnset() && !m_directory.position().isUnset() && m_evacuations.isReady();
 }
 
 const StreamConfiguration &StoreView::configuration() const
@@ -197,6 +212,16 @@
     return m_directory;
 }
 
+const EvacuationView &StoreView::evacuations() const
+{
+    return m_evacuations;
+}
+
+EvacuationView &StoreView::evacuations()
+{
+    return m_evacuations;
+}
+
 void StoreView::recordTick()
 {
     const TimePoint now = m_clock.now();
@@ -250,6 +275,7 @@
         "samphirepitch_server_index_rebuilds_total", "Rebuilds of the indexes of backend servers.", {}, m_directory.rebuildCount());
     writer.gauge(
         "samphirepitch_servers_listed", "Backend servers that discovery lists.", {}, static_cast<double>(m_directory.all().size()));
+    m_evacuations.writeMetrics(writer);
 }
 
 } // namespace Samphirepitch
--- a/src/stream/storeview.h
+++ b/src/stream/storeview.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/eventsink.h"
 #include "core/metricsource.h"
+#include "evacuation/evacuationview.h"
 #include "stream/discovery.h"
 #include "stream/gossipcodec.h"
 #include "stream/serverdirectory.h"
@@ -32,6 +33,11 @@
     /** Two calls to the store take this long. If the list of servers is unconfirmed for longer, entries may have expired in this gap. */
     static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
 
+    /** An evacuation has to be in force this long after the store has acknowledged it. */
+    static constexpr std::chrono::milliseconds evacuationDelay { 5000 };
+    /** Other instances send two rounds of gossip in this time, by which an instance hears of evacuations after a stall. */
+    static constexpr std::chrono::milliseconds stallRecoveryTime { 1000 };
+
     /** The objects must outlive the view. */
     StoreView(const Clock &clock, EventSink &events);
 
@@ -54,6 +60,12 @@
      */
     std::optional<DirectoryChanges> applyServerUpdates(const ServerUpdates &updates);
 
+    /**
+     * Returns whether this process may lack an evacuation that it would know without a stall that has just ended, so that no new flow may
+     * be placed. It waits for a message, but not for long: an instance that is cut off goes on with what it knows.
+     */
+    bool mayLackEvacuations() const;
+
     /** Records that the list of servers was complete at @p time. */
     void confirmServers(TimePoint time);
 
@@ -72,7 +84,7 @@
     /** Returns how recent the views are, for other instances. */
     ViewStatus viewStatus() const;
 
-    /** Returns whether a configuration and a list of servers are known. */
+    /** Returns whether a configuration, a list of servers and, if they are used, the evacuations are known. */
     bool isReady() const;
 
     /** Returns whether a configuration has removed the route of @p address and flows may be left on it. */
@@ -89,6 +101,8 @@
     const StreamConfiguration &configuration() const;
     const ServerDirectory &directory() const;
     ServerDirectory &directory();
+    const EvacuationView &evacuations() const;
+    EvacuationView &evacuations();
 
     /** Records an event about a flow, with the versions and ages of the views. */
     void recordFlowEvent(
@@ -105,6 +119,7 @@
     const Clock &m_clock;
     EventSink &m_events;
     ServerDirectory m_directory;
+    EvacuationView m_evacuations;
     StreamConfiguration m_configuration;
     std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
     ViewAge m_configurationAge;
--- a/src/stream/streamcounters.h
+++ b/src/stream/streamcounters.h
@@ -15,7 +15,7 @@
     Known, /**< the packet belongs to a flow with a known server */
     NoRoute, /**< no route has the destination address */
     NoServer, /**< no server can take the flow */
-    Evacuated, /**< all servers that could take the flow are in evacuated failure domains */
+    Evacuated, /**< the server of an opening packet, or all that could take its flow, are in evacuated failure domains */
     Held, /**< the packet waits in this instance until its service has room */
     NoRoom, /**< the service has no room for the request within the time that its caller waits */
     ServerGone, /**< the flow's server has ended */
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -33,8 +33,9 @@
     , m_view(dependencies.clock, dependencies.events)
     , m_flows(maxFlows)
     , m_lifecycle({ dependencies.clock, dependencies.random, dependencies.events, m_view, m_flows, m_counters }, failureDomain)
+    , m_evacuationPolicy(m_view.evacuations())
     , m_placement({ dependencies.clock, dependencies.random, dependencies.events, dependencies.selector, m_view.directory(),
-                      m_lifecycle.failureDetector(), m_lifecycle.latencyTracker(), m_flows, {} },
+                      m_lifecycle.failureDetector(), m_lifecycle.latencyTracker(), m_flows, { &m_evacuationPolicy } },
           std::move(failureDomain))
     , m_admission({ dependencies.clock, dependencies.events })
 {
@@ -43,7 +44,7 @@
 StreamDecision StreamRouter::route(const StreamPacket &packet)
 {
     // Without a complete view, an unknown route or server may still exist. Clients retransmit until the view is complete.
-    if (!isReady()) {
+    if (!isReady() || (packet.opens && m_view.mayLackEvacuations())) {
         return drop(packet, StreamOutcome::NotReady);
     }
     const StreamRoute *const route = m_view.configuration().find(packet.service);
@@ -70,10 +71,18 @@
         // A client waits longer before it retransmits, so the network has duplicated the packet or this process has read it late.
         const bool isReadAtOnce = m_clock.now() < flow->lastSentAt + FlowTracker::minRetransmissionInterval;
         const bool mayServe = record != nullptr && m_lifecycle.failureDetector().status(record->token, m_clock.now()) != ServerStatus::Gone;
-        return isReadAtOnce && mayServe ? forward(*record, StreamOutcome::Known) : place(packet, route, true);
+        return isReadAtOnce && mayServe ? forwardCopy(packet, route, *record) : place(packet, route, true);
     }
     // A delayed copy of an opening packet doesn't move the flow.
-    return record == nullptr ? drop(packet, StreamOutcome::UnknownToken) : forward(*record, StreamOutcome::Known);
+    return record == nullptr ? drop(packet, StreamOutcome::UnknownToken) : forwardCopy(packet, route, *record);
+}
+
+StreamDecision StreamRouter::forwardCopy(const StreamPacket &packet, const StreamRoute &route, const DirectoryRecord &record)
+{
+    // For the server, the copy may be the first packet of the flow.
+    const bool isEvacuated
+        = m_evacuationPolicy.judge(record, { &route, record.server.service }, m_clock.now()) != PlacementVerdict::Allowed;
+    return isEvacuated ? drop(packet, StreamOutcome::Evacuated) : forward(record, StreamOutcome::Known);
 }
 
 StreamDecision StreamRouter::place(const StreamPacket &packet, const StreamRoute &route, bool isRetransmission)
@@ -97,6 +106,11 @@
     }
     const NewFlow flow { &route, m_placement.targetService(route) };
     const std::string &service = flow.service;
+    if (!m_view.evacuations().isEmpty() && m_placement.isForbiddenEverywhere(m_evacuationPolicy, flow, m_view.confirmationGapEnd())) {
+        m_flows.remove(packet.client, packet.service);
+        m_admission.recordEnd(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::Evacuated);
+    }
     const FlowAdmission::Verdict verdict = m_admission.decide({ packet.client, packet.service, &route, service, 0, true });
     if (verdict == FlowAdmission::Verdict::Hold) {
         return hold();
@@ -259,6 +273,7 @@
     const auto idleTimeout = m_view.configuration().idleTimeout.count() > 0 ? m_view.configuration().idleTimeout : defaultIdleTimeout;
     m_flows.expire(now, idleTimeout);
     m_view.expireRemovedRoutes();
+    m_view.evacuations().expire();
     m_lifecycle.expire();
     forgetServers();
 }
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -4,6 +4,7 @@
 #include "core/eventsink.h"
 #include "core/metricsource.h"
 #include "core/random.h"
+#include "evacuation/evacuationpolicy.h"
 #include "shortage/flowadmission.h"
 #include "stream/discovery.h"
 #include "stream/flowplacement.h"
@@ -157,7 +158,13 @@
     /** Returns the load of the services with several priorities. */
     const FlowAdmission &admission() const;
 
-    /** Returns whether a configuration and a list of servers are known. */
+    /** Returns the evacuated failure domains, to whose servers no new flow is sent. They are off until they are enabled. */
+    EvacuationView &evacuations()
+    {
+        return m_view.evacuations();
+    }
+
+    /** Returns whether a configuration, a list of servers and, if they are enabled, the evacuations are known. */
     bool isReady() const;
 
     const StreamConfiguration &configuration() const;
@@ -173,6 +180,7 @@
     StreamDecision routeSubsequent(const StreamPacket &packet, const StreamRoute &route);
     StreamDecision place(const StreamPacket &packet, const StreamRoute &route, bool isRetransmission);
     StreamDecision refuse(const StreamPacket &packet, StreamOutcome outcome);
+    StreamDecision forwardCopy(const StreamPacket &packet, const StreamRoute &route, const DirectoryRecord &record);
     StreamDecision hold();
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
@@ -190,6 +198,7 @@
     FlowTracker m_flows;
     StreamCounters m_counters;
     ServerLifecycle m_lifecycle;
+    EvacuationPolicy m_evacuationPolicy;
     FlowPlacement m_placement;
     FlowAdmission m_admission;
     const InstanceRoster *m_roster = nullptr; // without one, this instance is the only one
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -172,3 +172,36 @@
     REQUIRE(readState.has_value());
     CHECK(readState->configuration.position == StorePosition(2, 38));
 }
+
+TEST_CASE("evacuations are part of messages and states, with their remaining times", "[stream][gossipcodec][evacuation]")
+{
+    GossipMessage sentMessage = message();
+    sentMessage.view.evacuationsPosition = { 2, 50 };
+    sentMessage.view.evacuationsConfirmedAt = sent - milliseconds(700);
+    sentMessage.evacuations = { { 1, 90 }, 2, { { "oslo-a", { 2, 44 } }, { "oslo-b", { 1, 80 }, sent + milliseconds(2500) } } };
+    EvacuationSet expected = sentMessage.evacuations;
+    expected.evacuations[1].until = received + milliseconds(2500);
+    const auto read = GossipCodec::decodeMessage(GossipCodec::encode(sentMessage, sent), received);
+    REQUIRE(read.has_value());
+    CHECK(read->view.evacuationsPosition == StorePosition(2, 50));
+    CHECK(read->view.evacuationsConfirmedAt == received - milliseconds(700));
+    CHECK(read->evacuations == expected);
+    PeerState state { .sender = record("entry-1"), .view = sentMessage.view, .evacuations = sentMessage.evacuations };
+    const auto readState = GossipCodec::decodeState(GossipCodec::encode(state, sent), received);
+    REQUIRE(readState.has_value());
+    CHECK(readState->evacuations == expected);
+}
+
+TEST_CASE("instances of an earlier build and those without evacuations understand each other", "[stream][gossipcodec][evacuation]")
+{
+    // An earlier build sends and accepts exactly 8 fields in a message and 9 in a state; a msgpack array begins with 0x90 + its size.
+    const std::string bytes = GossipCodec::encode(message(), sent);
+    CHECK(bytes.front() == '\x98');
+    const auto read = GossipCodec::decodeMessage(bytes, received);
+    REQUIRE(read.has_value());
+    CHECK(read->view.evacuationsPosition.isUnset());
+    CHECK(read->evacuations == EvacuationSet());
+    const std::string stateBytes = GossipCodec::encode(PeerState { .sender = record("entry-1"), .view = view(sent) }, sent);
+    CHECK(stateBytes.front() == '\x99');
+    CHECK(GossipCodec::decodeState(stateBytes, received).has_value());
+}
--- a/tests/stream/gossipfuzztests.cpp
+++ b/tests/stream/gossipfuzztests.cpp
@@ -40,12 +40,16 @@
     Mutator mutator(random);
     GossipMessage message { .deployment = "dewnet", .sender = record(), .pushed = true, .baseRevision = 37 };
     message.view = { { 1, 40 }, 114, { 1, 38 }, { 1, 41 }, now - std::chrono::seconds(1), now - std::chrono::seconds(2) };
+    message.view.evacuationsPosition = { 1, 41 };
+    message.view.evacuationsConfirmedAt = now - std::chrono::seconds(3);
+    message.evacuations = { { 0, 60 }, 2, { { "a", { 1, 30 } }, { "b", { 0, 50 }, now + std::chrono::seconds(20) } } };
     message.changes = { listed(7), listed(8) };
     message.ended = { { "i-9", 1234 } };
     message.records = { record() };
     PeerState state { .deployment = "dewnet", .sender = record(), .view = message.view, .changes = message.changes };
     state.configuration = RouterFixture::configuration(38);
     state.records = { record(), record() };
+    state.evacuations = message.evacuations;
     const std::string validMessage = GossipCodec::encode(message, now);
     const std::string validState = GossipCodec::encode(state, now);
     for (std::uint64_t round = 0; round < plan.cases; ++round) {
@@ -57,6 +61,7 @@
             REQUIRE(again->sender == decoded->sender);
             REQUIRE(again->ended == decoded->ended);
             REQUIRE(again->changes.size() == decoded->changes.size());
+            REQUIRE(again->evacuations == decoded->evacuations);
         }
         if (const auto decoded = GossipCodec::decodeState(mutator.mutate(validState, tokens), now)) {
             const auto again = GossipCodec::decodeState(GossipCodec::encode(*decoded, now), now);
@@ -64,6 +69,7 @@
             REQUIRE(again->configuration == decoded->configuration);
             REQUIRE(again->view == decoded->view);
             REQUIRE(again->records == decoded->records);
+            REQUIRE(again->evacuations == decoded->evacuations);
         }
     }
 }
