Read evacuations from the store and pass them on to all instances

Evacuations were enforced, but nothing told an instance of them.

StoreDiscovery lists and watches the kind "evacuations"; an entry with an odd spec counts by its name, and status 404 means that there are none. A third task of DiscoveryWatcher keeps the view up to date. Its long poll waits for 4 s, or not at all if the view was not confirmed for 1.5 s, so that the other instances need not read by themselves after the end of a reader. Every message between instances carries the whole set; a change is pushed at once, and a set that does not fit a message is pulled as a state.

--- a/src/stream/discovery.h
+++ b/src/stream/discovery.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "evacuation/evacuationview.h"
 #include "stream/storeposition.h"
 #include "stream/streamconfiguration.h"
 #include "stream/streamserver.h"
@@ -56,10 +57,26 @@
     bool endedEarly = false; /**< nothing changed and the wait was not over, so that the response may be older than the call */
 };
 
+/** All evacuations in the store. */
+struct EvacuationList {
+    std::vector<Evacuation> evacuations;
+    std::vector<DiscoveryFault> odd; /**< unusual entries; one that has a readable name counts as an evacuation all the same */
+    StorePosition position; /**< of the store at the start of the read; if the kind is unknown, only its era is meaningful */
+    bool isUnknownKind = false; /**< whether the store doesn't know this kind of object, which means that there are no evacuations */
+};
+
+/** The changes of evacuations after a store revision. */
+struct EvacuationUpdates {
+    std::vector<EvacuationUpdate> updates; /**< oldest first; empty if nothing changed during the wait */
+    std::vector<DiscoveryFault> odd; /**< see EvacuationList */
+    StorePosition position; /**< from which to request the next updates */
+    bool endedEarly = false; /**< nothing changed and the wait was not over, so that the response may be older than the call */
+};
+
 /**
- * Source of the backend servers and the configuration, such as a store. Implementations report an invalid entry as a fault in the
- * result and the failure of a whole call as an error: Unavailable, RateLimited, DeadlineExceeded, OutcomeUnknown, TooLarge or Malformed.
- * One call for servers and one call for the configuration may run at the same time.
+ * Source of the backend servers, the configuration and the evacuations, such as a store. Implementations report an invalid entry as a fault
+ * in the result and the failure of a whole call as an error: Unavailable, RateLimited, DeadlineExceeded, OutcomeUnknown, TooLarge or
+ * Malformed. One call for servers, one for the configuration and one for evacuations may run at the same time.
  */
 class Discovery
 {
@@ -91,6 +108,19 @@
     virtual asio::awaitable<Result<ConfigurationRead>> awaitConfigurationUpdate(
         std::uint64_t revision, std::chrono::milliseconds wait, TimePoint deadline)
         = 0;
+
+    /** Reads all evacuations. @return the list, or an error; HistoryGone if the store returned from an older copy meanwhile */
+    virtual asio::awaitable<Result<EvacuationList>> listEvacuations(TimePoint deadline) = 0;
+
+    /**
+     * Waits for changes of evacuations. A result of another era than that of @p revision does not continue what the caller knows.
+     * @param revision store revision after which changes are returned
+     * @param wait longest time to wait for a change; 0 returns at once
+     * @return the changes, or an error; HistoryGone if a complete read is needed instead
+     */
+    virtual asio::awaitable<Result<EvacuationUpdates>> awaitEvacuationUpdates(
+        std::uint64_t revision, std::chrono::milliseconds wait, TimePoint deadline)
+        = 0;
 };
 
 } // namespace Samphirepitch
--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -37,6 +37,17 @@
 // Lines for the parts of one version of the configuration that can't be used. A line with their number follows.
 constexpr std::size_t maxIgnoredLines = 8;
 
+// Interval at which a store that doesn't know evacuations is asked for them. It answers at once, so there is no long poll. An evacuation
+// must be in force 5 s after it was written, and 15% of the calls of the two other tasks are one call in 3.3 s.
+constexpr milliseconds unknownKindInterval { 3400 };
+
+// If the evacuations were not confirmed for this long, such as after the end of another reader, the first call doesn't wait for a change.
+// All other instances would read them otherwise, before a long poll is over.
+constexpr milliseconds maxUnconfirmedWait { 1500 };
+
+// Odd evacuation entries that are remembered, each with up to 200 bytes, so that each is counted and logged once. Further ones are not.
+constexpr std::size_t maxOddEvacuations = 256;
+
 } // namespace
 
 DiscoveryWatcher::DiscoveryWatcher(Dependencies dependencies, LongPollWaits longPollWaits)
@@ -89,6 +100,27 @@
     }
 }
 
+asio::awaitable<Result<void>> DiscoveryWatcher::watchEvacuations()
+{
+    while (true) {
+        const bool watches = m_coordinator.watchesStore();
+        const ViewStatus view = m_router.viewStatus();
+        if (!watches && !m_coordinator.mustReadEvacuations(view.evacuationsConfirmedAt)) {
+            co_await m_timer.waitUntil(m_clock.now() + readCheckInterval);
+            continue;
+        }
+        if (m_evacuations.historyGone || view.evacuationsPosition.isUnset()) {
+            co_await listEvacuations();
+        } else {
+            const bool isRecent = m_clock.now() <= view.evacuationsConfirmedAt + maxUnconfirmedWait;
+            co_await awaitEvacuationUpdates(watches && isRecent ? m_longPollWaits.evacuations : milliseconds(0));
+        }
+        if (m_evacuations.failures > 0) {
+            co_await backOff(m_evacuations);
+        }
+    }
+}
+
 asio::awaitable<void> DiscoveryWatcher::listServers()
 {
     ++m_servers.calls;
@@ -178,6 +210,59 @@
     apply(*std::move(read), confirmedAt);
 }
 
+asio::awaitable<void> DiscoveryWatcher::listEvacuations()
+{
+    ++m_evacuations.calls;
+    const TimePoint callStart = m_clock.now();
+    const Result<EvacuationList> list = co_await m_discovery.listEvacuations(callStart + readTimeout);
+    if (!list) {
+        recordFailure(m_evacuations, list.error());
+        co_return;
+    }
+    if (!checkEra(m_evacuations, m_router.viewStatus().evacuationsPosition, list->position)) {
+        co_return;
+    }
+    recordSuccess(m_evacuations);
+    recordOddEvacuations(list->odd);
+    EvacuationView &view = m_router.evacuations();
+    if (!list->isUnknownKind) {
+        m_coordinator.publishEvacuations(view.replaceAll(list->evacuations, list->position, callStart));
+        co_return;
+    }
+    m_coordinator.publishEvacuations(view.clear(list->position.era(), callStart));
+    m_evacuations.historyGone = true; // a watch would be answered like this call, without a wait
+    co_await m_timer.waitUntil(m_clock.now() + unknownKindInterval);
+}
+
+asio::awaitable<void> DiscoveryWatcher::awaitEvacuationUpdates(milliseconds wait)
+{
+    ++m_evacuations.calls;
+    const StorePosition from = m_router.viewStatus().evacuationsPosition;
+    m_evacuations.askedFrom = from;
+    const TimePoint callStart = m_clock.now();
+    const Result<EvacuationUpdates> updates
+        = co_await m_discovery.awaitEvacuationUpdates(from.revision(), wait, callStart + wait + responseMargin);
+    if (!updates) {
+        recordFailure(m_evacuations, updates.error());
+        co_return;
+    }
+    if (!checkContinuation(m_evacuations, m_router.viewStatus().evacuationsPosition, updates->position)) {
+        co_return;
+    }
+    recordSuccess(m_evacuations);
+    recordOddEvacuations(updates->odd);
+    if (updates->endedEarly) {
+        co_await m_timer.waitUntil(m_clock.now() + initialBackoff);
+        co_return;
+    }
+    const bool hasUpdates = !updates->updates.empty();
+    const TimePoint confirmedAt = confirmationTime(callStart, wait, hasUpdates);
+    m_coordinator.publishEvacuations(m_router.evacuations().apply(updates->updates, updates->position, confirmedAt));
+    if (hasUpdates) {
+        co_await m_timer.waitUntil(m_clock.now() + batchDelay);
+    }
+}
+
 TimePoint DiscoveryWatcher::confirmationTime(TimePoint callStart, milliseconds wait, bool changed) const
 {
     // The store responds as soon as there is a change, and otherwise at the end of the wait. The response may be processed much later.
@@ -233,7 +318,7 @@
 
 bool DiscoveryWatcher::storeIsReachable() const
 {
-    return m_servers.reachable && m_configuration.reachable;
+    return m_servers.reachable && m_configuration.reachable && m_evacuations.reachable;
 }
 
 void DiscoveryWatcher::recordSuccess(Feed &feed)
@@ -292,6 +377,15 @@
     m_events.record(EventSeverity::Warning, name, { { "subject", fault.subject }, { "reason", fault.reason } });
 }
 
+void DiscoveryWatcher::recordOddEvacuations(const std::vector<DiscoveryFault> &odd)
+{
+    for (const DiscoveryFault &fault : odd) {
+        if (m_oddEvacuations.size() < maxOddEvacuations && m_oddEvacuations.insert(fault.subject + '\n' + fault.reason).second) {
+            m_events.record(EventSeverity::Warning, "evacuation_entry_odd", { { "subject", fault.subject }, { "reason", fault.reason } });
+        }
+    }
+}
+
 void DiscoveryWatcher::recordIgnored(const StreamConfiguration &configuration, const std::vector<DiscoveryFault> &ignored)
 {
     // The same version is read again after the store has lost its history.
@@ -311,7 +405,13 @@
 
 void DiscoveryWatcher::writeMetrics(MetricWriter &writer) const
 {
-    for (const Feed *const feed : { &m_servers, &m_configuration }) {
+    std::vector<const Feed *> feeds { &m_servers, &m_configuration };
+    if (m_router.evacuations().isEnabled()) {
+        feeds.push_back(&m_evacuations);
+        writer.counter("samphirepitch_evacuation_entries_odd_total", "Evacuation entries with an odd content or an unreadable name.", {},
+            m_oddEvacuations.size());
+    }
+    for (const Feed *const feed : feeds) {
         writer.counter("samphirepitch_store_calls_total", "Calls to the store, by feed.", { { "feed", feed->name } }, feed->calls);
         writer.counter("samphirepitch_store_failed_calls_total", "Calls to the store that failed, by feed.", { { "feed", feed->name } },
             feed->failedCalls);
--- a/src/stream/discoverywatcher.h
+++ b/src/stream/discoverywatcher.h
@@ -12,6 +12,8 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -46,15 +48,24 @@
      */
     virtual void publishServerUpdates(std::uint64_t from, const ServerUpdates &updates) = 0;
 
+    /** As mustRead(), for the evacuations, which are read less often. */
+    virtual bool mustReadEvacuations(TimePoint lastConfirmed) const = 0;
+
     /** Passes on to the other instances that the configuration was read or confirmed. The router of this instance has applied it already.
      */
     virtual void publishConfiguration() = 0;
 
-    /** Sets whether the last calls to the store succeeded, for servers as well as for the configuration. */
+    /**
+     * Passes on to the other instances that the evacuations were read or confirmed. The router of this instance has applied them already.
+     * @param changed whether the evacuated domains have changed
+     */
+    virtual void publishEvacuations(bool changed) = 0;
+
+    /** Sets whether the last calls to the store succeeded, for all kinds of objects. */
     virtual void setStoreReachable(bool reachable) = 0;
 };
 
-/** Keeps the servers and the configuration of a router up to date from the store, with one task for each of the two. */
+/** Keeps the servers, the configuration and the evacuations of a router up to date from the store, with one task for each of them. */
 class DiscoveryWatcher : public MetricSource
 {
 public:
@@ -73,6 +84,7 @@
     struct LongPollWaits {
         std::chrono::milliseconds servers { 1000 };
         std::chrono::milliseconds configuration { 1000 };
+        std::chrono::milliseconds evacuations { 4000 };
     };
 
     DiscoveryWatcher(Dependencies dependencies, LongPollWaits longPollWaits);
@@ -83,6 +95,9 @@
     /** Reads the configuration and applies newer ones to the router; runs until it is cancelled. */
     asio::awaitable<Result<void>> watchConfiguration();
 
+    /** Lists the evacuations and applies their changes to the router; runs until it is cancelled. Used only if they are enabled. */
+    asio::awaitable<Result<void>> watchEvacuations();
+
     void writeMetrics(MetricWriter &writer) const override;
 
 private:
@@ -102,6 +117,8 @@
     asio::awaitable<void> awaitServerUpdates(std::chrono::milliseconds wait);
     asio::awaitable<void> readConfiguration();
     asio::awaitable<void> awaitConfigurationUpdate(std::chrono::milliseconds wait);
+    asio::awaitable<void> listEvacuations();
+    asio::awaitable<void> awaitEvacuationUpdates(std::chrono::milliseconds wait);
     TimePoint confirmationTime(TimePoint callStart, std::chrono::milliseconds wait, bool changed) const;
     void apply(ServerUpdates updates, std::uint64_t from, TimePoint confirmedAt);
     void apply(ConfigurationRead read, TimePoint confirmedAt);
@@ -112,6 +129,7 @@
     void recordFailure(Feed &feed, const Error &error);
     asio::awaitable<void> backOff(Feed &feed);
     void recordFault(std::string_view name, const DiscoveryFault &fault);
+    void recordOddEvacuations(const std::vector<DiscoveryFault> &odd);
     void recordIgnored(const StreamConfiguration &configuration, const std::vector<DiscoveryFault> &ignored);
 
     const Clock &m_clock;
@@ -124,6 +142,8 @@
     const LongPollWaits m_longPollWaits;
     Feed m_servers { .name = "servers" };
     Feed m_configuration { .name = "configuration" };
+    Feed m_evacuations { .name = "evacuations" };
+    std::set<std::string> m_oddEvacuations; // subjects and reasons of the odd entries that were counted and logged
     std::uint64_t m_faultCount = 0;
     std::uint64_t m_ignoredCount = 0; // unknown or invalid parts of all versions of the configuration
     StorePosition m_reportedConfiguration; // of the last version whose ignored parts were counted and logged
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -62,6 +62,7 @@
     , m_router(dependencies.router)
     , m_network(std::move(network))
     , m_directory(std::move(self))
+    , m_views(m_router)
     , m_roster(m_directory, m_clock.now(), !m_network.seeds.empty())
     , m_socket(m_executor)
     , m_stateTransfer(m_executor, m_clock, m_network.deployment, *this)
@@ -170,7 +171,8 @@
     for (const EndedServer &ended : message.ended) {
         m_router.handleEndedServer(ended);
     }
-    if (!applyView(message)) {
+    const std::uint64_t evacuationChanges = m_router.evacuations().changeCount();
+    if (!m_views.apply(message)) {
         startPull(message.sender.address);
     }
     const ViewStatus after = m_router.viewStatus();
@@ -180,37 +182,14 @@
     // Messages without new content are not forwarded, which ends loops between instances that compute different trees.
     if (after.serversPosition > before.serversPosition) {
         push(message.baseRevision, message.changes);
-    } else if (after.serversConfirmedAt > before.serversConfirmedAt || after.configurationConfirmedAt > before.configurationConfirmedAt) {
+    } else if (m_router.evacuations().changeCount() != evacuationChanges) {
+        push(after.serversPosition.revision(), {});
+    } else if (after.serversConfirmedAt > before.serversConfirmedAt || after.configurationConfirmedAt > before.configurationConfirmedAt
+        || after.evacuationsConfirmedAt > before.evacuationsConfirmedAt) {
         pushConfirmation();
     }
 }
 
-bool PeerSynchronizer::applyView(const GossipMessage &message)
-{
-    const ViewStatus mine = m_router.viewStatus();
-    const ViewStatus &theirs = message.view;
-    m_peerConfirmedAt = std::max(m_peerConfirmedAt, std::min(theirs.serversConfirmedAt, theirs.configurationConfirmedAt));
-    // Changes continue a view only within an era, and a view from before the store's return from an older copy confirms nothing.
-    const bool isSameEra = theirs.serversPosition.era() == mine.serversPosition.era();
-    bool complete = true;
-    if (theirs.serversPosition <= mine.serversPosition) {
-        if (isSameEra && !theirs.serversPosition.isUnset()) {
-            m_router.confirmServers(theirs.serversConfirmedAt);
-        }
-    } else if (isSameEra && !mine.serversPosition.isUnset() && message.baseRevision > 0
-        && message.baseRevision <= mine.serversPosition.revision()) {
-        m_router.applyServerUpdates({ message.changes, theirs.serversPosition }, theirs.serversConfirmedAt);
-    } else {
-        complete = false;
-    }
-    if (theirs.hasNewerConfiguration(mine)) {
-        complete = false;
-    } else if (theirs.configurationVersion == mine.configurationVersion && !theirs.configurationPosition.isUnset()) {
-        m_router.confirmConfiguration(theirs.configurationCheckedPosition, theirs.configurationConfirmedAt);
-    }
-    return complete;
-}
-
 bool PeerSynchronizer::merge(const PeerRecord &record)
 {
     const bool isNew = m_directory.merge(record, m_clock.now());
@@ -223,7 +202,9 @@
 
 GossipMessage PeerSynchronizer::makeMessage() const
 {
-    return { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
+    GossipMessage message { .deployment = m_network.deployment, .sender = m_directory.self() };
+    m_views.describe(message);
+    return message;
 }
 
 void PeerSynchronizer::send(const GossipMessage &message, Endpoint to)
@@ -312,7 +293,7 @@
             { { "reader", reader }, { "peers", std::to_string(m_directory.aliveCount(now) - 1) } });
     }
     // While this instance fetches a state, messages of others still show that somebody reads the store.
-    const TimePoint lastConfirmed = std::max(m_peerConfirmedAt, std::min(view.serversConfirmedAt, view.configurationConfirmedAt));
+    const TimePoint lastConfirmed = std::max(m_views.peerConfirmedAt(), std::min(view.serversConfirmedAt, view.configurationConfirmedAt));
     if (!isReader && lastConfirmed != TimePoint() && now > lastConfirmed + readerTimeout && now >= m_nextReaderCheck) {
         m_nextReaderCheck = now + readerTakeoverTime;
         m_events.record(EventSeverity::Warning, "reader_passed_over",
@@ -327,13 +308,23 @@
 }
 
 bool PeerSynchronizer::mustRead(TimePoint lastConfirmed) const
+{
+    return mustReadAfter(lastConfirmed, directReadAfter);
+}
+
+bool PeerSynchronizer::mustReadEvacuations(TimePoint lastConfirmed) const
+{
+    return mustReadAfter(lastConfirmed, evacuationsDirectReadAfter);
+}
+
+bool PeerSynchronizer::mustReadAfter(TimePoint lastConfirmed, milliseconds maxAge) const
 {
     const TimePoint now = m_clock.now();
     if (m_pendingSeedPulls > 0 && now < m_seedPullDeadline) {
         return false;
     }
     if (lastConfirmed != TimePoint()) {
-        return now > lastConfirmed + directReadAfter;
+        return now > lastConfirmed + maxAge;
     }
     // Nothing is known yet. When many instances start together, the first ones in the ranking read and push what they read.
     const std::size_t rank = m_directory.rank(now);
@@ -371,6 +362,15 @@
     }
 }
 
+void PeerSynchronizer::publishEvacuations(bool changed)
+{
+    if (changed) {
+        push(m_router.viewStatus().serversPosition.revision(), {});
+    } else {
+        pushConfirmation();
+    }
+}
+
 void PeerSynchronizer::setStoreReachable(bool reachable)
 {
     if (m_directory.setStoreReachable(reachable)) {
@@ -397,7 +397,10 @@
     ++m_pullCount;
     const ViewStatus before = m_router.viewStatus();
     const TimePoint requestedAt = m_clock.now();
-    Result<PeerState> state = co_await m_stateTransfer.fetch(peer, makeMessage());
+    const std::uint64_t evacuationChanges = m_router.evacuations().changeCount();
+    GossipMessage request = makeMessage();
+    request.evacuations = {}; // the peer needs only the view
+    Result<PeerState> state = co_await m_stateTransfer.fetch(peer, std::move(request));
     m_activePulls.erase(peer);
     m_pendingSeedPulls -= m_pendingSeedPulls > 0 ? 1 : 0;
     if (!state) {
@@ -409,41 +412,19 @@
     const std::chrono::nanoseconds delay = m_clock.now() - requestedAt;
     state->view.serversConfirmedAt -= delay;
     state->view.configurationConfirmedAt -= delay;
+    state->view.evacuationsConfirmedAt -= delay;
     merge(state->sender);
     for (const PeerRecord &record : state->records) {
         merge(record);
     }
-    const ViewStatus mine = m_router.viewStatus();
-    if (state->view.serversPosition > mine.serversPosition) {
-        applyServers(*state, mine.serversPosition);
-    }
-    if (state->view.hasNewerConfiguration(mine)) {
-        m_router.applyConfiguration(std::move(state->configuration));
-        m_router.confirmConfiguration(state->view.configurationCheckedPosition, state->view.configurationConfirmedAt);
-    }
+    m_views.apply(*std::move(state));
     const ViewStatus after = m_router.viewStatus();
-    if (after.serversPosition > before.serversPosition || after.hasNewerConfiguration(before)) {
+    if (after.serversPosition > before.serversPosition || after.hasNewerConfiguration(before)
+        || m_router.evacuations().changeCount() != evacuationChanges) {
         push(after.serversPosition.revision(), {});
     }
 }
 
-void PeerSynchronizer::applyServers(const PeerState &state, StorePosition known)
-{
-    if (state.baseRevision > 0) {
-        if (state.view.serversPosition.era() == known.era() && state.baseRevision <= known.revision()) {
-            m_router.applyServerUpdates({ state.changes, state.view.serversPosition }, state.view.serversConfirmedAt);
-        }
-        return;
-    }
-    std::vector<StreamServer> servers;
-    for (const ServerUpdate &change : state.changes) {
-        if (change.listed) {
-            servers.push_back(*change.listed);
-        }
-    }
-    m_router.replaceServers(servers, {}, state.view.serversPosition, state.view.serversConfirmedAt);
-}
-
 asio::awaitable<Result<void>> PeerSynchronizer::serveStates()
 {
     return m_stateTransfer.serve();
@@ -457,21 +438,11 @@
 
 PeerState PeerSynchronizer::makeState(const ViewStatus &known) const
 {
-    PeerState state { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
+    PeerState state { .deployment = m_network.deployment, .sender = m_directory.self() };
+    m_views.describe(state, known);
     if (known.serversPosition.isUnset()) {
         state.records = m_directory.ranking(m_clock.now()); // the requesting instance has just started
     }
-    if (known.serversPosition < state.view.serversPosition) {
-        if (auto changes = m_router.directory().changesAfter(known.serversPosition)) {
-            state.baseRevision = known.serversPosition.revision();
-            state.changes = *std::move(changes);
-        } else {
-            state.changes = m_router.directory().completeList();
-        }
-    }
-    if (state.view.hasNewerConfiguration(known)) {
-        state.configuration = m_router.configuration();
-    }
     return state;
 }
 
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -10,6 +10,7 @@
 #include "stream/peerdirectory.h"
 #include "stream/peerroster.h"
 #include "stream/peerstatetransfer.h"
+#include "stream/peerviewmerger.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
@@ -27,9 +28,9 @@
 class StreamRouter;
 
 /**
- * Synchronizes the servers and the configuration between instances, so that one of them, the reader, reads the store for all. The reader
- * pushes changes as datagrams along a tree of instances, and gossip repairs what was lost. An instance that detects that it is
- * out of date pulls the missing state over a connection. A starting instance does the same, so that it can serve after one round trip,
+ * Synchronizes the servers, the configuration and the evacuations between instances, so that one of them, the reader, reads the store for
+ * all. The reader pushes changes as datagrams along a tree of instances, and gossip repairs what was lost. An instance that detects that it
+ * is out of date pulls the missing state over a connection. A starting instance does the same, so that it can serve after one round trip,
  * even during an outage of the store.
  */
 class PeerSynchronizer : public StoreReadCoordinator, public PeerStateSource, public MetricSource
@@ -60,6 +61,8 @@
      * must take effect.
      */
     static constexpr std::chrono::milliseconds directReadAfter { 1900 };
+    /** As directReadAfter, for the evacuations: above the 4.6 s that a long poll of the reader may take, and the push after it. */
+    static constexpr std::chrono::milliseconds evacuationsDirectReadAfter { 6000 };
 
     /**
      * Creates a synchronizer and binds its UDP socket and its TCP listener.
@@ -80,9 +83,11 @@
 
     bool watchesStore() const override;
     bool mustRead(TimePoint lastConfirmed) const override;
+    bool mustReadEvacuations(TimePoint lastConfirmed) const override;
     std::size_t retryingInstances() const override;
     void publishServerUpdates(std::uint64_t from, const ServerUpdates &updates) override;
     void publishConfiguration() override;
+    void publishEvacuations(bool changed) override;
     void setStoreReachable(bool reachable) override;
 
     PeerState stateFor(const GossipMessage &request) override;
@@ -98,8 +103,8 @@
 
     Result<void> bind();
     void apply(const GossipMessage &message);
-    bool applyView(const GossipMessage &message);
     bool merge(const PeerRecord &record);
+    bool mustReadAfter(TimePoint lastConfirmed, std::chrono::milliseconds maxAge) const;
     GossipMessage makeMessage() const;
     void send(const GossipMessage &message, Endpoint to);
     void push(std::uint64_t from, const std::vector<ServerUpdate> &changes);
@@ -109,7 +114,6 @@
     void checkReader();
     void startPull(Endpoint peer);
     asio::awaitable<void> pull(Endpoint peer);
-    void applyServers(const PeerState &state, StorePosition known);
     PeerState makeState(const ViewStatus &known) const;
 
     asio::any_io_executor m_executor;
@@ -119,6 +123,7 @@
     StreamRouter &m_router;
     NetworkOptions m_network;
     PeerDirectory m_directory;
+    PeerViewMerger m_views;
     PeerRoster m_roster;
     asio::ip::udp::socket m_socket;
     PeerStateTransfer m_stateTransfer;
@@ -128,7 +133,6 @@
     TimePoint m_seedPullDeadline {}; // until then, running pulls from seeds delay reads of the store
     TimePoint m_nextGossip {};
     TimePoint m_lastPush {};
-    TimePoint m_peerConfirmedAt {}; // when the view of any other instance was last complete, according to its messages
     TimePoint m_nextReaderCheck {};
     bool m_wasReader = false;
     std::uint64_t m_messagesSent = 0;
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -141,6 +141,16 @@
         return run(m_discovery.awaitConfigurationUpdate(revision, milliseconds(2000), deadline()));
     }
 
+    Result<EvacuationList> evacuations()
+    {
+        return run(m_discovery.listEvacuations(deadline()));
+    }
+
+    Result<EvacuationUpdates> evacuationUpdates(std::uint64_t revision)
+    {
+        return run(m_discovery.awaitEvacuationUpdates(revision, milliseconds(4000), deadline()));
+    }
+
     static std::string object(const std::string &name, int revision, const std::string &spec)
     {
         return R"({"meta":{"name":")" + name + R"(","revision":)" + std::to_string(revision)
@@ -503,3 +513,50 @@
     REQUIRE_FALSE(list.has_value());
     CHECK(list.error().kind() == ErrorKind::HistoryGone);
 }
+
+TEST_CASE_METHOD(
+    StoreFixture, "evacuations are read page by page, and odd entries cost no other one", "[adapter][storediscovery][evacuation]")
+{
+    store.setEra("3");
+    store.answer("/v1/objects/evacuations",
+        R"({"items":[)" + object("oslo-a", 4, "{}") + "," + object("oslo-b", 5, "[1e400]") + "," + object(std::string(300, 'x'), 6, "{}")
+            + R"(,{"meta":{"name":7}},)" + object("oslo-c", 7, "7") + R"(],"has_more":true,"store_revision":30})");
+    store.answer(
+        "/v1/objects/evacuations?after=oslo-c", R"({"items":[)" + object("oslo-d", 8, "{}") + R"(],"has_more":false,"store_revision":33})");
+    const auto list = evacuations();
+    REQUIRE(list.has_value());
+    CHECK(list->position == StorePosition(3, 30));
+    CHECK(list->evacuations
+        == std::vector<Evacuation> { { "oslo-a", { 3, 4 } }, { "oslo-b", { 3, 5 } }, { "oslo-c", { 3, 7 } }, { "oslo-d", { 3, 8 } } });
+    CHECK(list->odd.size() == 4);
+    CHECK_FALSE(list->isUnknownKind);
+}
+
+TEST_CASE_METHOD(
+    StoreFixture, "changes of evacuations are returned in order, also those that can't be read", "[adapter][storediscovery][evacuation]")
+{
+    const std::string target = "/v1/objects/evacuations?watch=30&wait_ms=4000";
+    store.answer(target,
+        R"({"events":[{"deleted":false,"object":)" + object("oslo-a", 31, "null") + R"(},{"deleted":true,"object":)"
+            + object("oslo-a", 32, "null") + R"(},{"deleted":true,"object":{}}],"store_revision":34})");
+    const auto changes = evacuationUpdates(30);
+    REQUIRE(changes.has_value());
+    CHECK(changes->position == StorePosition(0, 34));
+    CHECK(changes->updates == std::vector<EvacuationUpdate> { { "oslo-a", false, { 0, 31 } }, { "oslo-a", true, { 0, 32 } } });
+    CHECK(changes->odd.size() == 2);
+    store.answer(target, "{}", 410);
+    CHECK(evacuationUpdates(30).error().kind() == ErrorKind::HistoryGone);
+}
+
+TEST_CASE_METHOD(
+    StoreFixture, "a store that doesn't know evacuations has none, and that is no failure", "[adapter][storediscovery][evacuation]")
+{
+    store.setEra("2");
+    store.answer("/v1/objects/evacuations", "no such kind", 404);
+    store.answer("/v1/objects/evacuations?watch=30&wait_ms=4000", "no such kind", 404);
+    const auto list = evacuations();
+    REQUIRE(list.has_value());
+    CHECK(list->isUnknownKind);
+    CHECK(list->position.era() == 2);
+    CHECK(evacuationUpdates(30).error().kind() == ErrorKind::HistoryGone); // so that the list is read
+}
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -57,6 +57,21 @@
         co_return next(reads);
     }
 
+    asio::awaitable<Result<EvacuationList>> listEvacuations(TimePoint) override
+    {
+        calls.push_back("list");
+        co_return next(evacuationLists);
+    }
+
+    asio::awaitable<Result<EvacuationUpdates>> awaitEvacuationUpdates(std::uint64_t revision, milliseconds wait, TimePoint) override
+    {
+        lastWait = wait;
+        calls.push_back("watch " + std::to_string(revision));
+        co_return next(evacuationUpdates);
+    }
+
+    std::deque<Result<EvacuationList>> evacuationLists;
+    std::deque<Result<EvacuationUpdates>> evacuationUpdates;
     std::deque<Result<ServerList>> lists;
     std::deque<Result<ServerUpdates>> updates;
     std::deque<Result<ConfigurationRead>> reads;
@@ -95,6 +110,16 @@
         return true;
     }
 
+    bool mustReadEvacuations(TimePoint lastConfirmed) const override
+    {
+        return mustRead(lastConfirmed);
+    }
+
+    void publishEvacuations(bool changed) override
+    {
+        published.push_back(changed ? "evacuations" : "evacuations confirmed");
+    }
+
     void publishServerUpdates(std::uint64_t from, const ServerUpdates &updates) override
     {
         published.push_back(std::to_string(from) + " to " + std::to_string(updates.position.revision()));
@@ -134,6 +159,12 @@
         CHECK_THROWS_AS(await(watcher.watchConfiguration()), ScriptEnded);
     }
 
+    void watchEvacuations()
+    {
+        router.evacuations().enable();
+        CHECK_THROWS_AS(await(watcher.watchEvacuations()), ScriptEnded);
+    }
+
     static tl::unexpected<Error> unavailable()
     {
         return failure(ErrorKind::Unavailable, "store", "the store reports an outage");
@@ -433,3 +464,87 @@
     CHECK(router.viewStatus().serversPosition == StorePosition(1, 21));
     CHECK(events.count("store_call_failed") == 1);
 }
+
+TEST_CASE_METHOD(WatcherFixture, "evacuations are listed, watched and listed again after the history is gone or the era has changed",
+    "[stream][discoverywatcher][evacuation]")
+{
+    discovery.evacuationLists.push_back(EvacuationList { { { "a", { 1, 5 } } }, {}, { 1, 10 } });
+    discovery.evacuationUpdates.push_back(EvacuationUpdates { { { "b", false, { 1, 12 } } }, {}, { 1, 12 } });
+    discovery.evacuationUpdates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    discovery.evacuationLists.push_back(EvacuationList { { { "b", { 1, 12 } } }, {}, { 1, 40 } });
+    discovery.evacuationUpdates.push_back(EvacuationUpdates { {}, {}, { 2, 20 } });
+    discovery.evacuationLists.push_back(EvacuationList { {}, {}, { 2, 20 } });
+    watchEvacuations();
+    CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 12", "list", "watch 40", "list", "watch 20" });
+    CHECK(discovery.lastWait == milliseconds(4000));
+    CHECK(coordinator.published == std::vector<std::string> { "evacuations", "evacuations", "evacuations", "evacuations confirmed" });
+    CHECK_FALSE(router.evacuations().isEvacuated("a", clock.now()));
+    CHECK(router.evacuations().isEvacuated("b", clock.now())); // the new era may have lost the request
+}
+
+TEST_CASE_METHOD(
+    WatcherFixture, "the known evacuations stay in force during an outage of the store", "[stream][discoverywatcher][evacuation]")
+{
+    discovery.evacuationLists.push_back(EvacuationList { { { "a", { 1, 5 } } }, {}, { 1, 10 } });
+    for (int count = 0; count < 100; ++count) {
+        discovery.evacuationUpdates.push_back(unavailable());
+    }
+    watchEvacuations();
+    CHECK(router.evacuations().isEvacuated("a", clock.now()));
+    CHECK(coordinator.published == std::vector<std::string> { "evacuations", "not reachable" });
+}
+
+TEST_CASE_METHOD(WatcherFixture, "an instance that becomes the reader or reads for itself doesn't wait for a change of evacuations",
+    "[stream][discoverywatcher][evacuation]")
+{
+    // Guards against all instances that read the evacuations at once, since a long poll of the next reader confirms them too late.
+    router.evacuations().enable();
+    router.evacuations().replaceAll({}, { 1, 10 }, clock.now());
+    clock.advance(milliseconds(1600));
+    SECTION("the reader")
+    {
+        discovery.evacuationUpdates.push_back(EvacuationUpdates { {}, {}, { 1, 12 } });
+        watchEvacuations();
+        CHECK(discovery.lastWait == milliseconds(4000)); // of the second call, after the first one confirmed the view
+        CHECK(router.viewStatus().evacuationsConfirmedAt == clock.now());
+        CHECK(coordinator.published == std::vector<std::string> { "evacuations confirmed" });
+    }
+    SECTION("another instance")
+    {
+        coordinator.watches = false;
+        coordinator.reads = 1;
+        discovery.evacuationUpdates.push_back(EvacuationUpdates { {}, {}, { 1, 12 } });
+        watchEvacuations();
+        CHECK(discovery.lastWait == milliseconds(0));
+    }
+}
+
+TEST_CASE_METHOD(WatcherFixture, "a store that doesn't know evacuations is asked about once in three seconds and holds no packet",
+    "[stream][discoverywatcher][evacuation]")
+{
+    const TimePoint start = clock.now();
+    for (int count = 0; count < 10; ++count) {
+        EvacuationList unknown { .position = { 1, 0 } };
+        unknown.isUnknownKind = true;
+        discovery.evacuationLists.push_back(unknown);
+    }
+    discovery.evacuationLists.push_back(EvacuationList { { { "a", { 1, 5 } } }, {}, { 1, 10 } });
+    watchEvacuations();
+    CHECK(clock.now() >= start + std::chrono::seconds(30));
+    CHECK(router.evacuations().isEvacuated("a", clock.now()));
+    CHECK(discovery.calls.back() == "watch 10");
+}
+
+TEST_CASE_METHOD(WatcherFixture, "an odd evacuation entry is logged once, and the number of lines is bounded",
+    "[stream][discoverywatcher][evacuation][odd]")
+{
+    EvacuationList list { { { "a", { 1, 5 } } }, {}, { 1, 10 } };
+    for (int number = 0; number < 1000; ++number) {
+        list.odd.push_back({ "x-" + std::to_string(number), "spec is not an object" });
+    }
+    discovery.evacuationLists.push_back(list);
+    discovery.evacuationUpdates.push_back(failure(ErrorKind::HistoryGone, "store", "gone"));
+    discovery.evacuationLists.push_back(list);
+    watchEvacuations();
+    CHECK(events.count("evacuation_entry_odd") == 256);
+}
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -593,3 +593,68 @@
     CHECK(second.router.directory().listed("pond").size() == 2);
     CHECK(second.router.directory().findId("i-2")->server.position == StorePosition(1, 21));
 }
+
+TEST_CASE_METHOD(SynchronizerFixture, "evacuations reach all instances, also one that starts later and one that missed the message",
+    "[stream][peersynchronizer][evacuation]")
+{
+    for (std::uint32_t number = 0; number < 6; ++number) {
+        add(number == 0 ? std::vector<Endpoint>() : std::vector<Endpoint> { Node::addressOf(0) }).router.evacuations().enable();
+    }
+    const auto all = [this](const std::function<bool(Node &)> &holds) {
+        return [this, holds] { return std::all_of(nodes.begin(), nodes.end(), holds); };
+    };
+    const auto isEvacuated = [this](Node &node) { return node.router.evacuations().isEvacuated("b", clock.now()); };
+    REQUIRE(runUntil(all([this](Node &node) { return node.synchronizer->directory().ranking(clock.now()).size() == 6; })));
+    Node &source = reader();
+    source.router.evacuations().replaceAll({ { "b", { 1, 20 } } }, { 1, 30 }, clock.now());
+    SECTION("pushed down the tree")
+    {
+        source.synchronizer->publishEvacuations(true);
+    }
+    SECTION("repaired by gossip")
+    {
+    }
+    REQUIRE(runUntil(all(isEvacuated)));
+
+    // A starting instance is not ready before it knows the evacuations.
+    source.router.applyConfiguration(RouterFixture::configuration(4));
+    source.router.replaceServers({ RouterFixture::server(1) }, {}, { 1, 10 }, clock.now());
+    Node &late = add({ source.synchronizer->directory().self().address });
+    late.router.evacuations().enable();
+    REQUIRE(runUntil([&] { return late.router.isReady(); }));
+    CHECK(isEvacuated(late));
+
+    source.router.evacuations().apply({ { "b", true, { 1, 31 } } }, { 1, 31 }, clock.now());
+    REQUIRE(runUntil(all([&](Node &node) { return !isEvacuated(node); })));
+}
+
+TEST_CASE_METHOD(SynchronizerFixture, "more evacuations than fit a message are pulled as a state", "[stream][peersynchronizer][evacuation]")
+{
+    Node &first = add({});
+    Node &second = add({ Node::addressOf(0) });
+    std::vector<Evacuation> listed;
+    const std::size_t size = GENERATE(std::size_t { 4 }, StreamLimits::maxNameSize);
+    for (std::size_t number = 0; number <= GossipCodec::maxEvacuations; ++number) {
+        listed.push_back({ std::string(size, static_cast<char>('A' + number)), { 1, 20 } });
+    }
+    for (Node *const node : { &first, &second }) {
+        node->router.evacuations().enable();
+    }
+    first.router.evacuations().replaceAll(listed, { 1, 30 }, clock.now());
+    REQUIRE(runUntil([&] { return second.router.evacuations().all() == first.router.evacuations().all(); }));
+    CHECK(second.events.count("peer_news_refused") == 0);
+}
+
+TEST_CASE_METHOD(SynchronizerFixture, "an instance with evacuations that are off takes none over and passes none on",
+    "[stream][peersynchronizer][evacuation]")
+{
+    Node &on = add({});
+    Node &off = add({ Node::addressOf(0) });
+    on.router.evacuations().enable();
+    on.router.evacuations().replaceAll({ { "b", { 1, 20 } } }, { 1, 30 }, clock.now());
+    on.router.applyConfiguration(RouterFixture::configuration(4));
+    on.router.replaceServers({ RouterFixture::server(1) }, {}, { 0, 10 }, clock.now());
+    REQUIRE(runUntil([&] { return off.router.isReady(); }));
+    CHECK(off.router.evacuations().isEmpty());
+    CHECK(off.router.viewStatus().evacuationsPosition.isUnset());
+}
