Turn evacuations on by a setting

evacuation.enabled starts the task that reads them; without it there are no calls, and the evacuations of other instances have no effect.

--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -36,6 +36,8 @@
         Endpoint platformAddress;
         std::chrono::milliseconds serversLongPollWait { 0 };
         std::chrono::milliseconds configurationLongPollWait { 0 };
+        bool evacuationsEnabled = false;
+        std::chrono::milliseconds evacuationsLongPollWait { 0 };
         Endpoint metricsAddress;
         Endpoint healthAddress;
         std::string logLevel;
--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -96,10 +96,13 @@
         return tl::unexpected(peers.error());
     }
     m_peerSynchronizer = *std::move(peers);
+    if (values.evacuationsEnabled) {
+        m_router.evacuations().enable();
+    }
     m_router.useRoster(m_peerSynchronizer->roster());
     m_watcher = std::make_unique<DiscoveryWatcher>(
         DiscoveryWatcher::Dependencies { m_clock, m_timer, m_random, m_events, *m_adapters.discovery, m_router, *m_peerSynchronizer },
-        DiscoveryWatcher::LongPollWaits { values.serversLongPollWait, values.configurationLongPollWait });
+        DiscoveryWatcher::LongPollWaits { values.serversLongPollWait, values.configurationLongPollWait, values.evacuationsLongPollWait });
     m_metrics.add(m_router);
     m_metrics.add(*m_peerSynchronizer);
     m_metrics.add(*m_watcher);
@@ -115,6 +118,9 @@
     m_supervisor.add({ .name = "gossip", .start = [this] { return m_peerSynchronizer->runGossip(); } });
     m_supervisor.add({ .name = "servers", .start = [this] { return m_watcher->watchServers(); } });
     m_supervisor.add({ .name = "configuration", .start = [this] { return m_watcher->watchConfiguration(); } });
+    if (m_settings.values().evacuationsEnabled) {
+        m_supervisor.add({ .name = "evacuations", .start = [this] { return m_watcher->watchEvacuations(); } });
+    }
     m_supervisor.add({ .name = "packets", .start = [this] { return m_forwarder->forwardPackets(); } });
     m_supervisor.add({ .name = "checks", .start = [this] { return m_forwarder->runChecks(); } });
     m_supervisor.add({ .name = "readiness", .start = [this] { return reportReadiness(); }, .restart = Restart::OnFailure });
