Log evacuations with the revision of their own change

evacuation_ended had the revision that was known before the deletion, and evacuation_begun could have a later one than that of the request. The start now has the position of the request, the end the one up to which the store is known with the deletion. The test against the stand-in of the store checks it.

--- a/src/evacuation/evacuationview.cpp
+++ b/src/evacuation/evacuationview.cpp
@@ -57,12 +57,12 @@
         return false;
     }
     m_age.confirm(confirmedAt);
+    m_position = position;
     bool changed = false;
     for (const EvacuationUpdate &update : updates) {
         const bool hasChanged = update.deleted ? end(update.domain, "deleted") : insert({ update.domain, update.position }, "written");
         changed = hasChanged || changed;
     }
-    m_position = position;
     return changed;
 }
 
@@ -149,7 +149,7 @@
         return false;
     }
     ++m_changeCount;
-    recordEvent("evacuation_begun", evacuation, reason);
+    recordEvent("evacuation_begun", evacuation.domain, evacuation.position, reason);
     const std::string domain = evacuation.domain;
     m_evacuations.emplace(domain, std::move(evacuation));
     return true;
@@ -162,7 +162,7 @@
         return false;
     }
     ++m_changeCount;
-    recordEvent("evacuation_ended", found->second, reason);
+    recordEvent("evacuation_ended", domain, m_position, reason);
     m_evacuations.erase(found);
     return true;
 }
@@ -218,12 +218,11 @@
     return m_age;
 }
 
-void EvacuationView::recordEvent(std::string_view name, const Evacuation &evacuation, std::string_view reason) const
+void EvacuationView::recordEvent(std::string_view name, const std::string &domain, StorePosition position, std::string_view reason) const
 {
     m_events.record(EventSeverity::Info, name,
-        { { "domain", evacuation.domain }, { "era", std::to_string(m_position.era()) },
-            { "revision", std::to_string(std::max(evacuation.position, m_position).revision()) }, { "age_ms", m_age.text(m_clock.now()) },
-            { "reason", std::string(reason) } });
+        { { "domain", domain }, { "era", std::to_string(position.era()) }, { "revision", std::to_string(position.revision()) },
+            { "age_ms", m_age.text(m_clock.now()) }, { "reason", std::string(reason) } });
 }
 
 void EvacuationView::writeMetrics(MetricWriter &writer) const
--- a/src/evacuation/evacuationview.h
+++ b/src/evacuation/evacuationview.h
@@ -109,7 +109,7 @@
     void adoptRetained(const EvacuationSet &set);
     bool insert(Evacuation evacuation, std::string_view reason);
     bool end(const std::string &domain, std::string_view reason);
-    void recordEvent(std::string_view name, const Evacuation &evacuation, std::string_view reason) const;
+    void recordEvent(std::string_view name, const std::string &domain, StorePosition position, std::string_view reason) const;
 
     const Clock &m_clock;
     EventSink &m_events;
--- a/tests/evacuation/evacuationstoretests.cpp
+++ b/tests/evacuation/evacuationstoretests.cpp
@@ -121,6 +121,7 @@
         store.remove("evacuations", "oslo-b");
         REQUIRE(runUntil([this] { return !isEvacuated("oslo-b"); }));
         CHECK_FALSE(isEvacuated("oslo-c"));
+        CHECK(events.last("evacuation_ended").find("revision=" + std::to_string(store.revision())) != std::string::npos);
     }
     SECTION("withdrawn during an outage that dropped the history")
     {
