Check all waits of the calls for evacuations in the watcher's tests

The test of a new reader passed with a first call that waited, because it looked at the last call only. With that fault put into the watcher it fails now.

--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -65,7 +65,7 @@
 
     asio::awaitable<Result<EvacuationUpdates>> awaitEvacuationUpdates(std::uint64_t revision, milliseconds wait, TimePoint) override
     {
-        lastWait = wait;
+        evacuationWaits.push_back(wait);
         calls.push_back("watch " + std::to_string(revision));
         co_return next(evacuationUpdates);
     }
@@ -77,6 +77,7 @@
     std::deque<Result<ConfigurationRead>> reads;
     std::vector<std::string> calls;
     milliseconds lastWait { -1 };
+    std::vector<milliseconds> evacuationWaits;
     std::function<void()> onWatch; // called while a call for changes of servers is under way
 
 private:
@@ -476,7 +477,7 @@
     discovery.evacuationLists.push_back(EvacuationList { {}, {}, { 2, 20 } });
     watchEvacuations();
     CHECK(discovery.calls == std::vector<std::string> { "list", "watch 10", "watch 12", "list", "watch 40", "list", "watch 20" });
-    CHECK(discovery.lastWait == milliseconds(4000));
+    CHECK(discovery.evacuationWaits == std::vector<milliseconds>(4, milliseconds(4000)));
     CHECK(coordinator.published == std::vector<std::string> { "evacuations", "evacuations", "evacuations", "evacuations confirmed" });
     CHECK_FALSE(router.evacuations().isEvacuated("a", clock.now()));
     CHECK(router.evacuations().isEvacuated("b", clock.now())); // the new era may have lost the request
@@ -505,7 +506,7 @@
     {
         discovery.evacuationUpdates.push_back(EvacuationUpdates { {}, {}, { 1, 12 } });
         watchEvacuations();
-        CHECK(discovery.lastWait == milliseconds(4000)); // of the second call, after the first one confirmed the view
+        CHECK(discovery.evacuationWaits == std::vector<milliseconds> { milliseconds(0), milliseconds(4000) });
         CHECK(router.viewStatus().evacuationsConfirmedAt == clock.now());
         CHECK(coordinator.published == std::vector<std::string> { "evacuations confirmed" });
     }
@@ -515,7 +516,7 @@
         coordinator.reads = 1;
         discovery.evacuationUpdates.push_back(EvacuationUpdates { {}, {}, { 1, 12 } });
         watchEvacuations();
-        CHECK(discovery.lastWait == milliseconds(0));
+        CHECK(discovery.evacuationWaits == std::vector<milliseconds> { milliseconds(0) });
     }
 }
 
