Merge evacuations of failure domains

Fields that earlier builds don't send use one mechanism, trailing(). The type of a waiting request in src/shortage is renamed: src/request has one with the same name, and the linker merges such types silently.

--- a/src/shortage/flowadmission.cpp
+++ b/src/shortage/flowadmission.cpp
@@ -140,7 +140,7 @@
     const double servable = service.limit.requestsPerSecond() * std::chrono::duration<double>(maxWait).count();
     const std::size_t maxSize = std::max(minQueueSize, static_cast<std::size_t>(servable));
     Verdict verdict = Verdict::Hold;
-    for (const QueuedRequest &excess : service.queue.takeExcess(maxSize, now)) {
+    for (const WaitingRequest &excess : service.queue.takeExcess(maxSize, now)) {
         if (excess.client == request.client && excess.address == request.address) {
             ++counts.refusedNoRoom;
             verdict = Verdict::Refuse;
@@ -230,7 +230,7 @@
     return std::any_of(m_services.begin(), m_services.end(), [](const auto &entry) { return entry.second.queue.size() > 0; });
 }
 
-void FlowAdmission::resolve(ServiceLoadState &service, const QueuedRequest &request, HeldResolution::Kind kind, std::string_view reason)
+void FlowAdmission::resolve(ServiceLoadState &service, const WaitingRequest &request, HeldResolution::Kind kind, std::string_view reason)
 {
     if (kind != HeldResolution::Kind::Release) {
         AdmissionCounts &counts = service.counts[request.priority];
@@ -248,7 +248,7 @@
 void FlowAdmission::release(ServiceLoadState &service)
 {
     const TimePoint now = m_clock.now();
-    const auto sendNext = [&](QueuedRequest request) {
+    const auto sendNext = [&](WaitingRequest request) {
         start(service, flowKey(request.client, request.address), request.priority, 0);
         resolve(service, request, HeldResolution::Kind::Release, {});
     };
@@ -275,7 +275,7 @@
         request = !counts || now >= request->second.deadline ? finish(request) : std::next(request);
     }
     for (auto &[name, service] : m_services) {
-        for (const QueuedRequest &request : service.queue.takeExpired(now)) {
+        for (const WaitingRequest &request : service.queue.takeExpired(now)) {
             resolve(service, request, request.opens ? HeldResolution::Kind::Refuse : HeldResolution::Kind::Discard, "late");
         }
     }
--- a/src/shortage/flowadmission.h
+++ b/src/shortage/flowadmission.h
@@ -162,7 +162,7 @@
     Verdict hold(ServiceLoadState &service, const AdmissionRequest &request);
     void start(ServiceLoadState &service, std::uint64_t key, std::uint32_t priority, std::uint32_t token);
     InFlight::iterator finish(InFlight::iterator request);
-    void resolve(ServiceLoadState &service, const QueuedRequest &request, HeldResolution::Kind kind, std::string_view reason);
+    void resolve(ServiceLoadState &service, const WaitingRequest &request, HeldResolution::Kind kind, std::string_view reason);
     void release(ServiceLoadState &service);
     void expire(const std::function<ServerUse(std::uint32_t token)> &useOf);
     void logState(const ServiceLoadState &service, bool isShort, std::size_t instances, const LoadView *reports);
--- a/src/shortage/requestqueue.cpp
+++ b/src/shortage/requestqueue.cpp
@@ -11,31 +11,31 @@
 {
 
 /** Returns the sort key of a request; the smaller, the earlier it is sent. */
-auto sortKey(const QueuedRequest &request, TimePoint now)
+auto sortKey(const WaitingRequest &request, TimePoint now)
 {
     return std::tuple(request.priority, request.targetDeadline < now, request.arrivedAt, request.work);
 }
 
 } // namespace
 
-void RequestQueue::push(QueuedRequest request)
+void RequestQueue::push(WaitingRequest request)
 {
     m_requests.push_back(std::move(request));
 }
 
-std::optional<QueuedRequest> RequestQueue::pop(TimePoint now)
+std::optional<WaitingRequest> RequestQueue::pop(TimePoint now)
 {
     const auto first = std::min_element(m_requests.begin(), m_requests.end(),
-        [now](const QueuedRequest &left, const QueuedRequest &right) { return sortKey(left, now) < sortKey(right, now); });
+        [now](const WaitingRequest &left, const WaitingRequest &right) { return sortKey(left, now) < sortKey(right, now); });
     if (first == m_requests.end()) {
         return std::nullopt;
     }
-    QueuedRequest request = std::move(*first);
+    WaitingRequest request = std::move(*first);
     m_requests.erase(first);
     return request;
 }
 
-std::optional<QueuedRequest> RequestQueue::pop(std::uint32_t priority, TimePoint now)
+std::optional<WaitingRequest> RequestQueue::pop(std::uint32_t priority, TimePoint now)
 {
     auto first = m_requests.end();
     for (auto candidate = m_requests.begin(); candidate != m_requests.end(); ++candidate) {
@@ -46,25 +46,25 @@
     if (first == m_requests.end()) {
         return std::nullopt;
     }
-    QueuedRequest request = std::move(*first);
+    WaitingRequest request = std::move(*first);
     m_requests.erase(first);
     return request;
 }
 
-std::vector<QueuedRequest> RequestQueue::takeExpired(TimePoint now)
+std::vector<WaitingRequest> RequestQueue::takeExpired(TimePoint now)
 {
     const auto firstExpired = std::stable_partition(
-        m_requests.begin(), m_requests.end(), [now](const QueuedRequest &request) { return request.deadline > now; });
-    std::vector<QueuedRequest> expired(std::make_move_iterator(firstExpired), std::make_move_iterator(m_requests.end()));
+        m_requests.begin(), m_requests.end(), [now](const WaitingRequest &request) { return request.deadline > now; });
+    std::vector<WaitingRequest> expired(std::make_move_iterator(firstExpired), std::make_move_iterator(m_requests.end()));
     m_requests.erase(firstExpired, m_requests.end());
     return expired;
 }
 
-std::vector<QueuedRequest> RequestQueue::takeExcess(std::size_t maxOpenings, TimePoint now)
+std::vector<WaitingRequest> RequestQueue::takeExcess(std::size_t maxOpenings, TimePoint now)
 {
-    std::vector<QueuedRequest> excess;
+    std::vector<WaitingRequest> excess;
     auto openings = static_cast<std::size_t>(
-        std::count_if(m_requests.begin(), m_requests.end(), [](const QueuedRequest &request) { return request.opens; }));
+        std::count_if(m_requests.begin(), m_requests.end(), [](const WaitingRequest &request) { return request.opens; }));
     for (; openings > maxOpenings; --openings) {
         auto last = m_requests.end();
         for (auto candidate = m_requests.begin(); candidate != m_requests.end(); ++candidate) {
@@ -80,14 +80,14 @@
 
 bool RequestQueue::remove(Endpoint client, Endpoint address)
 {
-    return std::erase_if(m_requests, [=](const QueuedRequest &request) { return request.client == client && request.address == address; })
+    return std::erase_if(m_requests, [=](const WaitingRequest &request) { return request.client == client && request.address == address; })
         > 0;
 }
 
 bool RequestQueue::contains(Endpoint client, Endpoint address) const
 {
     return std::any_of(m_requests.begin(), m_requests.end(),
-        [=](const QueuedRequest &request) { return request.client == client && request.address == address; });
+        [=](const WaitingRequest &request) { return request.client == client && request.address == address; });
 }
 
 std::size_t RequestQueue::size() const
@@ -98,7 +98,7 @@
 std::size_t RequestQueue::sizeOf(std::uint32_t priority) const
 {
     return static_cast<std::size_t>(std::count_if(
-        m_requests.begin(), m_requests.end(), [priority](const QueuedRequest &request) { return request.priority == priority; }));
+        m_requests.begin(), m_requests.end(), [priority](const WaitingRequest &request) { return request.priority == priority; }));
 }
 
 } // namespace Samphirepitch
--- a/src/shortage/requestqueue.h
+++ b/src/shortage/requestqueue.h
@@ -13,7 +13,7 @@
 {
 
 /** A request that waits in this instance until its service has room. */
-struct QueuedRequest {
+struct WaitingRequest {
     Endpoint client;
     Endpoint address; /**< service address that the client sent it to */
     std::uint32_t priority = 0; /**< 0 is the most urgent */
@@ -23,7 +23,7 @@
     TimePoint targetDeadline {}; /**< until which it should be sent, so that its response meets the target latency */
     TimePoint deadline {}; /**< until which it may wait at all */
 
-    friend bool operator==(const QueuedRequest &, const QueuedRequest &) = default;
+    friend bool operator==(const WaitingRequest &, const WaitingRequest &) = default;
 };
 
 /**
@@ -37,23 +37,23 @@
 {
 public:
     /** Adds a request. The queue must not contain another one of the same flow. */
-    void push(QueuedRequest request);
+    void push(WaitingRequest request);
 
     /** Removes and returns the request whose delay costs most, or nothing if the queue is empty. */
-    std::optional<QueuedRequest> pop(TimePoint now);
+    std::optional<WaitingRequest> pop(TimePoint now);
 
     /** Removes and returns the most urgent request of a priority, or nothing. */
-    std::optional<QueuedRequest> pop(std::uint32_t priority, TimePoint now);
+    std::optional<WaitingRequest> pop(std::uint32_t priority, TimePoint now);
 
     /** Removes and returns the requests whose deadline has passed. */
-    std::vector<QueuedRequest> takeExpired(TimePoint now);
+    std::vector<WaitingRequest> takeExpired(TimePoint now);
 
     /**
      * Removes and returns the opening packets that would be sent last, so that at most @p maxOpenings of them remain. Data of open flows
      * stays until its deadline: its client can't be told that there is no room, and would send it again.
      * @param maxOpenings how many requests the service can serve within the time that an opening packet may wait
      */
-    std::vector<QueuedRequest> takeExcess(std::size_t maxOpenings, TimePoint now);
+    std::vector<WaitingRequest> takeExcess(std::size_t maxOpenings, TimePoint now);
 
     /** Removes the request of a flow. @return whether there was one */
     bool remove(Endpoint client, Endpoint address);
@@ -67,7 +67,7 @@
     std::size_t sizeOf(std::uint32_t priority) const;
 
 private:
-    std::vector<QueuedRequest> m_requests; // few: what a service serves within the time limit of its callers
+    std::vector<WaitingRequest> m_requests; // few: what a service serves within the time limit of its callers
 };
 
 } // namespace Samphirepitch
--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -99,10 +99,15 @@
     return chosen ? std::optional(choices[*chosen]) : std::nullopt;
 }
 
+bool FlowPlacement::couldServe(const DirectoryRecord &record, TimePoint now) const
+{
+    return record.takesFlows && !record.tokenTaken && m_dependencies.failureDetector.status(record.token, now) != ServerStatus::Gone;
+}
+
 void FlowPlacement::addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const
 {
     const TimePoint now = m_dependencies.clock.now();
-    if (!isUsable(record) || forbiddingPolicy(record, flow) != nullptr) {
+    if (!couldServe(record, now) || forbiddingPolicy(record, flow) != nullptr) {
         return;
     }
     const ServerStatus status = m_dependencies.failureDetector.status(record.token, now);
@@ -116,12 +121,6 @@
             .lastResort = isLastResort || status != ServerStatus::Trusted } });
 }
 
-bool FlowPlacement::isUsable(const DirectoryRecord &record) const
-{
-    const TimePoint now = m_dependencies.clock.now();
-    return record.takesFlows && !record.tokenTaken && m_dependencies.failureDetector.status(record.token, now) != ServerStatus::Gone;
-}
-
 const PlacementPolicy *FlowPlacement::forbiddingPolicy(const DirectoryRecord &record, const NewFlow &flow) const
 {
     const TimePoint now = m_dependencies.clock.now();
@@ -141,8 +140,24 @@
 bool FlowPlacement::isRestrictedBy(const PlacementPolicy &policy, const NewFlow &flow) const
 {
     const std::vector<const DirectoryRecord *> &servers = m_dependencies.directory.listed(flow.service);
-    return std::any_of(servers.begin(), servers.end(),
-        [&](const DirectoryRecord *record) { return isUsable(*record) && forbiddingPolicy(*record, flow) == &policy; });
+    return std::any_of(servers.begin(), servers.end(), [&](const DirectoryRecord *record) {
+        return couldServe(*record, m_dependencies.clock.now()) && forbiddingPolicy(*record, flow) == &policy;
+    });
+}
+
+bool FlowPlacement::isForbiddenEverywhere(const PlacementPolicy &policy, const NewFlow &flow, TimePoint confirmationGapEnd) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    const auto could = [&](const DirectoryRecord *record) { return couldServe(*record, now); };
+    const auto mayTake
+        = [&](const DirectoryRecord *record) { return could(record) && policy.judge(*record, flow, now) == PlacementVerdict::Allowed; };
+    const std::vector<const DirectoryRecord *> &listed = m_dependencies.directory.listed(flow.service);
+    if (std::any_of(listed.begin(), listed.end(), mayTake)) {
+        return false;
+    }
+    const std::vector<const DirectoryRecord *> missing = recentlyUnlisted(flow.service, confirmationGapEnd);
+    return std::none_of(missing.begin(), missing.end(), mayTake)
+        && (std::any_of(listed.begin(), listed.end(), could) || std::any_of(missing.begin(), missing.end(), could));
 }
 
 void FlowPlacement::recordPlacement(const DirectoryRecord &record, const NewFlow &flow)
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -79,6 +79,13 @@
     /** Returns whether a server could take a flow if @p policy didn't forbid it. */
     bool isRestrictedBy(const PlacementPolicy &policy, const NewFlow &flow) const;
 
+    /**
+     * Returns whether all servers that could take a flow, also as a last resort, are forbidden by one policy.
+     * @param confirmationGapEnd as for choose()
+     * @return false if no server could take the flow without the policy either
+     */
+    bool isForbiddenEverywhere(const PlacementPolicy &policy, const NewFlow &flow, TimePoint confirmationGapEnd) const;
+
     /** Tells the policies that a flow was placed on a server. */
     void recordPlacement(const DirectoryRecord &record, const NewFlow &flow);
 
@@ -95,7 +102,7 @@
     std::vector<const DirectoryRecord *> sample(const std::vector<const DirectoryRecord *> &servers, std::size_t count);
     std::optional<Choice> chooseFrom(std::vector<Choice> choices);
     std::vector<Choice> candidates(const NewFlow &flow, std::uint32_t excludedToken, TimePoint confirmationGapEnd, bool sampled);
-    bool isUsable(const DirectoryRecord &record) const;
+    bool couldServe(const DirectoryRecord &record, TimePoint now) const;
     void addCandidate(const DirectoryRecord &record, const NewFlow &flow, bool isLastResort, std::vector<Choice> &choices) const;
     std::vector<const DirectoryRecord *> recentlyUnlisted(const std::string &service, TimePoint confirmationGapEnd) const;
     void logSlowdownChange(const Choice &choice);
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -1,5 +1,6 @@
 #include "stream/gossipcodec.h"
 
+#include "evacuation/evacuationview.h"
 #include "peer/internal/fieldreader.h"
 #include "peer/internal/fieldwriter.h"
 #include "stream/streamlimits.h"
@@ -129,15 +130,20 @@
     std::uint64_t revision = 0;
 };
 
-/** The encoded form of a StreamRoute. Times are in milliseconds; 0 stands for an unknown one. */
+/** How urgent the requests of a route are. Times are in milliseconds; 0 stands for an unknown one. */
+struct WireUrgency {
+    std::uint64_t priorityPlusOne = 0; /**< 0 if the priority is unknown */
+    std::uint64_t timeLimit = 0;
+    std::uint64_t targetLatency = 0;
+};
+
+/** The encoded form of a StreamRoute. */
 struct WireRoute {
     std::string name;
     Endpoint address;
     bool idempotent = false;
     std::vector<RouteTarget> targets;
-    std::uint64_t priorityPlusOne = 0; /**< 0 if the priority is unknown */
-    std::uint64_t timeLimit = 0;
-    std::uint64_t targetLatency = 0;
+    std::optional<WireUrgency> urgency; /**< not set if nothing of it is known */
 };
 
 /** The encoded form of the limits of a service. */
@@ -146,6 +152,30 @@
     std::uint64_t coldFlowsPerSecond = 0; /**< the bits of the double */
 };
 
+/** The limits of all services that have some. */
+struct WireServices {
+    std::vector<WireService> list;
+};
+
+/** The encoded form of an Evacuation. */
+struct WireEvacuation {
+    std::string domain;
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t remaining = 0; /**< milliseconds until the evacuation ends; 0 if it doesn't end by itself */
+};
+
+/** The encoded form of an EvacuationSet and of the part of the view that it belongs to. */
+struct WireEvacuations {
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t age = neverConfirmed; /**< milliseconds */
+    std::uint64_t eraBefore = 0;
+    std::uint64_t revisionBefore = 0;
+    std::uint64_t count = 0;
+    std::vector<WireEvacuation> evacuations;
+};
+
 /** The encoded form of a GossipMessage. */
 struct WireMessage {
     std::string deployment;
@@ -156,6 +186,7 @@
     std::vector<WireServer> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records;
+    std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
 };
 
 /** The encoded form of a PeerState. */
@@ -169,7 +200,8 @@
     std::uint64_t idleTimeout = 0; /**< milliseconds */
     std::vector<WireRoute> routes;
     std::vector<PeerRecord> records;
-    std::vector<WireService> services;
+    std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
+    std::optional<WireServices> services; /**< with limits; not set if there are none */
 };
 
 template<typename Visitor, MaybeConst<WireView> Value>
@@ -201,6 +233,14 @@
     visitor.number(value.revision);
 }
 
+template<typename Visitor, MaybeConst<WireUrgency> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.number(value.priorityPlusOne);
+    visitor.number(value.timeLimit);
+    visitor.number(value.targetLatency);
+}
+
 template<typename Visitor, MaybeConst<WireRoute> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -208,11 +248,7 @@
     visitor.endpoint(value.address);
     visitor.boolean(value.idempotent);
     visitor.list(value.targets, StreamLimits::maxRouteTargets, eachRecord);
-    if (visitor.tail(value.priorityPlusOne > 0 || value.timeLimit > 0 || value.targetLatency > 0)) {
-        visitor.number(value.priorityPlusOne);
-        visitor.number(value.timeLimit);
-        visitor.number(value.targetLatency);
-    }
+    visitor.trailing(value.urgency);
 }
 
 template<typename Visitor, MaybeConst<WireService> Value>
@@ -222,6 +258,33 @@
     visitor.number(value.coldFlowsPerSecond);
 }
 
+template<typename Visitor, MaybeConst<WireServices> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.list(value.list, GossipCodec::maxServices, eachRecord);
+}
+
+template<typename Visitor, MaybeConst<WireEvacuation> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.text(value.domain, maxNameSize);
+    visitor.number(value.era);
+    visitor.number(value.revision);
+    visitor.number(value.remaining);
+}
+
+template<typename Visitor, MaybeConst<WireEvacuations> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.number(value.era);
+    visitor.number(value.revision);
+    visitor.number(value.age);
+    visitor.number(value.eraBefore);
+    visitor.number(value.revisionBefore);
+    visitor.number(value.count);
+    visitor.list(value.evacuations, EvacuationView::maxEvacuations, eachRecord);
+}
+
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -233,6 +296,7 @@
     visitor.list(value.changes, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.ended, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.records, GossipCodec::maxRecords, eachRecord);
+    visitor.trailing(value.evacuations);
 }
 
 template<typename Visitor, MaybeConst<WireState> Value>
@@ -247,9 +311,8 @@
     visitor.number(value.idleTimeout);
     visitor.list(value.routes, GossipCodec::maxRoutes, eachRecord);
     visitor.list(value.records, GossipCodec::maxInstances, eachRecord);
-    if (visitor.tail(!value.services.empty())) {
-        visitor.list(value.services, GossipCodec::maxServices, eachRecord);
-    }
+    visitor.trailing(value.evacuations);
+    visitor.trailing(value.services);
 }
 
 WireView toWire(const ViewStatus &view, const WireTime &time)
@@ -289,18 +352,23 @@
 
 WireRoute toWire(const StreamRoute &route)
 {
-    return { route.name, route.address, route.idempotent, route.targets, route.priority ? std::uint64_t { *route.priority } + 1 : 0,
-        static_cast<std::uint64_t>(route.timeLimit.count()), static_cast<std::uint64_t>(route.targetLatency.count()) };
+    WireRoute wire { route.name, route.address, route.idempotent, route.targets, {} };
+    if (route.priority || route.timeLimit.count() > 0 || route.targetLatency.count() > 0) {
+        wire.urgency = { route.priority ? std::uint64_t { *route.priority } + 1 : 0, static_cast<std::uint64_t>(route.timeLimit.count()),
+            static_cast<std::uint64_t>(route.targetLatency.count()) };
+    }
+    return wire;
 }
 
 StreamRoute fromWire(const WireRoute &route)
 {
     StreamRoute result { .name = route.name, .address = route.address, .targets = route.targets, .idempotent = route.idempotent };
-    if (route.priorityPlusOne > 0 && route.priorityPlusOne <= std::uint64_t { StreamLimits::maxPriority } + 1) {
-        result.priority = static_cast<std::uint32_t>(route.priorityPlusOne - 1);
+    const WireUrgency urgency = route.urgency.value_or(WireUrgency());
+    if (urgency.priorityPlusOne > 0 && urgency.priorityPlusOne <= std::uint64_t { StreamLimits::maxPriority } + 1) {
+        result.priority = static_cast<std::uint32_t>(urgency.priorityPlusOne - 1);
     }
-    result.timeLimit = std::chrono::milliseconds(std::min(route.timeLimit, maxTimeLimit));
-    result.targetLatency = std::chrono::milliseconds(std::min(route.targetLatency, maxTimeLimit));
+    result.timeLimit = std::chrono::milliseconds(std::min(urgency.timeLimit, maxTimeLimit));
+    result.targetLatency = std::chrono::milliseconds(std::min(urgency.targetLatency, maxTimeLimit));
     return result;
 }
 
@@ -341,6 +409,38 @@
     return changes;
 }
 
+std::optional<WireEvacuations> toWire(const EvacuationSet &set, const ViewStatus &view, const WireTime &time)
+{
+    if (view.evacuationsPosition.isUnset()) {
+        return std::nullopt;
+    }
+    WireEvacuations wire { view.evacuationsPosition.era(), view.evacuationsPosition.revision(), time.age(view.evacuationsConfirmedAt),
+        set.before.era(), set.before.revision(), set.count, {} };
+    for (const Evacuation &evacuation : set.evacuations) {
+        // At least 1 ms, because 0 stands for an evacuation that doesn't end by itself.
+        const std::uint64_t remaining = evacuation.until == TimePoint() ? 0 : std::max<std::uint64_t>(time.remaining(evacuation.until), 1);
+        wire.evacuations.push_back({ evacuation.domain, evacuation.position.era(), evacuation.position.revision(), remaining });
+    }
+    return wire;
+}
+
+/** Decodes evacuations, and completes the view that they belong to. */
+EvacuationSet fromWire(const std::optional<WireEvacuations> &wire, const WireTime &time, ViewStatus &view)
+{
+    EvacuationSet set;
+    if (!wire || StorePosition(wire->era, wire->revision).isUnset()) {
+        return set;
+    }
+    view.evacuationsPosition = { wire->era, wire->revision };
+    view.evacuationsConfirmedAt = time.fromAge(wire->age);
+    set.before = { wire->eraBefore, wire->revisionBefore };
+    set.count = wire->count;
+    for (const WireEvacuation &evacuation : wire->evacuations) {
+        set.evacuations.push_back({ evacuation.domain, { evacuation.era, evacuation.revision }, time.fromRemaining(evacuation.remaining) });
+    }
+    return set;
+}
+
 template<typename Message>
 std::string pack(const Message &message)
 {
@@ -388,7 +488,7 @@
 {
     const WireTime time(now);
     WireMessage wire { message.deployment, message.sender, toWire(message.view, time), message.pushed, message.baseRevision, {},
-        message.ended, message.records };
+        message.ended, message.records, toWire(message.evacuations, message.view, time) };
     wire.changes = toWire(message.changes, time);
     return pack(wire);
 }
@@ -397,12 +497,16 @@
 {
     const WireTime time(now);
     WireState wire { state.deployment, state.sender, toWire(state.view, time), state.baseRevision, toWire(state.changes, time),
-        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records, {} };
+        state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records,
+        toWire(state.evacuations, state.view, time), {} };
     for (const auto &[address, route] : state.configuration.routes) {
         wire.routes.push_back(toWire(route));
     }
+    if (!state.configuration.services.empty()) {
+        wire.services.emplace();
+    }
     for (const auto &[name, limits] : state.configuration.services) {
-        wire.services.push_back({ name, std::bit_cast<std::uint64_t>(limits.coldFlowsPerSecond) });
+        wire.services->list.push_back({ name, std::bit_cast<std::uint64_t>(limits.coldFlowsPerSecond) });
     }
     return pack(wire);
 }
@@ -414,8 +518,10 @@
         return tl::unexpected(wire.error());
     }
     const WireTime time(now);
-    return GossipMessage { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records };
+    GossipMessage message { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, {} };
+    message.evacuations = fromWire(wire->evacuations, time, message.view);
+    return message;
 }
 
 Result<PeerState> GossipCodec::decodeState(std::string_view bytes, TimePoint now)
@@ -433,13 +539,14 @@
     state.baseRevision = wire->baseRevision;
     state.changes = fromWire(wire->changes, wire->view.serversEra, time);
     state.records = wire->records;
+    state.evacuations = fromWire(wire->evacuations, time, state.view);
     state.configuration.version = wire->version;
     state.configuration.position = state.view.configurationPosition;
     state.configuration.idleTimeout = std::chrono::milliseconds(std::min(wire->idleTimeout, maxIdleTimeout));
     for (const WireRoute &route : wire->routes) {
         state.configuration.routes.emplace(route.address, fromWire(route));
     }
-    for (const WireService &service : wire->services) {
+    for (const WireService &service : wire->services.value_or(WireServices()).list) {
         state.configuration.services.emplace(service.name, ServiceLimits { coldLimitFromBits(service.coldFlowsPerSecond) });
     }
     return result;
--- a/tests/shortage/requestqueuetests.cpp
+++ b/tests/shortage/requestqueuetests.cpp
@@ -12,7 +12,7 @@
 constexpr TimePoint start { milliseconds(10000) };
 constexpr Endpoint address { 0xc6120001, 443 };
 
-QueuedRequest request(std::uint16_t port, std::uint32_t priority, int arrivedMs, int targetMs, bool opens = true)
+WaitingRequest request(std::uint16_t port, std::uint32_t priority, int arrivedMs, int targetMs, bool opens = true)
 {
     return { .client = Endpoint(0x64400001, port),
         .address = address,
@@ -52,7 +52,7 @@
     queue.push(request(2, 2, 10, 300));
     queue.push(request(3, 1, 20, 300));
     queue.push(request(4, 2, 30, 300));
-    const std::vector<QueuedRequest> excess = queue.takeExcess(2, start + milliseconds(40));
+    const std::vector<WaitingRequest> excess = queue.takeExcess(2, start + milliseconds(40));
     REQUIRE(excess.size() == 1);
     CHECK(excess[0].client.port() == 4); // the newest of the least urgent, which has waited least
     CHECK(queue.takeExcess(0, start + milliseconds(40)).size() == 2);
