Exchange load reports with gossip

Gossip messages carry the report of the sender as their last field. Messages without the field are accepted, and a report that would push a message over its size is left out. Pushes carry none: an instance in the tree sends 10 a second, which would triple the bytes.

The daemon tests have not run yet.

--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -36,6 +36,7 @@
         Endpoint platformAddress;
         std::chrono::milliseconds serversLongPollWait { 0 };
         std::chrono::milliseconds configurationLongPollWait { 0 };
+        bool exchangesLoadReports = false;
         Endpoint metricsAddress;
         Endpoint healthAddress;
         std::string logLevel;
--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -90,7 +90,12 @@
         .failureDomain = values.failureDomain,
         .address = values.peerAnnouncedAddress.isUnset() ? values.peerAddress : values.peerAnnouncedAddress,
         .startedAt = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count()) };
-    auto peers = PeerSynchronizer::create(m_executor, { m_clock, m_random, m_events, m_router },
+    if (values.exchangesLoadReports) {
+        m_loads = std::make_unique<LoadExchange>(LoadExchange::Dependencies { m_clock, m_router.admission() });
+        m_router.useLoadView(m_loads->reports());
+        m_metrics.add(*m_loads);
+    }
+    auto peers = PeerSynchronizer::create(m_executor, { m_clock, m_random, m_events, m_router, m_loads.get() },
         { values.deployment, values.peerAddress, values.peerSeeds }, std::move(self));
     if (!peers) {
         return tl::unexpected(peers.error());
--- a/src/daemon/streaminstance.h
+++ b/src/daemon/streaminstance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/instancebase.h"
+#include "loadreport/loadexchange.h"
 #include "stream/connectprobe.h"
 #include "stream/discovery.h"
 #include "stream/discoverywatcher.h"
@@ -76,6 +77,7 @@
     StreamLatencyRecorder m_latency;
     LeastFlowsSelector m_selector;
     StreamRouter m_router;
+    std::unique_ptr<LoadExchange> m_loads; // null if the settings ask for no load reports
     SteadyTimer m_timer { m_clock };
     std::unique_ptr<PeerSynchronizer> m_peerSynchronizer;
     std::unique_ptr<DiscoveryWatcher> m_watcher;
--- a/src/peer/internal/fieldreader.h
+++ b/src/peer/internal/fieldreader.h
@@ -123,6 +123,12 @@
         }
     }
 
+    /** Returns whether a field follows. Fields that earlier builds don't send are read only then. */
+    bool hasMore() const
+    {
+        return m_position < m_array.size;
+    }
+
     /** Reports a fault if there are unread fields. */
     void finish()
     {
--- a/src/peer/internal/fieldwriter.h
+++ b/src/peer/internal/fieldwriter.h
@@ -71,6 +71,11 @@
         ++m_count;
     }
 
+    bool hasMore() const
+    {
+        return true;
+    }
+
     std::uint32_t count() const
     {
         return m_count;
@@ -91,6 +96,11 @@
     {
     }
 
+    bool hasMore() const
+    {
+        return true;
+    }
+
     void number(std::uint64_t value)
     {
         m_packer.pack_uint64(value);
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -145,6 +145,7 @@
     std::vector<WireServer> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records;
+    std::string load; /**< an encoded PeerLoadReport */
 };
 
 /** The encoded form of a PeerState. */
@@ -200,6 +201,9 @@
     visitor.list(value.changes, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.ended, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.records, GossipCodec::maxRecords, eachRecord);
+    if (visitor.hasMore()) {
+        visitor.bytes(value.load, PeerLoadReport::maxSize);
+    }
 }
 
 template<typename Visitor, MaybeConst<WireState> Value>
@@ -299,7 +303,7 @@
 {
     // The msgpack unpacker reports errors only by exceptions.
     try {
-        const msgpack::unpack_limit limit(maxElements, 0, maxNameSize, 0, 0, maxDepth);
+        const msgpack::unpack_limit limit(maxElements, 0, maxNameSize, PeerLoadReport::maxSize, 0, maxDepth);
         std::size_t offset = 0;
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size() || handle->type != msgpack::type::ARRAY) {
@@ -327,9 +331,14 @@
 {
     const WireTime time(now);
     WireMessage wire { message.deployment, message.sender, toWire(message.view, time), message.pushed, message.baseRevision, {},
-        message.ended, message.records };
+        message.ended, message.records, message.load.encode() };
     wire.changes = toWire(message.changes, time);
-    return pack(wire);
+    std::string bytes = pack(wire);
+    if (bytes.size() > maxMessageSize && !wire.load.empty()) {
+        wire.load.clear();
+        bytes = pack(wire);
+    }
+    return bytes;
 }
 
 std::string GossipCodec::encode(const PeerState &state, TimePoint now)
@@ -351,7 +360,7 @@
     }
     const WireTime time(now);
     return GossipMessage { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records };
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, PeerLoadReport::decode(wire->load, now) };
 }
 
 Result<PeerState> GossipCodec::decodeState(std::string_view bytes, TimePoint now)
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "loadreport/peerloadreport.h"
 #include "stream/discovery.h"
 #include "stream/peerrecord.h"
 #include "stream/streamconfiguration.h"
@@ -54,6 +55,7 @@
     std::vector<ServerUpdate> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records; /**< some of the other instances that the sender knows */
+    PeerLoadReport load; /**< of the sender; empty if it sends none */
 };
 
 /** The part of an instance's state that a requesting instance lacks, sent over a connection. */
@@ -78,7 +80,10 @@
     static constexpr std::size_t maxRoutes = 20000; /**< in one state */
     static constexpr std::size_t maxInstances = 20000; /**< instances in one state */
 
-    /** Encodes a message. @param now the time from which ages and remaining times are computed */
+    /**
+     * Encodes a message. The load report is left out of a message that would exceed maxMessageSize with it.
+     * @param now the time from which ages and remaining times are computed
+     */
     static std::string encode(const GossipMessage &message, TimePoint now);
 
     /** Encodes a state. @param now the time from which ages and remaining times are computed */
--- a/src/stream/peersynchronizer.cpp
+++ b/src/stream/peersynchronizer.cpp
@@ -1,5 +1,6 @@
 #include "stream/peersynchronizer.h"
 
+#include "loadreport/loadexchange.h"
 #include "stream/streamrouter.h"
 
 #include <asio/co_spawn.hpp>
@@ -60,6 +61,7 @@
     , m_random(dependencies.random)
     , m_events(dependencies.events)
     , m_router(dependencies.router)
+    , m_loads(dependencies.loads)
     , m_network(std::move(network))
     , m_directory(std::move(self))
     , m_roster(m_directory, m_clock.now(), !m_network.seeds.empty())
@@ -136,7 +138,7 @@
         if (error) {
             co_return failure(ErrorKind::InputOutput, "peer", error.message());
         }
-        ++m_messagesReceived;
+        ++m_counters.messagesReceived;
         const Result<GossipMessage> message = m_stateTransfer.readMessage({ buffer.data(), size }, m_router.earliestArrival(emptyAt));
         if (message) {
             apply(*message);
@@ -151,7 +153,7 @@
 
 void PeerSynchronizer::reportFailure(std::string_view event, const std::string &peer, const Error &error)
 {
-    ++m_messagesRefused;
+    ++m_counters.messagesRefused;
     m_events.record(EventSeverity::Warning, event, { { "peer", peer }, { "error", error.describe() } });
 }
 
@@ -160,9 +162,10 @@
     const ViewStatus before = m_router.viewStatus();
     if (merge(message.sender)) {
         // A new instance may know only its seeds, so it is sent further instances at once.
-        GossipMessage reply = makeMessage();
-        reply.records = m_directory.sample(GossipCodec::maxRecords, m_random, m_clock.now());
-        send(reply, message.sender.address);
+        send(makeGossip(), message.sender.address);
+    }
+    if (m_loads != nullptr) {
+        m_loads->receive(message.sender.id, message.load);
     }
     for (const PeerRecord &record : message.records) {
         merge(record);
@@ -226,12 +229,20 @@
     return { .deployment = m_network.deployment, .sender = m_directory.self(), .view = m_router.viewStatus() };
 }
 
+GossipMessage PeerSynchronizer::makeGossip()
+{
+    GossipMessage message = makeMessage();
+    message.records = m_directory.sample(GossipCodec::maxRecords, m_random, m_clock.now());
+    message.load = m_loads == nullptr ? PeerLoadReport() : m_loads->makeReport();
+    return message;
+}
+
 void PeerSynchronizer::send(const GossipMessage &message, Endpoint to)
 {
     const std::string bytes = GossipCodec::encode(message, m_clock.now());
     std::error_code ignored; // a lost message is repaired by the next gossip
     m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(to.address()), to.port() }, 0, ignored);
-    ++m_messagesSent;
+    ++m_counters.messagesSent;
 }
 
 void PeerSynchronizer::push(std::uint64_t from, const std::vector<ServerUpdate> &changes)
@@ -264,8 +275,7 @@
     const TimePoint now = m_clock.now();
     m_directory.incrementHeartbeat();
     m_directory.expire(now);
-    GossipMessage message = makeMessage();
-    message.records = m_directory.sample(GossipCodec::maxRecords, m_random, now);
+    const GossipMessage message = makeGossip();
     std::vector<PeerRecord> targets = m_directory.sample(gossipTargets, m_random, now);
     if (const auto dead = m_directory.sampleDead(m_random, now)) {
         targets.push_back(*dead);
@@ -394,14 +404,14 @@
 
 asio::awaitable<void> PeerSynchronizer::pull(Endpoint peer)
 {
-    ++m_pullCount;
+    ++m_counters.pulls;
     const ViewStatus before = m_router.viewStatus();
     const TimePoint requestedAt = m_clock.now();
     Result<PeerState> state = co_await m_stateTransfer.fetch(peer, makeMessage());
     m_activePulls.erase(peer);
     m_pendingSeedPulls -= m_pendingSeedPulls > 0 ? 1 : 0;
     if (!state) {
-        ++m_failedPulls;
+        ++m_counters.failedPulls;
         m_events.record(EventSeverity::Warning, "peer_pull_failed", { { "peer", peer.toString() }, { "error", state.error().describe() } });
         co_return;
     }
@@ -475,16 +485,6 @@
     return state;
 }
 
-const PeerDirectory &PeerSynchronizer::directory() const
-{
-    return m_directory;
-}
-
-const InstanceRoster &PeerSynchronizer::roster() const
-{
-    return m_roster;
-}
-
 void PeerSynchronizer::writeMetrics(MetricWriter &writer) const
 {
     const TimePoint now = m_clock.now();
@@ -492,12 +492,7 @@
         "samphirepitch_peers", "Other live instances that this instance knows.", {}, static_cast<double>(m_directory.aliveCount(now) - 1));
     writer.gauge(
         "samphirepitch_store_reader", "1 if this instance reads the store for all instances, otherwise 0.", {}, watchesStore() ? 1 : 0);
-    writer.counter("samphirepitch_peer_news_sent_total", "Gossip messages sent to other instances.", {}, m_messagesSent);
-    writer.counter("samphirepitch_peer_news_received_total", "Datagrams received at the peer address.", {}, m_messagesReceived);
-    writer.counter("samphirepitch_peer_news_refused_total",
-        "Gossip messages and state requests that were rejected, and states that could not be sent.", {}, m_messagesRefused);
-    writer.counter("samphirepitch_peer_pulls_total", "States requested from other instances.", {}, m_pullCount);
-    writer.counter("samphirepitch_peer_failed_pulls_total", "State requests that failed.", {}, m_failedPulls);
+    m_counters.write(writer);
 }
 
 } // namespace Samphirepitch
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "stream/discoverywatcher.h"
 #include "stream/gossipcodec.h"
+#include "stream/peercounters.h"
 #include "stream/peerdirectory.h"
 #include "stream/peerroster.h"
 #include "stream/peerstatetransfer.h"
@@ -24,6 +25,7 @@
 namespace Samphirepitch
 {
 
+class LoadExchange;
 class StreamRouter;
 
 /**
@@ -41,6 +43,7 @@
         RandomSource &random;
         EventSink &events;
         StreamRouter &router;
+        LoadExchange *loads = nullptr; /**< null if no load reports are exchanged */
     };
 
     /** The deployment and the addresses of this instance and its first peers. */
@@ -88,8 +91,15 @@
     PeerState stateFor(const GossipMessage &request) override;
     void reportFailure(std::string_view event, const std::string &peer, const Error &error) override;
 
-    const PeerDirectory &directory() const;
-    const InstanceRoster &roster() const;
+    const PeerDirectory &directory() const
+    {
+        return m_directory;
+    }
+
+    const InstanceRoster &roster() const
+    {
+        return m_roster;
+    }
 
     void writeMetrics(MetricWriter &writer) const override;
 
@@ -101,6 +111,7 @@
     bool applyView(const GossipMessage &message);
     bool merge(const PeerRecord &record);
     GossipMessage makeMessage() const;
+    GossipMessage makeGossip();
     void send(const GossipMessage &message, Endpoint to);
     void push(std::uint64_t from, const std::vector<ServerUpdate> &changes);
     void pushConfirmation();
@@ -117,6 +128,7 @@
     RandomSource &m_random;
     EventSink &m_events;
     StreamRouter &m_router;
+    LoadExchange *m_loads;
     NetworkOptions m_network;
     PeerDirectory m_directory;
     PeerRoster m_roster;
@@ -131,11 +143,7 @@
     TimePoint m_peerConfirmedAt {}; // when the view of any other instance was last complete, according to its messages
     TimePoint m_nextReaderCheck {};
     bool m_wasReader = false;
-    std::uint64_t m_messagesSent = 0;
-    std::uint64_t m_messagesReceived = 0;
-    std::uint64_t m_messagesRefused = 0;
-    std::uint64_t m_pullCount = 0;
-    std::uint64_t m_failedPulls = 0;
+    PeerCounters m_counters;
 };
 
 } // namespace Samphirepitch
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -41,6 +41,7 @@
     message.changes = { listed, unlisted };
     message.ended = { { "i-9", 1234 } };
     message.records = { record("entry-2") };
+    message.load = { { { .service = 7, .inFlight = 2.5 } }, { { 9, 2, 32 } }, sent };
     return message;
 }
 
@@ -63,6 +64,23 @@
     CHECK(read->changes[1].position == StorePosition(0, 39));
     CHECK(read->ended == message().ended);
     CHECK(read->records == message().records);
+    CHECK(read->load.services == message().load.services);
+    CHECK(read->load.servers == message().load.servers);
+    CHECK(read->load.madeAt == received);
+}
+
+TEST_CASE("a message of an earlier build, without a load report, is accepted", "[stream][gossipcodec]")
+{
+    GossipMessage plain = message();
+    plain.load = {};
+    std::string bytes = GossipCodec::encode(plain, sent);
+    REQUIRE(bytes.substr(bytes.size() - 2) == std::string("\xc4\x00", 2)); // the empty report at the end
+    bytes.resize(bytes.size() - 2);
+    --bytes.front(); // the number of fields
+    const auto read = GossipCodec::decodeMessage(bytes, received);
+    REQUIRE(read.has_value());
+    CHECK(read->records == plain.records);
+    CHECK(read->load.isEmpty());
 }
 
 TEST_CASE("a view that was never confirmed is decoded as such", "[stream][gossipcodec]")
@@ -78,10 +96,22 @@
     GossipMessage largest = message();
     largest.changes.clear();
     largest.records.assign(GossipCodec::maxRecords, record("frontend-ajaokuta-1234"));
+    largest.load.services.resize(PeerLoadReport::maxServices);
+    largest.load.servers.resize(PeerLoadReport::serverCapacity(PeerLoadReport::maxServices));
     CHECK(GossipCodec::encode(largest, sent).size() < GossipCodec::maxMessageSize);
     GossipMessage changes { .sender = record("frontend-ajaokuta-1234"), .view = view(sent) };
     changes.changes.assign(GossipCodec::maxChanges, message().changes[0]);
     CHECK(GossipCodec::encode(changes, sent).size() < GossipCodec::maxMessageSize);
+    // The report must not displace changes of servers with long names.
+    while (GossipCodec::encode(changes, sent).size() < GossipCodec::maxMessageSize - 100) {
+        for (ServerUpdate &change : changes.changes) {
+            change.listed->id += 'i';
+        }
+    }
+    changes.load = largest.load;
+    const std::string withoutReport = GossipCodec::encode(changes, sent);
+    CHECK(withoutReport.size() < GossipCodec::maxMessageSize);
+    CHECK(GossipCodec::decodeMessage(withoutReport, received)->load.isEmpty());
 }
 
 TEST_CASE("a decoded state has the servers, routes and instance records of the encoded one", "[stream][gossipcodec]")
--- a/tests/stream/gossipfuzztests.cpp
+++ b/tests/stream/gossipfuzztests.cpp
@@ -43,6 +43,7 @@
     message.changes = { listed(7), listed(8) };
     message.ended = { { "i-9", 1234 } };
     message.records = { record() };
+    message.load = { { { .service = 7, .inFlight = 2.5 } }, { { 9, 2, 32 } }, now };
     PeerState state { .deployment = "dewnet", .sender = record(), .view = message.view, .changes = message.changes };
     state.configuration = RouterFixture::configuration(38);
     state.records = { record(), record() };
@@ -57,6 +58,8 @@
             REQUIRE(again->sender == decoded->sender);
             REQUIRE(again->ended == decoded->ended);
             REQUIRE(again->changes.size() == decoded->changes.size());
+            REQUIRE(again->load.services == decoded->load.services);
+            REQUIRE(again->load.servers.size() == decoded->load.servers.size());
         }
         if (const auto decoded = GossipCodec::decodeState(mutator.mutate(validState, tokens), now)) {
             const auto again = GossipCodec::decodeState(GossipCodec::encode(*decoded, now), now);
--- a/tests/stream/peersynchronizertests.cpp
+++ b/tests/stream/peersynchronizertests.cpp
@@ -1,4 +1,5 @@
 #include "daemon/expositionwriter.h"
+#include "loadreport/loadexchange.h"
 #include "peer/framecodec.h"
 #include "stream/peersynchronizer.h"
 #include "stream/routerfixture.h"
@@ -32,12 +33,13 @@
         Endpoint announced = {})
         : random(number + 1)
         , router({ clock, random, events, selector, times }, "a", 1000)
+        , loads({ clock, router.admission() })
     {
         PeerRecord self { .id = "entry-" + std::to_string(number),
             .failureDomain = "a",
             .address = announced.isUnset() ? addressOf(number) : announced,
             .startedAt = 1 };
-        synchronizer = std::move(PeerSynchronizer::create(context.get_executor(), { clock, random, events, router },
+        synchronizer = std::move(PeerSynchronizer::create(context.get_executor(), { clock, random, events, router, &loads },
             { std::move(deployment), addressOf(number), std::move(seeds) }, std::move(self))
                                      .value());
         asio::co_spawn(context, synchronizer->receiveMessages(), asio::detached);
@@ -56,6 +58,7 @@
     TimeCollector times;
     LeastFlowsSelector selector;
     StreamRouter router;
+    LoadExchange loads;
     std::unique_ptr<PeerSynchronizer> synchronizer;
 };
 
@@ -245,6 +248,15 @@
     CHECK(std::all_of(nodes.begin(), nodes.end(), [](const Node &node) { return node.router.directory().listed("pond").size() == 2; }));
 }
 
+TEST_CASE_METHOD(SynchronizerFixture, "the load report of an instance reaches others with gossip", "[stream][peersynchronizer][loadreport]")
+{
+    Node &first = add({});
+    const Node &second = add({ Node::addressOf(0) });
+    first.loads.reporter().recordResponse("orders", 7, milliseconds(20), clock.now());
+    REQUIRE(runUntil([&] { return second.loads.reports().count(clock.now()) == 1; }));
+    CHECK(first.loads.reports().count(clock.now()) == 0); // the second instance has seen no response
+}
+
 TEST_CASE_METHOD(SynchronizerFixture, "changes that don't fit a datagram are pulled as a state", "[stream][peersynchronizer][odd]")
 {
     // Guards against a datagram that is cut off and refused by all instances, which then hear of no change and no confirmation.
