Place flows by the slowdown that several instances see

One instance of 60 sees 0.2 responses a second of each server, so that a server that is slow for 6 s was noticed too late or never.

The router tells the reporter of responses and overdue requests, and the placement uses the larger of the own and the pooled slowdown. Without recent reports the pooled one is 1 and nothing changes.

--- a/src/daemon/streaminstance.cpp
+++ b/src/daemon/streaminstance.cpp
@@ -93,6 +93,7 @@
     if (values.exchangesLoadReports) {
         m_loads = std::make_unique<LoadExchange>(LoadExchange::Dependencies { m_clock, m_router.admission() });
         m_router.useLoadView(m_loads->reports());
+        m_router.useLoadReporter(m_loads->reporter(), m_loads->reports());
         m_metrics.add(*m_loads);
     }
     auto peers = PeerSynchronizer::create(m_executor, { m_clock, m_random, m_events, m_router, m_loads.get() },
--- a/src/loadreport/loadreports.cpp
+++ b/src/loadreport/loadreports.cpp
@@ -35,7 +35,6 @@
 void LoadReports::pool(TimePoint now)
 {
     m_pooled.clear();
-    m_pooledAt = now;
     const auto add = [&](const PeerLoadReport &report) {
         if (!isFresh(report, now)) {
             return;
@@ -78,7 +77,7 @@
 {
     std::vector<double> slowdowns(tokens.size(), 1);
     // Without other reports, the own times are all that is known, and ServerLatencyTracker compares by these.
-    if (now >= m_pooledAt + lifetime || count(now) == 0) {
+    if (count(now) == 0) {
         return slowdowns;
     }
     std::vector<std::optional<double>> times(tokens.size());
--- a/src/loadreport/loadreports.h
+++ b/src/loadreport/loadreports.h
@@ -62,8 +62,7 @@
 
     std::map<std::string, PeerLoadReport> m_reports; // by the id of the instance
     PeerLoadReport m_own;
-    std::unordered_map<std::uint16_t, PooledTime> m_pooled; // by the hash of the token, as of m_pooledAt
-    TimePoint m_pooledAt {};
+    std::unordered_map<std::uint16_t, PooledTime> m_pooled; // by the hash of the token, as of the last report
 };
 
 } // namespace Samphirepitch
--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -88,10 +88,12 @@
     for (const Choice &choice : choices) {
         tokens.push_back(choice.record->token);
     }
-    const std::vector<double> slowdowns = m_dependencies.latencyTracker.compareServers(tokens, m_dependencies.clock.now());
+    const TimePoint now = m_dependencies.clock.now();
+    const std::vector<double> slowdowns = m_dependencies.latencyTracker.compareServers(tokens, now);
+    const std::vector<double> pooled = m_slowdownView == nullptr ? slowdowns : m_slowdownView->compareServers(tokens, now);
     std::vector<StreamCandidate> compared;
     for (std::size_t index = 0; index < choices.size(); ++index) {
-        choices[index].candidate.slowdown = slowdowns[index];
+        choices[index].candidate.slowdown = std::max(slowdowns[index], pooled[index]);
         logSlowdownChange(choices[index]);
         compared.push_back(choices[index].candidate);
     }
@@ -131,6 +133,11 @@
     }
 }
 
+void FlowPlacement::useSlowdownView(const SlowdownView &slowdownView)
+{
+    m_slowdownView = &slowdownView;
+}
+
 void FlowPlacement::logSlowdownChange(const Choice &choice)
 {
     const double slowdown = choice.candidate.slowdown;
@@ -166,6 +173,11 @@
     m_slowServers.erase(token);
 }
 
+bool FlowPlacement::isSlow(std::uint32_t token) const
+{
+    return m_slowServers.contains(token);
+}
+
 std::size_t FlowPlacement::slowCount() const
 {
     return m_slowServers.size();
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/eventsink.h"
 #include "core/random.h"
+#include "loadreport/slowdownview.h"
 #include "placement/placementpolicy.h"
 #include "stream/flowtracker.h"
 #include "stream/serverdirectory.h"
@@ -76,9 +77,15 @@
     /** Tells the policies that a flow was placed on a server. */
     void recordPlacement(const DirectoryRecord &record, const NewFlow &flow);
 
+    /** Sets what several instances see of the servers; the larger slowdown of a server counts. The view must outlive this object. */
+    void useSlowdownView(const SlowdownView &slowdownView);
+
     /** Discards the logged state of a server. */
     void forget(std::uint32_t token);
 
+    /** Returns whether a server was much slower than others when it was last compared; see slowThreshold. */
+    bool isSlow(std::uint32_t token) const;
+
     /** Returns the number of servers that are currently logged as slow. */
     std::size_t slowCount() const;
 
@@ -92,6 +99,7 @@
 
     Dependencies m_dependencies;
     std::string m_failureDomain;
+    const SlowdownView *m_slowdownView = nullptr;
     std::unordered_set<std::uint32_t> m_slowServers; // tokens of the servers that were logged as slow
 };
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -1,5 +1,7 @@
 #include "stream/streamrouter.h"
 
+#include "loadreport/loadreporter.h"
+
 #include <cmath>
 #include <utility>
 
@@ -224,6 +226,9 @@
         m_admission.recordResponse(packet.client, packet.service, *observation.responseTime);
         m_observer.recordResponseTime(*observation.responseTime);
         m_lifecycle.latencyTracker().recordResponse(token, *observation.responseTime, now);
+        if (m_loadReporter != nullptr) {
+            m_loadReporter->recordResponse(m_view.directory().findToken(token)->server.service, token, *observation.responseTime, now);
+        }
         m_lifecycle.recordLiveness(token, now - *observation.responseTime);
     }
     if (packet.length > 0) {
@@ -250,6 +255,9 @@
     m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
         m_lifecycle.failureDetector().requestProbe(token);
         m_lifecycle.latencyTracker().recordOverdueResponse(token, now);
+        if (m_loadReporter != nullptr) {
+            m_loadReporter->recordOverdueResponse(token, now);
+        }
     });
     tickAdmission();
     if (now < m_nextExpiry) {
@@ -418,6 +426,12 @@
     m_loadView = &loadView;
 }
 
+void StreamRouter::useLoadReporter(LoadReporter &reporter, const SlowdownView &slowdownView)
+{
+    m_loadReporter = &reporter;
+    m_placement.useSlowdownView(slowdownView);
+}
+
 const FlowAdmission &StreamRouter::admission() const
 {
     return m_admission;
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -26,6 +26,7 @@
 namespace Samphirepitch
 {
 
+class LoadReporter;
 class LoadView;
 
 /** The decision about one packet. */
@@ -154,6 +155,9 @@
     /** Sets what other instances report about the load. The view must outlive the router. */
     void useLoadView(const LoadView &loadView);
 
+    /** Sets who is told of responses, and what several instances see of the servers. Both must outlive the router. */
+    void useLoadReporter(LoadReporter &reporter, const SlowdownView &slowdownView);
+
     /** Returns the load of the services with several priorities. */
     const FlowAdmission &admission() const;
 
@@ -194,6 +198,7 @@
     FlowAdmission m_admission;
     const InstanceRoster *m_roster = nullptr; // without one, this instance is the only one
     const LoadView *m_loadView = nullptr;
+    LoadReporter *m_loadReporter = nullptr;
     std::size_t m_instanceCount = 1;
     TimePoint m_nextSlotCount {}; // when the slots and instances are counted again
     std::uint64_t m_serverChanges = 0; // packets of open flows whose token names another server than the packet before
--- a/tests/stream/flowplacementtests.cpp
+++ b/tests/stream/flowplacementtests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace Samphirepitch;
 using namespace Samphirepitch::Tests;
@@ -49,6 +50,23 @@
     std::string forbidden;
 };
 
+/** Says of some servers that they take three times as long as the fastest. */
+class SlowServers : public SlowdownView
+{
+public:
+    std::vector<double> compareServers(const std::vector<std::uint32_t> &tokens, TimePoint now) const override
+    {
+        static_cast<void>(now);
+        std::vector<double> slowdowns;
+        for (const std::uint32_t token : tokens) {
+            slowdowns.push_back(slow.contains(token) ? 3 : 1);
+        }
+        return slowdowns;
+    }
+
+    std::set<std::uint32_t> slow;
+};
+
 class PlacementFixture
 {
 public:
@@ -156,3 +174,25 @@
     REQUIRE(record != nullptr);
     CHECK(record->server.failureDomain == "b");
 }
+
+TEST_CASE_METHOD(
+    PlacementFixture, "flows avoid servers that only other instances know to be slow, also if most are", "[stream][placement][loadreport]")
+{
+    SlowServers slowServers;
+    placement.useSlowdownView(slowServers);
+    list(10, 10);
+    const std::vector<const DirectoryRecord *> &listed = directory.listed("pond");
+    for (std::size_t index = 0; index < 7; ++index) {
+        slowServers.slow.insert(listed[index]->token);
+    }
+    int onSlowServers = 0;
+    for (int flow = 0; flow < 34; ++flow) { // the seven slow servers and the three others have equal costs with 9 flows for each other one
+        onSlowServers += slowServers.slow.contains(place()->token) ? 1 : 0;
+    }
+    CHECK(onSlowServers <= 7);
+    CHECK(placement.isSlow(listed[0]->token));
+    CHECK_FALSE(placement.isSlow(listed[9]->token));
+    slowServers.slow.clear(); // as when the reports are too old
+    place();
+    CHECK(placement.slowCount() == 0);
+}
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -1,3 +1,5 @@
+#include "loadreport/loadreporter.h"
+#include "loadreport/loadreports.h"
 #include "stream/routerfixture.h"
 
 #include <catch2/catch.hpp>
@@ -1558,3 +1560,22 @@
     CHECK(router.viewStatus().serversConfirmedAt == clock.now());
     CHECK(router.directory().listed("pond").size() == 1);
 }
+
+TEST_CASE_METHOD(RouterFixture, "responses and overdue requests are in the load report", "[stream][router][loadreport]")
+{
+    LoadReporter reporter;
+    const LoadReports reports;
+    router.useLoadReporter(reporter, reports);
+    makeReady({ server(1) });
+    const std::uint32_t token = open().token;
+    send(token, 101, 900, 55);
+    advanceClock(milliseconds(30));
+    send(token, 1001, 0, 300);
+    REQUIRE(reporter.servers(clock.now()).size() == 1);
+    CHECK(reporter.servers(clock.now())[0].responseMs == Approx(30));
+    send(token, 1001, 900, 300);
+    advanceClock(milliseconds(100));
+    router.tick();
+    CHECK(reporter.servers(clock.now())[0].responses == 2);
+    CHECK(reporter.servers(clock.now())[0].responseMs > 50);
+}
