Leave the load report out of messages that have none

With load.reports off, messages had an empty field at their end, which instances of earlier builds refuse.

--- a/src/peer/internal/fieldreader.h
+++ b/src/peer/internal/fieldreader.h
@@ -105,6 +105,20 @@
         }
     }
 
+    /** Reads a field that earlier builds don't send: it may be missing at the end of the array, or nil. */
+    template<typename Value>
+    void trailing(std::optional<Value> &out)
+    {
+        if (m_fault || m_position >= m_array.size) {
+            return;
+        }
+        if (m_array.ptr[m_position].type == msgpack::type::NIL) {
+            ++m_position;
+            return;
+        }
+        nested(out.emplace());
+    }
+
     template<typename Value, typename Each>
     void list(std::vector<Value> &out, std::size_t limit, Each each)
     {
@@ -123,12 +137,6 @@
         }
     }
 
-    /** Returns whether a field follows. Fields that earlier builds don't send are read only then. */
-    bool hasMore() const
-    {
-        return m_position < m_array.size;
-    }
-
     /** Reports a fault if there are unread fields. */
     void finish()
     {
--- a/src/peer/internal/fieldwriter.h
+++ b/src/peer/internal/fieldwriter.h
@@ -7,7 +7,9 @@
 #include <msgpack.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Samphirepitch
@@ -71,9 +73,11 @@
         ++m_count;
     }
 
-    bool hasMore() const
+    template<typename Value>
+    void trailing(const std::optional<Value> &value)
     {
-        return true;
+        ++m_absent;
+        m_count += value ? std::exchange(m_absent, 0) : 0;
     }
 
     std::uint32_t count() const
@@ -83,6 +87,7 @@
 
 private:
     std::uint32_t m_count = 0;
+    std::uint32_t m_absent = 0; // trailing fields without a value after the last one with a value
 };
 
 /** Visitor that appends fields to a msgpack buffer. */
@@ -96,11 +101,6 @@
     {
     }
 
-    bool hasMore() const
-    {
-        return true;
-    }
-
     void number(std::uint64_t value)
     {
         m_packer.pack_uint64(value);
@@ -145,7 +145,26 @@
         FieldCounter counter;
         visitFields(counter, value);
         m_packer.pack_array(counter.count());
+        const std::uint32_t outer = std::exchange(m_absent, 0);
         visitFields(*this, value);
+        m_absent = outer;
+    }
+
+    /**
+     * Writes a field that earlier builds don't read. All of these fields come last. Those without a value are left out, or are nil if one
+     * with a value follows, so that earlier builds can read messages in which none has a value.
+     */
+    template<typename Value>
+    void trailing(const std::optional<Value> &value)
+    {
+        if (!value) {
+            ++m_absent;
+            return;
+        }
+        for (; m_absent > 0; --m_absent) {
+            m_packer.pack_nil();
+        }
+        nested(*value);
     }
 
     template<typename Value, typename Each>
@@ -159,6 +178,7 @@
 
 private:
     Packer &m_packer;
+    std::uint32_t m_absent = 0; // trailing fields without a value that are not written yet
 };
 
 } // namespace Samphirepitch
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -135,6 +135,11 @@
     std::uint64_t revision = 0;
 };
 
+/** The encoded form of a PeerLoadReport, which has a compact format of its own. */
+struct WireLoad {
+    std::string report;
+};
+
 /** The encoded form of a GossipMessage. */
 struct WireMessage {
     std::string deployment;
@@ -145,7 +150,7 @@
     std::vector<WireServer> changes;
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records;
-    std::string load; /**< an encoded PeerLoadReport */
+    std::optional<WireLoad> load; /**< not set if the sender sends none */
 };
 
 /** The encoded form of a PeerState. */
@@ -190,6 +195,12 @@
     visitor.number(value.revision);
 }
 
+template<typename Visitor, MaybeConst<WireLoad> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.bytes(value.report, PeerLoadReport::maxSize);
+}
+
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -201,9 +212,7 @@
     visitor.list(value.changes, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.ended, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.records, GossipCodec::maxRecords, eachRecord);
-    if (visitor.hasMore()) {
-        visitor.bytes(value.load, PeerLoadReport::maxSize);
-    }
+    visitor.trailing(value.load);
 }
 
 template<typename Visitor, MaybeConst<WireState> Value>
@@ -331,11 +340,14 @@
 {
     const WireTime time(now);
     WireMessage wire { message.deployment, message.sender, toWire(message.view, time), message.pushed, message.baseRevision, {},
-        message.ended, message.records, message.load.encode() };
+        message.ended, message.records, {} };
+    if (!message.load.isEmpty()) {
+        wire.load = WireLoad { message.load.encode() };
+    }
     wire.changes = toWire(message.changes, time);
     std::string bytes = pack(wire);
-    if (bytes.size() > maxMessageSize && !wire.load.empty()) {
-        wire.load.clear();
+    if (bytes.size() > maxMessageSize && wire.load) {
+        wire.load.reset();
         bytes = pack(wire);
     }
     return bytes;
@@ -360,7 +372,8 @@
     }
     const WireTime time(now);
     return GossipMessage { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, PeerLoadReport::decode(wire->load, now) };
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records,
+        wire->load ? PeerLoadReport::decode(wire->load->report, now) : PeerLoadReport() };
 }
 
 Result<PeerState> GossipCodec::decodeState(std::string_view bytes, TimePoint now)
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -271,11 +271,6 @@
     forgetServers();
 }
 
-const FlowTracker &StreamRouter::flows() const
-{
-    return m_flows;
-}
-
 void StreamRouter::logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields)
 {
     m_view.recordFlowEvent(severity, name, packet.client, packet.service, std::move(fields));
@@ -426,12 +421,6 @@
     m_loadView = &loadView;
 }
 
-void StreamRouter::useLoadReporter(LoadReporter &reporter, const SlowdownView &slowdownView)
-{
-    m_loadReporter = &reporter;
-    m_placement.useSlowdownView(slowdownView);
-}
-
 const FlowAdmission &StreamRouter::admission() const
 {
     return m_admission;
@@ -481,14 +470,4 @@
     return m_view.directory();
 }
 
-const ServerFailureDetector &StreamRouter::failureDetector() const
-{
-    return m_lifecycle.failureDetector();
-}
-
-const ServerLatencyTracker &StreamRouter::latencyTracker() const
-{
-    return m_lifecycle.latencyTracker();
-}
-
 } // namespace Samphirepitch
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -156,7 +156,11 @@
     void useLoadView(const LoadView &loadView);
 
     /** Sets who is told of responses, and what several instances see of the servers. Both must outlive the router. */
-    void useLoadReporter(LoadReporter &reporter, const SlowdownView &slowdownView);
+    void useLoadReporter(LoadReporter &reporter, const SlowdownView &slowdownView)
+    {
+        m_loadReporter = &reporter;
+        m_placement.useSlowdownView(slowdownView);
+    }
 
     /** Returns the load of the services with several priorities. */
     const FlowAdmission &admission() const;
@@ -166,9 +170,21 @@
 
     const StreamConfiguration &configuration() const;
     const ServerDirectory &directory() const;
-    const FlowTracker &flows() const;
-    const ServerFailureDetector &failureDetector() const;
-    const ServerLatencyTracker &latencyTracker() const;
+
+    const FlowTracker &flows() const
+    {
+        return m_flows;
+    }
+
+    const ServerFailureDetector &failureDetector() const
+    {
+        return m_lifecycle.failureDetector();
+    }
+
+    const ServerLatencyTracker &latencyTracker() const
+    {
+        return m_lifecycle.latencyTracker();
+    }
 
     void writeMetrics(MetricWriter &writer) const override;
 
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -69,14 +69,12 @@
     CHECK(read->load.madeAt == received);
 }
 
-TEST_CASE("a message of an earlier build, without a load report, is accepted", "[stream][gossipcodec]")
+TEST_CASE("without a load report, messages are as earlier builds send them, and accepted", "[stream][gossipcodec]")
 {
     GossipMessage plain = message();
     plain.load = {};
-    std::string bytes = GossipCodec::encode(plain, sent);
-    REQUIRE(bytes.substr(bytes.size() - 2) == std::string("\xc4\x00", 2)); // the empty report at the end
-    bytes.resize(bytes.size() - 2);
-    --bytes.front(); // the number of fields
+    const std::string bytes = GossipCodec::encode(plain, sent);
+    REQUIRE(bytes.front() == '\x98'); // an array of eight fields, which earlier builds can read as well
     const auto read = GossipCodec::decodeMessage(bytes, received);
     REQUIRE(read.has_value());
     CHECK(read->records == plain.records);
