--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,7 @@
         std::chrono::milliseconds configurationLongPollWait { 0 };
         bool evacuationsEnabled = false;
         std::chrono::milliseconds evacuationsLongPollWait { 0 };
+        bool exchangesLoadReports = false;
         Endpoint metricsAddress;
         Endpoint healthAddress;
         std::string logLevel;
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -176,6 +176,11 @@
     std::vector<WireEvacuation> evacuations;
 };
 
+/** The encoded form of a PeerLoadReport, which has a compact format of its own. */
+struct WireLoad {
+    std::string report;
+};
+
 /** The encoded form of a GossipMessage. */
 struct WireMessage {
     std::string deployment;
@@ -187,6 +192,7 @@
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records;
     std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
+    std::optional<WireLoad> load; /**< not set if the sender sends none */
 };
 
 /** The encoded form of a PeerState. */
@@ -285,6 +291,12 @@
     visitor.list(value.evacuations, EvacuationView::maxEvacuations, eachRecord);
 }
 
+template<typename Visitor, MaybeConst<WireLoad> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.bytes(value.report, PeerLoadReport::maxSize);
+}
+
 template<typename Visitor, MaybeConst<WireMessage> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -297,6 +309,7 @@
     visitor.list(value.ended, GossipCodec::maxChanges, eachRecord);
     visitor.list(value.records, GossipCodec::maxRecords, eachRecord);
     visitor.trailing(value.evacuations);
+    visitor.trailing(value.load);
 }
 
 template<typename Visitor, MaybeConst<WireState> Value>
@@ -460,7 +473,7 @@
 {
     // The msgpack unpacker reports errors only by exceptions.
     try {
-        const msgpack::unpack_limit limit(maxElements, 0, maxNameSize, 0, 0, maxDepth);
+        const msgpack::unpack_limit limit(maxElements, 0, maxNameSize, PeerLoadReport::maxSize, 0, maxDepth);
         std::size_t offset = 0;
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size() || handle->type != msgpack::type::ARRAY) {
@@ -488,9 +501,17 @@
 {
     const WireTime time(now);
     WireMessage wire { message.deployment, message.sender, toWire(message.view, time), message.pushed, message.baseRevision, {},
-        message.ended, message.records, toWire(message.evacuations, message.view, time) };
+        message.ended, message.records, toWire(message.evacuations, message.view, time), {} };
+    if (!message.load.isEmpty()) {
+        wire.load = WireLoad { message.load.encode() };
+    }
     wire.changes = toWire(message.changes, time);
-    return pack(wire);
+    std::string bytes = pack(wire);
+    if (bytes.size() > maxMessageSize && wire.load) {
+        wire.load.reset();
+        bytes = pack(wire);
+    }
+    return bytes;
 }
 
 std::string GossipCodec::encode(const PeerState &state, TimePoint now)
@@ -519,7 +540,8 @@
     }
     const WireTime time(now);
     GossipMessage message { wire->deployment, wire->sender, fromWire(wire->view, time), wire->pushed, wire->baseRevision,
-        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, {} };
+        fromWire(wire->changes, wire->view.serversEra, time), wire->ended, wire->records, {},
+        wire->load ? PeerLoadReport::decode(wire->load->report, now) : PeerLoadReport() };
     message.evacuations = fromWire(wire->evacuations, time, message.view);
     return message;
 }
--- a/src/stream/gossipcodec.h
+++ b/src/stream/gossipcodec.h
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "evacuation/evacuationset.h"
+#include "loadreport/peerloadreport.h"
 #include "stream/discovery.h"
 #include "stream/peerrecord.h"
 #include "stream/streamconfiguration.h"
@@ -58,6 +59,7 @@
     std::vector<EndedServer> ended;
     std::vector<PeerRecord> records; /**< some of the other instances that the sender knows */
     EvacuationSet evacuations; /**< that the sender knows; without the single ones if they would not fit */
+    PeerLoadReport load; /**< of the sender; empty if it sends none */
 };
 
 /** The part of an instance's state that a requesting instance lacks, sent over a connection. */
@@ -87,7 +89,10 @@
     static constexpr std::size_t maxEvacuations = 32; /**< in one message; more are pulled as a state */
     static constexpr std::size_t maxEvacuationBytes = 700; /**< of the domains in one message, so that the rest of it fits a datagram */
 
-    /** Encodes a message. @param now the time from which ages and remaining times are computed */
+    /**
+     * Encodes a message. The load report is left out of a message that would exceed maxMessageSize with it.
+     * @param now the time from which ages and remaining times are computed
+     */
     static std::string encode(const GossipMessage &message, TimePoint now);
 
     /** Encodes a state. @param now the time from which ages and remaining times are computed */
--- a/src/stream/peersynchronizer.h
+++ b/src/stream/peersynchronizer.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "stream/discoverywatcher.h"
 #include "stream/gossipcodec.h"
+#include "stream/peercounters.h"
 #include "stream/peerdirectory.h"
 #include "stream/peerroster.h"
 #include "stream/peerstatetransfer.h"
@@ -25,6 +26,7 @@
 namespace Samphirepitch
 {
 
+class LoadExchange;
 class StreamRouter;
 
 /**
@@ -42,6 +44,7 @@
         RandomSource &random;
         EventSink &events;
         StreamRouter &router;
+        LoadExchange *loads = nullptr; /**< null if no load reports are exchanged */
     };
 
     /** The deployment and the addresses of this instance and its first peers. */
@@ -93,8 +96,15 @@
     PeerState stateFor(const GossipMessage &request) override;
     void reportFailure(std::string_view event, const std::string &peer, const Error &error) override;
 
-    const PeerDirectory &directory() const;
-    const InstanceRoster &roster() const;
+    const PeerDirectory &directory() const
+    {
+        return m_directory;
+    }
+
+    const InstanceRoster &roster() const
+    {
+        return m_roster;
+    }
 
     void writeMetrics(MetricWriter &writer) const override;
 
@@ -106,6 +116,7 @@
     bool merge(const PeerRecord &record);
     bool mustReadAfter(TimePoint lastConfirmed, std::chrono::milliseconds maxAge) const;
     GossipMessage makeMessage() const;
+    GossipMessage makeGossip();
     void send(const GossipMessage &message, Endpoint to);
     void push(std::uint64_t from, const std::vector<ServerUpdate> &changes);
     void pushConfirmation();
@@ -121,6 +132,7 @@
     RandomSource &m_random;
     EventSink &m_events;
     StreamRouter &m_router;
+    LoadExchange *m_loads;
     NetworkOptions m_network;
     PeerDirectory m_directory;
     PeerViewMerger m_views;
@@ -135,11 +147,7 @@
     TimePoint m_lastPush {};
     TimePoint m_nextReaderCheck {};
     bool m_wasReader = false;
-    std::uint64_t m_messagesSent = 0;
-    std::uint64_t m_messagesReceived = 0;
-    std::uint64_t m_messagesRefused = 0;
-    std::uint64_t m_pullCount = 0;
-    std::uint64_t m_failedPulls = 0;
+    PeerCounters m_counters;
 };
 
 } // namespace Samphirepitch
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -1,5 +1,7 @@
 #include "stream/streamrouter.h"
 
+#include "loadreport/loadreporter.h"
+
 #include <cmath>
 #include <utility>
 
@@ -244,6 +246,9 @@
         m_admission.recordResponse(packet.client, packet.service, *observation.responseTime);
         m_observer.recordResponseTime(*observation.responseTime);
         m_lifecycle.latencyTracker().recordResponse(token, *observation.responseTime, now);
+        if (m_loadReporter != nullptr) {
+            m_loadReporter->recordResponse(m_view.directory().findToken(token)->server.service, token, *observation.responseTime, now);
+        }
         m_lifecycle.recordLiveness(token, now - *observation.responseTime);
     }
     if (packet.length > 0) {
@@ -271,6 +276,9 @@
     m_flows.checkOverdue(now, [this, now](std::uint32_t token) {
         m_lifecycle.failureDetector().requestProbe(token);
         m_lifecycle.latencyTracker().recordOverdueResponse(token, now);
+        if (m_loadReporter != nullptr) {
+            m_loadReporter->recordOverdueResponse(token, now);
+        }
     });
     tickAdmission();
     if (now < m_nextExpiry) {
@@ -285,11 +293,6 @@
     forgetServers();
 }
 
-const FlowTracker &StreamRouter::flows() const
-{
-    return m_flows;
-}
-
 void StreamRouter::logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields)
 {
     m_view.recordFlowEvent(severity, name, packet.client, packet.service, std::move(fields));
@@ -497,14 +500,4 @@
     return m_view.directory();
 }
 
-const ServerFailureDetector &StreamRouter::failureDetector() const
-{
-    return m_lifecycle.failureDetector();
-}
-
-const ServerLatencyTracker &StreamRouter::latencyTracker() const
-{
-    return m_lifecycle.latencyTracker();
-}
-
 } // namespace Samphirepitch
