--- a/src/shortage/flowadmission.h
+++ b/src/shortage/flowadmission.h
@@ -4,6 +4,7 @@
 #include "core/endpoint.h"
 #include "core/eventsink.h"
 #include "core/metricsource.h"
+#include "shortage/serveruse.h"
 #include "shortage/serviceload.h"
 #include "stream/streamconfiguration.h"
 
@@ -19,13 +20,6 @@
 
 class LoadView;
 
-/** What a server counts for in the admission of requests. */
-enum class ServerUse {
-    Usable,
-    Slow, /**< It responds much later than others; requests at it need no room at them. */
-    Unusable, /**< It has failed, so that requests at it get no response. */
-};
-
 /** A request as the admission sees it: an opening packet, or the first data of a request on an open flow. */
 struct AdmissionRequest {
     Endpoint client;
--- a/src/stream/flowplacement.cpp
+++ b/src/stream/flowplacement.cpp
@@ -209,6 +209,26 @@
     m_slowServers.erase(token);
 }
 
+ServerUse FlowPlacement::serverUse(std::uint32_t token) const
+{
+    if (m_dependencies.failureDetector.status(token, m_dependencies.clock.now()) != ServerStatus::Trusted) {
+        return ServerUse::Unusable;
+    }
+    return isSlow(token) ? ServerUse::Slow : ServerUse::Usable;
+}
+
+std::uint32_t FlowPlacement::usableSlots(const std::string &service) const
+{
+    const StreamRoute anyRoute;
+    const NewFlow flow { &anyRoute, service };
+    std::uint32_t slots = 0;
+    for (const DirectoryRecord *const record : m_dependencies.directory.listed(service)) {
+        const bool mayServe = serverUse(record->token) == ServerUse::Usable && record->takesFlows && !record->tokenTaken;
+        slots += mayServe && !isExcluded(*record, flow) ? record->server.slots : 0;
+    }
+    return slots;
+}
+
 bool FlowPlacement::isSlow(std::uint32_t token) const
 {
     return m_slowServers.contains(token);
--- a/src/stream/flowplacement.h
+++ b/src/stream/flowplacement.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "loadreport/slowdownview.h"
 #include "placement/placementpolicy.h"
+#include "shortage/serveruse.h"
 #include "stream/flowtracker.h"
 #include "stream/serverdirectory.h"
 #include "stream/serverfailuredetector.h"
@@ -96,6 +97,12 @@
     /** Discards the logged state of a server. */
     void forget(std::uint32_t token);
 
+    /** Returns what requests at the server with a token count for. */
+    ServerUse serverUse(std::uint32_t token) const;
+
+    /** Returns the requests that the servers of a service which can take new flows can run at the same time. Slow servers don't count. */
+    std::uint32_t usableSlots(const std::string &service) const;
+
     /** Returns whether a server was much slower than others when it was last compared; see slowThreshold. */
     bool isSlow(std::uint32_t token) const;
 
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -176,8 +176,8 @@
         return hold();
     }
     if (m_flows.beginsRequest(packet, token)) {
-        const FlowAdmission::Verdict verdict
-            = m_admission.decide({ packet.client, packet.service, &route, record->server.service, token, false, serverUse(token) });
+        const FlowAdmission::Verdict verdict = m_admission.decide(
+            { packet.client, packet.service, &route, record->server.service, token, false, m_placement.serverUse(token) });
         if (verdict == FlowAdmission::Verdict::Hold) {
             return hold();
         }
@@ -458,31 +458,10 @@
         m_nextSlotCount = now + slotCountInterval;
         m_instanceCount = m_roster == nullptr ? 1 : m_roster->aliveCount(now);
         for (const std::string &service : m_admission.services()) {
-            m_admission.setUsableSlots(service, usableSlots(service));
+            m_admission.setUsableSlots(service, m_placement.usableSlots(service));
         }
     }
-    m_admission.tick(m_instanceCount, m_loadView, [this](std::uint32_t token) { return serverUse(token); });
-}
-
-ServerUse StreamRouter::serverUse(std::uint32_t token) const
-{
-    if (m_lifecycle.failureDetector().status(token, m_clock.now()) != ServerStatus::Trusted) {
-        return ServerUse::Unusable;
-    }
-    return m_placement.isSlow(token) ? ServerUse::Slow : ServerUse::Usable;
-}
-
-std::uint32_t StreamRouter::usableSlots(const std::string &service) const
-{
-    const StreamRoute anyRoute;
-    const NewFlow flow { &anyRoute, service };
-    std::uint32_t slots = 0;
-    for (const DirectoryRecord *const record : m_view.directory().listed(service)) {
-        const bool isUsable = serverUse(record->token) == ServerUse::Usable;
-        const bool mayServe = isUsable && record->takesFlows && !record->tokenTaken;
-        slots += mayServe && !m_placement.isExcluded(*record, flow) ? record->server.slots : 0;
-    }
-    return slots;
+    m_admission.tick(m_instanceCount, m_loadView, [this](std::uint32_t token) { return m_placement.serverUse(token); });
 }
 
 bool StreamRouter::isReady() const
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -209,8 +209,6 @@
     void applyChanges(const DirectoryChanges &changes);
     void forgetServers();
     void tickAdmission();
-    ServerUse serverUse(std::uint32_t token) const;
-    std::uint32_t usableSlots(const std::string &service) const;
     void logFlowEvent(EventSeverity severity, std::string_view name, const StreamPacket &packet, std::vector<EventField> fields);
 
     const Clock &m_clock;
--- a/tests/stream/flowplacementtests.cpp
+++ b/tests/stream/flowplacementtests.cpp
@@ -162,7 +162,7 @@
         REQUIRE(record != nullptr);
         CHECK(record->server.failureDomain == "b");
     }
-    list(1, 1);
+    list(2, 2);
     CHECK(place() == nullptr);
 }
 
