--- a/src/evacuation/evacuationview.cpp
+++ b/src/evacuation/evacuationview.cpp
@@ -95,11 +95,6 @@
     const bool knowsLess = set.before < before;
     m_before = std::max(before, set.before);
     m_position = position;
-    bool changed = false;
-    for (const Evacuation &evacuation : set.evacuations) {
-        const bool isNew = insert(evacuation, begun);
-        changed = isNew || changed;
-    }
     std::set<std::string_view> present;
     for (const Evacuation &evacuation : set.evacuations) {
         present.insert(evacuation.domain);
@@ -118,7 +113,13 @@
     for (const std::string &domain : missing) {
         end(domain, ended);
     }
-    return changed || !missing.empty();
+    // Removed ones go first, so that they take no place of new ones if the view is full.
+    bool changed = !missing.empty();
+    for (const Evacuation &evacuation : set.evacuations) {
+        const bool isNew = insert(evacuation, begun);
+        changed = isNew || changed;
+    }
+    return changed;
 }
 
 void EvacuationView::adoptRetained(const EvacuationSet &set)
--- a/src/shortage/flowadmission.cpp
+++ b/src/shortage/flowadmission.cpp
@@ -57,23 +57,25 @@
         if (known.size() > 1) {
             ServiceLoadState &state = m_services[service];
             state.name = service;
+            state.hasRules = true;
             state.mostUrgent = *known.begin();
             state.target = targets[service];
         }
     }
-    // Requests in flight and held ones refer to their service, so a service stays until nothing of it is left.
-    std::erase_if(m_services, [&priorities](const auto &entry) {
-        const auto found = priorities.find(entry.first);
-        const bool hasRules = found != priorities.end() && found->second.size() > 1;
-        return !hasRules && entry.second.inFlight == 0 && entry.second.queue.size() == 0;
-    });
+    // Requests in flight and held ones refer to their service, so tick() erases a service when nothing of it is left.
+    for (auto &[name, service] : m_services) {
+        const auto found = priorities.find(name);
+        service.hasRules = found != priorities.end() && found->second.size() > 1;
+    }
 }
 
 std::vector<std::string> FlowAdmission::services() const
 {
     std::vector<std::string> names;
     for (const auto &[name, service] : m_services) {
-        names.push_back(name);
+        if (service.hasRules) {
+            names.push_back(name);
+        }
     }
     return names;
 }
@@ -88,7 +90,7 @@
 ServiceLoadState *FlowAdmission::findService(const AdmissionRequest &request)
 {
     const auto found = request.route->priority ? m_services.find(request.service) : m_services.end();
-    return found == m_services.end() ? nullptr : &found->second;
+    return found == m_services.end() || !found->second.hasRules ? nullptr : &found->second;
 }
 
 FlowAdmission::Verdict FlowAdmission::decide(const AdmissionRequest &request)
@@ -101,7 +103,7 @@
     if (m_inFlight.contains(key)) {
         return Verdict::Admit;
     }
-    if (service->queue.contains(request.client, request.address)) {
+    if (m_held.contains(key)) { // perhaps for another service of its route
         return Verdict::Hold;
     }
     const std::uint32_t priority = *request.route->priority;
@@ -135,6 +137,7 @@
         .arrivedAt = now,
         .targetDeadline = now + maxWait,
         .deadline = request.opens ? now + maxWait : now + timeLimit - service.limit.responseTime() });
+    m_held.insert(flowKey(request.client, request.address));
     AdmissionCounts &counts = service.counts[*route.priority];
     ++counts.held;
     const double servable = service.limit.requestsPerSecond() * std::chrono::duration<double>(maxWait).count();
@@ -143,6 +146,7 @@
     for (const WaitingRequest &excess : service.queue.takeExcess(maxSize, now)) {
         if (excess.client == request.client && excess.address == request.address) {
             ++counts.refusedNoRoom;
+            m_held.erase(flowKey(request.client, request.address));
             verdict = Verdict::Refuse;
         } else {
             resolve(service, excess, excess.opens ? HeldResolution::Kind::Refuse : HeldResolution::Kind::Discard, "no_room");
@@ -154,20 +158,24 @@
 void FlowAdmission::start(ServiceLoadState &service, std::uint64_t key, std::uint32_t priority, std::uint32_t token)
 {
     const TimePoint now = m_clock.now();
+    if (const auto earlier = m_inFlight.find(key); earlier != m_inFlight.end()) {
+        finish(earlier);
+    }
     AdmissionCounts &counts = service.counts[priority];
     ++counts.admitted;
     counts.lastAdmitted = now;
     service.limit.recordStart(priority == service.mostUrgent ? service.urgentInFlight : service.inFlight, now);
     ++service.inFlight;
-    service.urgentInFlight += priority == service.mostUrgent ? 1 : 0;
-    m_inFlight[key] = { .service = &service, .priority = priority, .token = token, .startedAt = now, .deadline = now + idleTime };
+    const bool urgent = priority == service.mostUrgent;
+    service.urgentInFlight += urgent ? 1 : 0;
+    m_inFlight[key] = { .service = &service, .urgent = urgent, .token = token, .startedAt = now, .deadline = now + idleTime };
 }
 
 FlowAdmission::InFlight::iterator FlowAdmission::finish(InFlight::iterator request)
 {
     ServiceLoadState &service = *request->second.service;
     --service.inFlight;
-    service.urgentInFlight -= request->second.priority == service.mostUrgent && service.urgentInFlight > 0 ? 1 : 0;
+    service.urgentInFlight -= request->second.urgent ? 1 : 0;
     return m_inFlight.erase(request);
 }
 
@@ -214,6 +222,7 @@
     }
     for (auto &[name, service] : m_services) {
         if (service.queue.remove(client, address)) {
+            m_held.erase(flowKey(client, address));
             m_resolved.push_back({ client, address, HeldResolution::Kind::Discard });
         }
     }
@@ -221,13 +230,13 @@
 
 bool FlowAdmission::isHeld(Endpoint client, Endpoint address) const
 {
-    return std::any_of(m_services.begin(), m_services.end(),
-        [=](const auto &entry) { return entry.second.queue.size() > 0 && entry.second.queue.contains(client, address); });
+    const std::uint64_t key = flowKey(client, address);
+    return m_held.contains(key) || m_released.contains(key);
 }
 
 bool FlowAdmission::holdsAny() const
 {
-    return std::any_of(m_services.begin(), m_services.end(), [](const auto &entry) { return entry.second.queue.size() > 0; });
+    return !m_held.empty();
 }
 
 void FlowAdmission::resolve(ServiceLoadState &service, const WaitingRequest &request, HeldResolution::Kind kind, std::string_view reason)
@@ -242,6 +251,11 @@
                 { "opens", request.opens ? "yes" : "no" }, { "waited_ms", std::to_string(waited) },
                 { "held", std::to_string(service.queue.size()) } });
     }
+    const std::uint64_t key = flowKey(request.client, request.address);
+    m_held.erase(key);
+    if (kind == HeldResolution::Kind::Release) {
+        m_released.insert(key);
+    }
     m_resolved.push_back({ request.client, request.address, kind });
 }
 
@@ -315,6 +329,10 @@
         }
         release(service);
     }
+    std::erase_if(m_services, [](const auto &entry) {
+        const ServiceLoadState &service = entry.second;
+        return !service.hasRules && service.inFlight == 0 && service.queue.size() == 0;
+    });
 }
 
 void FlowAdmission::logState(const ServiceLoadState &service, bool isShort, std::size_t instances, const LoadView *reports)
@@ -334,13 +352,14 @@
 
 std::vector<HeldResolution> FlowAdmission::takeResolved()
 {
+    m_released.clear();
     return std::exchange(m_resolved, {});
 }
 
 const ServiceLoadState *FlowAdmission::load(const std::string &service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() ? nullptr : &found->second;
+    return found == m_services.end() || !found->second.hasRules ? nullptr : &found->second;
 }
 
 void FlowAdmission::writeMetrics(MetricWriter &writer) const
--- a/src/shortage/flowadmission.h
+++ b/src/shortage/flowadmission.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Samphirepitch
@@ -117,7 +118,8 @@
     /** Records that a flow has ended or was reset, so that its requests need no room. A held packet of it is discarded. */
     void recordEnd(Endpoint client, Endpoint address);
 
-    /** Returns whether packets of a flow are held. */
+    /** Returns whether packets of a flow are held, or released but not taken by takeResolved() yet, so that later packets must not pass
+     * them. */
     bool isHeld(Endpoint client, Endpoint address) const;
 
     /** Returns whether any packets are held, so that tick() should be called every few milliseconds. */
@@ -143,7 +145,7 @@
     /** A request that uses room at a server. */
     struct InFlightRequest {
         ServiceLoadState *service = nullptr;
-        std::uint32_t priority = 0;
+        bool urgent = false; // whether it had the most urgent priority when it started
         std::uint32_t token = 0; // 0 until the request is sent
         bool awaitsResponse = false; // whether its data was sent
         TimePoint startedAt {}; // when its opening packet, or the data of a request on an open flow, was sent
@@ -165,6 +167,8 @@
     EventSink &m_events;
     std::map<std::string, ServiceLoadState> m_services;
     InFlight m_inFlight; // by the key of the flow
+    std::unordered_set<std::uint64_t> m_held; // keys of the flows in all queues
+    std::unordered_set<std::uint64_t> m_released; // keys of the flows in m_resolved that are to be sent
     std::vector<HeldResolution> m_resolved;
     TimePoint m_lastTick {};
 };
--- a/src/shortage/inflightlimit.cpp
+++ b/src/shortage/inflightlimit.cpp
@@ -15,6 +15,10 @@
 // A limit below this is treated as this one, so that the time to the next request stays finite.
 constexpr double minLimit = 0.01;
 
+// How much the shortest average may grow with a response. A few rejections by full servers, which come at once, would otherwise make every
+// later response look slow, so that the window never ended.
+constexpr double shortestGrowth = 1.02;
+
 // Requests that wait are checked at least this often.
 constexpr std::chrono::milliseconds maxStartDelay { 5 };
 
@@ -44,7 +48,7 @@
     const double step = isFirst ? 1 : averageStep;
     m_inFlightMs += (toMilliseconds(inFlightTime) - m_inFlightMs) * step;
     m_serverMs += (toMilliseconds(serverTime) - m_serverMs) * step;
-    m_shortestMs = isFirst ? m_inFlightMs : std::min(m_shortestMs, m_inFlightMs);
+    m_shortestMs = isFirst ? m_inFlightMs : std::min(m_shortestMs * shortestGrowth, m_inFlightMs);
     if (m_window < maxWindow && m_inFlightMs < m_shortestMs * growthTolerance) {
         m_window += 1;
     }
@@ -57,7 +61,7 @@
     if (static_cast<double>(inFlight) < whole) {
         return true;
     }
-    return static_cast<double>(inFlight) < allowed && now >= m_nextExtra;
+    return static_cast<double>(inFlight) < allowed && now >= m_lastExtra + pause(allowed - whole);
 }
 
 void InFlightLimit::recordStart(std::size_t inFlight, TimePoint now)
@@ -65,14 +69,18 @@
     const double allowed = limit();
     const double whole = std::floor(allowed);
     if (static_cast<double>(inFlight) >= whole) {
-        // A request that uses the fraction of the limit takes all of it for its response time and then pauses, so that the average holds.
-        const double fraction = std::max(allowed - whole, minLimit);
-        // The pause counts from when it could have started, since this is checked only every few milliseconds.
-        const TimePoint due = std::max(m_nextExtra, now - std::chrono::milliseconds(maxStartDelay));
-        m_nextExtra = std::min(due, now) + fromMilliseconds(toMilliseconds(responseTime()) / fraction);
+        // The pause counts from when the request could have started, since this is checked only every few milliseconds.
+        const TimePoint due = m_lastExtra + pause(allowed - whole);
+        m_lastExtra = std::clamp(due, now - std::chrono::milliseconds(maxStartDelay), now);
     }
 }
 
+std::chrono::nanoseconds InFlightLimit::pause(double fraction) const
+{
+    // A request that uses the fraction of the limit takes all of it for its response time and then pauses, so that the average holds.
+    return fromMilliseconds(toMilliseconds(responseTime()) / std::max(fraction, minLimit));
+}
+
 bool InFlightLimit::isStarting() const
 {
     return m_window < maxWindow && m_window < m_share / serverPart();
--- a/src/shortage/inflightlimit.h
+++ b/src/shortage/inflightlimit.h
@@ -78,12 +78,14 @@
     double requestsPerSecond() const;
 
 private:
+    std::chrono::nanoseconds pause(double fraction) const;
+
     double m_share = maxWindow; // requests at the servers
     double m_window = initialWindow;
     double m_inFlightMs = 0; // 0 before the first response
     double m_serverMs = 0;
     double m_shortestMs = 0; // the shortest average of m_inFlightMs
-    TimePoint m_nextExtra {}; // when a request above the whole part of the limit may start
+    TimePoint m_lastExtra {}; // when the last request above the whole part of the limit started
 };
 
 } // namespace Samphirepitch
--- a/src/shortage/serviceload.h
+++ b/src/shortage/serviceload.h
@@ -44,6 +44,7 @@
     static constexpr std::chrono::milliseconds demandSmoothing { 1000 };
 
     std::string name;
+    bool hasRules = true; /**< whether the configuration has several priorities for it; otherwise only what is left of it is kept */
     std::uint32_t mostUrgent = 0; /**< the most urgent priority of its routes */
     std::chrono::milliseconds target { 0 }; /**< the shortest target latency of its routes; 0 if unknown */
     std::uint32_t usableSlots = 0;
--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -240,8 +240,9 @@
     const StorePosition from = m_router.viewStatus().evacuationsPosition;
     m_evacuations.askedFrom = from;
     const TimePoint callStart = m_clock.now();
-    const Result<EvacuationUpdates> updates
-        = co_await m_discovery.awaitEvacuationUpdates(from.revision(), wait, callStart + wait + responseMargin);
+    // A call without a wait is as long as a read. With the margin of a long poll, a slow store would never answer in time.
+    const milliseconds limit = wait.count() > 0 ? wait + responseMargin : readTimeout;
+    const Result<EvacuationUpdates> updates = co_await m_discovery.awaitEvacuationUpdates(from.revision(), wait, callStart + limit);
     if (!updates) {
         recordFailure(m_evacuations, updates.error());
         co_return;
--- a/src/stream/streamforwarder.cpp
+++ b/src/stream/streamforwarder.cpp
@@ -174,20 +174,19 @@
 
 void StreamForwarder::sendResolved()
 {
-    const std::vector<HeldResolution> resolved = m_router.takeResolvedRequests();
-    for (const HeldResolution &resolution : resolved) {
-        std::vector<std::vector<std::uint8_t>> packets = m_waitingPackets.take(resolution.client, resolution.address);
-        if (resolution.kind == HeldResolution::Kind::Refuse) {
-            sendReset({ resolution.client, resolution.address, 0 }); // the flow is not open, so any number will do
-            continue;
-        }
-        for (std::vector<std::uint8_t> &packet : packets) {
-            if (resolution.kind == HeldResolution::Kind::Release) {
-                forward(packet);
+    // Sending a packet may end the wait of others.
+    for (auto resolved = m_router.takeResolvedRequests(); !resolved.empty(); resolved = m_router.takeResolvedRequests()) {
+        std::vector<std::vector<std::vector<std::uint8_t>>> taken; // the batch refers to the packets until it is flushed
+        for (const HeldResolution &resolution : resolved) {
+            taken.push_back(m_waitingPackets.take(resolution.client, resolution.address));
+            if (resolution.kind == HeldResolution::Kind::Refuse) {
+                sendReset({ resolution.client, resolution.address, 0 }); // the flow is not open, so any number will do
+            } else if (resolution.kind == HeldResolution::Kind::Release) {
+                for (std::vector<std::uint8_t> &packet : taken.back()) {
+                    forward(packet);
+                }
             }
         }
-    }
-    if (!resolved.empty()) {
         m_batch.flush(m_socket.native_handle());
     }
 }
--- a/tests/shortage/flowadmissiontests.cpp
+++ b/tests/shortage/flowadmissiontests.cpp
@@ -219,3 +219,72 @@
     CHECK(open(0, 200) == Verdict::Admit);
     CHECK(admission.load("pond") == nullptr);
 }
+
+TEST_CASE_METHOD(AdmissionFixture, "data that follows a released packet waits until that one is sent", "[shortage]")
+{
+    makeShort();
+    for (std::uint16_t port = 200; port < 203; ++port) {
+        open(0, port);
+    }
+    REQUIRE(open(0, 203, ServerUse::Usable, false) == Verdict::Hold);
+    CHECK(admission.isHeld(client(203), routes[0].address));
+    respond(0, 200);
+    respond(0, 201);
+    CHECK(admission.isHeld(client(203), routes[0].address)); // released, but not taken yet
+    CHECK(admission.takeResolved().size() == 1);
+    CHECK_FALSE(admission.isHeld(client(203), routes[0].address));
+}
+
+TEST_CASE_METHOD(AdmissionFixture, "a copy whose route draws another service takes no second place", "[shortage]")
+{
+    // A route with several targets draws one for each copy of an opening packet. The request in flight would be counted for both for ever.
+    makeShort();
+    for (std::uint16_t port = 200; port < 203; ++port) {
+        open(0, port);
+    }
+    REQUIRE(open(0, 203) == Verdict::Hold);
+    StreamRoute split = routes[0];
+    CHECK(admission.decide({ client(203), split.address, &split, "other", 0, true, ServerUse::Usable }) == Verdict::Admit); // has no rules
+    CHECK(open(0, 203) == Verdict::Hold);
+    respond(0, 200);
+    respond(0, 201);
+    CHECK(admission.takeResolved().size() == 1);
+    admission.recordEnd(client(203), routes[0].address);
+    admission.recordEnd(client(202), routes[0].address);
+    CHECK(admission.load("pond")->inFlight == 0);
+}
+
+TEST_CASE_METHOD(AdmissionFixture, "the rules end with a configuration of one priority although requests are in flight", "[shortage]")
+{
+    makeShort();
+    for (std::uint16_t port = 200; port < 203; ++port) {
+        open(0, port);
+    }
+    REQUIRE(open(0, 203) == Verdict::Hold);
+    StreamConfiguration configuration { .version = 2 };
+    configuration.routes.emplace(routes[0].address, routes[0]);
+    admission.applyConfiguration(configuration);
+    CHECK(open(0, 204) == Verdict::Admit);
+    tick();
+    CHECK(admission.takeResolved() == std::vector<HeldResolution> { { client(203), routes[0].address, Kind::Release } });
+    CHECK(admission.load("pond") == nullptr);
+}
+
+TEST_CASE_METHOD(AdmissionFixture,
+    "requests that were urgent when they started are not counted wrongly after the most urgent priority changes", "[shortage]")
+{
+    for (std::uint16_t port = 200; port < 204; ++port) {
+        open(1, port);
+    }
+    CHECK(admission.load("pond")->urgentInFlight == 4);
+    StreamConfiguration configuration { .version = 2 };
+    routes[1].priority = 3;
+    configuration.routes.emplace(routes[0].address, routes[0]);
+    configuration.routes.emplace(routes[1].address, routes[1]);
+    admission.applyConfiguration(configuration);
+    for (std::uint16_t port = 200; port < 204; ++port) {
+        respond(1, port);
+    }
+    CHECK(admission.load("pond")->urgentInFlight == 0);
+    CHECK(admission.load("pond")->inFlight == 0);
+}
--- a/tests/shortage/inflightlimittests.cpp
+++ b/tests/shortage/inflightlimittests.cpp
@@ -76,6 +76,16 @@
         }
         CHECK(limit.limit() < 12);
     }
+    SECTION("a rejection by a full server, which comes at once, does not keep it open for ever")
+    {
+        InFlightLimit rejected;
+        rejected.setShare(240, 1, 0, {});
+        rejected.recordResponse(milliseconds(2), milliseconds(0));
+        for (int response = 0; response < 300; ++response) {
+            rejected.recordResponse(milliseconds(20), milliseconds(18));
+        }
+        CHECK_FALSE(rejected.isStarting());
+    }
     SECTION("it ends after some tens of responses in time")
     {
         warmUp(limit);
--- a/tests/stream/streamforwardertests.cpp
+++ b/tests/stream/streamforwardertests.cpp
@@ -90,6 +90,26 @@
         return count;
     }
 
+    /** Returns the ports of the clients of the datagrams that the server received since the last call, in their order. */
+    std::vector<std::uint16_t> receivedPorts()
+    {
+        std::array<std::uint8_t, 64> buffer {};
+        std::error_code error;
+        std::vector<std::uint16_t> ports;
+        while (true) {
+            const std::size_t size = m_serverSocket.receive(asio::buffer(buffer), 0, error);
+            if (error || size < 2) {
+                return ports;
+            }
+            ports.push_back(static_cast<std::uint16_t>(buffer[size - 2] << 8 | buffer[size - 1]));
+        }
+    }
+
+    StreamForwarder &forwarder()
+    {
+        return *m_forwarder;
+    }
+
     asio::io_context context;
     asio::cancellation_signal cancel;
     bool ended = false;
@@ -129,3 +149,26 @@
     CHECK(forwardedBefore < 270);
     CHECK(forwardedBefore + receivedByServer() == 270);
 }
+
+TEST_CASE_METHOD(
+    ForwarderFixture, "packets of requests that waited for room are sent unchanged and in their order", "[stream][forwarder][shortage]")
+{
+    // Guards against released packets that are sent from memory that was freed or used again.
+    StreamConfiguration configuration = configurationWith(5, "pond");
+    for (auto &[address, route] : configuration.routes) {
+        route.priority = address == RouterFixture::service ? 2 : 1;
+        route.timeLimit = std::chrono::seconds(20);
+        route.targetLatency = std::chrono::seconds(20);
+    }
+    router.applyConfiguration(configuration);
+    advanceClock(std::chrono::milliseconds(25));
+    router.tick(); // counts the slots; the window of a starting instance lets two requests pass
+    context.poll();
+    sendPackets(6);
+    context.poll();
+    CHECK(receivedPorts() == std::vector<std::uint16_t> { 1, 2 });
+    advanceClock(FlowAdmission::idleTime); // the first two flows did not open, so that their room is free
+    router.tick();
+    forwarder().sendResolved();
+    CHECK(receivedPorts() == std::vector<std::uint16_t> { 3, 4 });
+}
