Let the soak's clients wait after a refused opening

A refused opening ends an attempt at once, and the user opened the next flow without a pause.

They now wait 200 ms, the time after which a client repeats an opening packet. The rate without the pause was not measured.

--- a/soak/soakclient.cpp
+++ b/soak/soakclient.cpp
@@ -23,6 +23,7 @@
 // Ports of a host that uses them again. With six users, whose flows last about half a second, each port comes again after some seconds.
 constexpr std::uint16_t firstReusedPort = 2000;
 constexpr std::uint16_t reusedPorts = 48;
+constexpr milliseconds refusedPause { 200 }; // without it, refused users would open flows as fast as the processor allows
 constexpr std::uint64_t maxPause = 120; // milliseconds; upper bound of the pause between requests
 
 // A client ignores a reset of an open flow whose sequence number is further than this from its own acknowledgement number.
@@ -138,6 +139,10 @@
         bool usable = co_await open(flow, route);
         if (!usable) {
             m_checker.recordFailed(0);
+            if (flow.reset) {
+                pause.expires_after(refusedPause);
+                co_await pause.async_wait(asio::use_awaitable);
+            }
         }
         const std::uint64_t requests = 1 + m_random.below(maxRequestsPerFlow);
         for (std::uint64_t request = 0; usable && !m_stopped && request < requests; ++request) {
