Evacuate failure domains in the fault soak

The soak had no evacuations, so nothing checked with real processes that instances send no new flow to an evacuated domain.

Servers report each flow that they accept. One in an evacuated domain is a violation later than 5 s after the store accepted the object and after the last fault of the store, of any instance's link to it, or of the instance that sent the packet. Resets of open flows were checked before.

--- a/soak/invariantchecker.cpp
+++ b/soak/invariantchecker.cpp
@@ -1,5 +1,7 @@
 #include "soak/invariantchecker.h"
 
+#include <algorithm>
+
 namespace Samphirepitch::Soak
 {
 
@@ -48,6 +50,14 @@
     }
 }
 
+void InvariantChecker::recordFlowInEvacuatedDomain(
+    const std::string &server, const std::string &domain, Time at, Time begunAt, Time disturbedAt)
+{
+    if (at > std::max(begunAt, disturbedAt) + evacuationBound) {
+        addViolationOnce("server " + server + " received a new flow in the evacuated domain " + domain, at - begunAt);
+    }
+}
+
 void InvariantChecker::addViolationOnce(const std::string &what, std::chrono::steady_clock::duration age)
 {
     if (m_reported.insert(what).second) {
--- a/soak/invariantchecker.h
+++ b/soak/invariantchecker.h
@@ -18,6 +18,9 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
+    /** The platform's bound (5,000 ms) from the acknowledgement of an evacuation until no new flow reaches the domain. */
+    static constexpr std::chrono::milliseconds evacuationBound { 5000 };
+
     /** Records the violation of an invariant, described by @p what. */
     void addViolation(const std::string &what);
 
@@ -46,6 +49,16 @@
     void recordOlderVersion(
         const std::string &process, std::uint64_t version, Time openedAt, Time dueAt, std::chrono::milliseconds rollbackSlack);
 
+    /**
+     * Records that a server in an evacuated domain accepted a new flow. That is a violation later than @c evacuationBound after the begin
+     * and after the last fault that may have kept the evacuation from the instance that sent the flow.
+     * @param server id of the server
+     * @param at when the server accepted the flow
+     * @param begunAt when the store accepted the evacuation, or the server's place in that domain if that was later
+     * @param disturbedAt last time at which the store or the instance was seen with a fault
+     */
+    void recordFlowInEvacuatedDomain(const std::string &server, const std::string &domain, Time at, Time begunAt, Time disturbedAt);
+
     /** Returns the newest version that @p process was seen to apply, or 0. */
     std::uint64_t appliedVersion(const std::string &process) const;
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,6 +12,7 @@
 DEFINE_bool(odd_entries, false, "another writer leaves odd entries, and odd routes exist; the rest of the schedule stays the same");
 DEFINE_bool(foreign_entries, false, "another writer leaves sound entries of its own; the rest of the schedule stays the same");
 DEFINE_bool(reused_ports, false, "clients use ports again; the rest of the schedule stays the same");
+DEFINE_bool(evacuations, false, "an operator evacuates failure domains; the rest of the schedule stays the same");
 DEFINE_string(program, "", "samphirepitchd");
 DEFINE_string(folder, "", "folder for settings and logs of the instances");
 DEFINE_bool(schedule, false, "print the schedule even without violations");
@@ -33,6 +34,7 @@
     options.oddEntries = FLAGS_odd_entries;
     options.foreignEntries = FLAGS_foreign_entries;
     options.reusedPorts = FLAGS_reused_ports;
+    options.evacuations = FLAGS_evacuations;
     SoakRun run(options);
     const std::vector<std::string> violations = run.execute();
     if (FLAGS_schedule || !violations.empty()) {
@@ -45,6 +47,7 @@
     }
     std::cout << "soak: seed=" << FLAGS_seed << (options.peerLinks ? "+links" : "") << (options.storeRestores ? "+restore" : "")
               << (options.oddEntries ? "+odd" : "") << (options.foreignEntries ? "+foreign" : "") << (options.reusedPorts ? "+ports" : "")
-              << (violations.empty() ? " held" : " red") << " served=" << run.servedCount() << " failed=" << run.failedCount() << '\n';
+              << (options.evacuations ? "+evacuations" : "") << (violations.empty() ? " held" : " red") << " served=" << run.servedCount()
+              << " failed=" << run.failedCount() << '\n';
     return violations.empty() ? 0 : 1;
 }
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -59,6 +59,7 @@
 constexpr std::uint64_t oddEntryStream = 3; // the same for the entries of another writer
 constexpr std::uint64_t oddEntrySpacing = 600; // milliseconds; upper bound between them
 constexpr std::uint64_t foreignEntryStream = 4; // the same for sound entries of another writer
+constexpr std::uint64_t evacuationStream = 5; // the same for evacuations
 constexpr std::uint64_t foreignEntrySpacing = 1200; // milliseconds; upper bound between them
 constexpr milliseconds reportInterval { 1200 }; // after which a server writes its entry again
 constexpr milliseconds restoreObservation { 9000 }; // after the last return; as long as the bound for a drain that is written again
@@ -133,6 +134,7 @@
     , m_store(m_context.get_executor(), m_clock)
     , m_oddWriter(m_store, SeededRandom(mix64(m_options.seed, oddEntryStream)))
     , m_foreignWriter(m_store, SeededRandom(mix64(m_options.seed, foreignEntryStream)))
+    , m_evacuationOperator(m_store, SeededRandom(mix64(m_options.seed, evacuationStream)), m_options.failureDomains)
 {
     std::filesystem::create_directories(m_options.folder);
 }
@@ -165,7 +167,8 @@
             asio::co_spawn(m_context, checkConfiguration(*node), asio::detached);
         }
     }
-    runFor(m_lastFault + (m_options.storeRestores ? restoreObservation : m_options.recoveryTime));
+    const milliseconds observation = m_options.storeRestores ? restoreObservation : m_options.recoveryTime;
+    runFor(m_lastFault + (m_options.evacuations ? EvacuationOperator::observationTime : observation));
     checkRecovery();
     m_finished = true;
     return m_checker.violations();
@@ -204,7 +207,8 @@
          << node.peerProxy.address().toString() << "\"\nseeds = [\"" << address(announcedGroup, 1, peerPort).toString() << "\", \""
          << address(announcedGroup, 2, peerPort).toString() << "\"]\n[data]\npackets = \"stream\"\naddress = \"" << node.data.toString()
          << "\"\n[platform]\naddress = \"" << node.proxy.address().toString() << "\"\n[health]\naddress = \"" << node.health.toString()
-         << "\"\n[stop]\ntimeout_ms = 4000\nlinger_ms = 2500\n[events]\nrate = 200\n";
+         << "\"\n[stop]\ntimeout_ms = 4000\nlinger_ms = 2500\n[events]\nrate = 200\n"
+         << (m_options.evacuations ? "[evacuation]\nenabled = true\n" : "");
 }
 
 void SoakRun::createServers()
@@ -217,13 +221,14 @@
 
 void SoakRun::startServer(const std::string &id, const std::string &service, Endpoint address, const std::string &failureDomain)
 {
-    auto server = SoakServer::start(m_context.get_executor(), m_checker, m_random, id, service, address, dataPort);
+    auto server = SoakServer::start(m_context.get_executor(), m_checker, *this, m_random, id, service, address, dataPort);
     m_servers.push_back(server);
     writeServer(server, failureDomain, false);
 }
 
 void SoakRun::writeServer(const std::shared_ptr<SoakServer> &server, const std::string &failureDomain, bool draining)
 {
+    server->setFailureDomain(failureDomain);
     m_serverSpecs[server->id()] = { { "service", server->service() }, { "address", server->address().toString() },
         { "zone", failureDomain }, { "version", "v1" }, { "slots", 2 }, { "state", draining ? "draining" : "ready" },
         { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", server->startedAt() } };
@@ -312,6 +317,11 @@
     if (m_options.foreignEntries) {
         scheduleForeignEntries();
     }
+    if (m_options.evacuations) {
+        for (EvacuationOperator::Step &step : m_evacuationOperator.plan(m_options.faultDuration, m_lastFault)) {
+            scheduleAction(step.at, step.description, std::move(step.action));
+        }
+    }
     // Ends the faults that are still active, for the recovery time.
     scheduleAction(m_options.faultDuration, "all faults end", [this] {
         m_faultsEnded = true;
@@ -531,6 +541,7 @@
         if (m_store.put("config", "main", m_configuration) != revision) {
             m_acknowledgedAt[m_version] = std::chrono::steady_clock::now();
         }
+        m_evacuationOperator.writeAgain();
     });
     for (const auto &server : m_servers) {
         randomValue = mix64(randomValue, server->address().address());
@@ -677,6 +688,9 @@
         m_storeDisturbedAt = now;
     }
     for (const auto &node : m_nodes) {
+        if (node->proxy.mode() != FaultProxy::Mode::Pass) {
+            m_storeLinkDisturbedAt = now;
+        }
         if (node->isDisturbed()) {
             node->disturbedAt = now;
         }
@@ -797,6 +811,24 @@
         m_servers.begin(), m_servers.end(), [&](const auto &server) { return server->holdsFlow(client, service, openingSequence); });
 }
 
+void SoakRun::flowAccepted(const SoakServer &server, Endpoint instance)
+{
+    const auto acceptedAt = m_evacuationOperator.acceptedAt(server.failureDomain());
+    if (!acceptedAt) {
+        return;
+    }
+    const Time now = std::chrono::steady_clock::now();
+    recordDisturbances(now);
+    Time disturbedAt = std::max(m_storeDisturbedAt, m_storeLinkDisturbedAt);
+    for (const auto &node : m_nodes) {
+        if (node->data == instance) {
+            disturbedAt = std::max(disturbedAt, node->disturbedAt);
+        }
+    }
+    m_checker.recordFlowInEvacuatedDomain(
+        server.id(), server.failureDomain(), now, std::max(*acceptedAt, server.failureDomainSince()), disturbedAt);
+}
+
 void SoakRun::checkRecovery()
 {
     constexpr milliseconds observationTime { 2000 };
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
+#include "soak/evacuationoperator.h"
 #include "soak/faultproxy.h"
 #include "soak/foreignwriter.h"
 #include "soak/instanceprocess.h"
@@ -37,13 +38,14 @@
     bool foreignEntries
         = false; /**< whether another writer leaves sound entries at the addresses of servers, and copies of their entries */
     bool reusedPorts = false; /**< whether clients use the ports of closed flows again */
+    bool evacuations = false; /**< whether an operator evacuates failure domains; adds some seconds to the run */
     std::string program; /**< path of samphirepitchd */
     std::string folder; /**< folder for settings and logs of the instances */
     std::uint32_t network = 0; /**< number of a /16 network from 127.64.0.0 on, 0 to 31; parallel runs need different ones */
 };
 
 /** Runs instances as processes under a random schedule of faults, and checks the invariants that clients and servers observe. */
-class SoakRun : public PacketFabric
+class SoakRun : public PacketFabric, public FlowObserver
 {
 public:
     explicit SoakRun(SoakOptions options);
@@ -60,6 +62,7 @@
 
     Endpoint instanceFor(Endpoint client, Endpoint service) const override;
     bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const override;
+    void flowAccepted(const SoakServer &server, Endpoint instance) override;
 
 private:
     struct Node;
@@ -112,6 +115,7 @@
     StoreStandin m_store;
     OddWriter m_oddWriter;
     ForeignWriter m_foreignWriter;
+    EvacuationOperator m_evacuationOperator;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::shared_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakClient>> m_clients;
@@ -123,6 +127,7 @@
     std::map<std::uint64_t, Time> m_acknowledgedAt; // by version of the configuration
     std::chrono::milliseconds m_lastFault {}; // end of the last scheduled fault
     Time m_storeDisturbedAt {}; // last time at which the store was seen refusing or away
+    Time m_storeLinkDisturbedAt {}; // last time at which connections of any instance to the store were seen with a fault
     std::uint64_t m_version = 1;
     std::uint64_t m_nextServer = 1;
     std::uint32_t m_extraRoutes = 0;
--- a/soak/soakserver.cpp
+++ b/soak/soakserver.cpp
@@ -50,10 +50,11 @@
     return stream >> payload.requestId >> payload.idempotent >> payload.service ? std::optional(payload) : std::nullopt;
 }
 
-SoakServer::SoakServer(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, std::string id, std::string service,
-    Endpoint address, std::uint16_t dataPort)
+SoakServer::SoakServer(asio::any_io_executor executor, InvariantChecker &checker, FlowObserver &observer, RandomSource &random,
+    std::string id, std::string service, Endpoint address, std::uint16_t dataPort)
     : m_executor(std::move(executor))
     , m_checker(checker)
+    , m_observer(observer)
     , m_random(random)
     , m_id(std::move(id))
     , m_number(std::stoull(m_id.substr(m_id.rfind('-') + 1), nullptr, 16))
@@ -66,11 +67,11 @@
 {
 }
 
-std::shared_ptr<SoakServer> SoakServer::start(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random,
-    std::string id, std::string service, Endpoint address, std::uint16_t dataPort)
+std::shared_ptr<SoakServer> SoakServer::start(asio::any_io_executor executor, InvariantChecker &checker, FlowObserver &observer,
+    RandomSource &random, std::string id, std::string service, Endpoint address, std::uint16_t dataPort)
 {
     std::shared_ptr<SoakServer> server(
-        new SoakServer(std::move(executor), checker, random, std::move(id), std::move(service), address, dataPort));
+        new SoakServer(std::move(executor), checker, observer, random, std::move(id), std::move(service), address, dataPort));
     asio::co_spawn(server->m_executor, server->receive(server), asio::detached);
     asio::co_spawn(server->m_executor, server->accept(server), asio::detached);
     return server;
@@ -90,6 +91,14 @@
     m_drainDeadline = deadline;
 }
 
+void SoakServer::setFailureDomain(const std::string &failureDomain)
+{
+    if (m_failureDomain != failureDomain) {
+        m_failureDomain = failureDomain;
+        m_failureDomainSince = std::chrono::steady_clock::now();
+    }
+}
+
 bool SoakServer::holdsFlow(Endpoint client, Endpoint service, std::uint32_t openingSequence) const
 {
     const auto found = m_flows.find({ client, service });
@@ -116,6 +125,16 @@
     return m_service;
 }
 
+const std::string &SoakServer::failureDomain() const
+{
+    return m_failureDomain;
+}
+
+std::chrono::steady_clock::time_point SoakServer::failureDomainSince() const
+{
+    return m_failureDomainSince;
+}
+
 Endpoint SoakServer::address() const
 {
     return m_address;
@@ -124,11 +143,13 @@
 asio::awaitable<void> SoakServer::receive([[maybe_unused]] std::shared_ptr<SoakServer> self)
 {
     std::array<char, 2048> buffer {};
+    udp::endpoint sender;
     std::error_code error;
     while (!error) {
-        const std::size_t size = co_await m_socket.async_receive(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t size
+            = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, error));
         if (!error && size > serverNumberSize) {
-            handlePacket({ buffer.data(), size });
+            handlePacket({ buffer.data(), size }, Endpoint(sender.address().to_v4().to_uint(), sender.port()));
         }
     }
 }
@@ -141,7 +162,7 @@
     }
 }
 
-void SoakServer::handlePacket(std::string_view bytes)
+void SoakServer::handlePacket(std::string_view bytes, Endpoint instance)
 {
     const std::uint64_t targetNumber = readServerNumber(bytes);
     const auto segment = Segment::decode(bytes.substr(serverNumberSize));
@@ -164,6 +185,7 @@
         }
         Flow &flow = m_flows[key];
         if (found == m_flows.end()) {
+            m_observer.flowAccepted(*this, instance);
             flow.openingSequence = segment->sequence;
             flow.receiveNext = segment->sequence + 1;
             flow.sendNext = static_cast<std::uint32_t>(m_random.next());
--- a/soak/soakserver.h
+++ b/soak/soakserver.h
@@ -29,6 +29,21 @@
     static std::optional<SoakPayload> decode(std::string_view data);
 };
 
+class SoakServer;
+
+/** Is told of the flows that servers accept. */
+class FlowObserver
+{
+public:
+    virtual ~FlowObserver() = default;
+
+    /**
+     * @p server accepted the opening packet of a flow that it did not have.
+     * @param instance address that the packet came from
+     */
+    virtual void flowAccepted(const SoakServer &server, Endpoint instance) = 0;
+};
+
 /** A backend server of the platform that supports requests and responses of one segment each. */
 class SoakServer : public std::enable_shared_from_this<SoakServer>
 {
@@ -37,14 +52,15 @@
      * Binds the address and starts to serve.
      * @param executor runs the server; has a single thread
      * @param checker receives observations and violations
+     * @param observer is told of accepted flows; must outlive the server
      * @param random source of sequence numbers and work times
      * @param id id of the server, whose part after the last '-' is its hexadecimal number
      * @param service name of its service
      * @param address UDP address for packets and TCP address for connection probes
      * @param dataPort port at which clients receive packets
      */
-    static std::shared_ptr<SoakServer> start(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random,
-        std::string id, std::string service, Endpoint address, std::uint16_t dataPort);
+    static std::shared_ptr<SoakServer> start(asio::any_io_executor executor, InvariantChecker &checker, FlowObserver &observer,
+        RandomSource &random, std::string id, std::string service, Endpoint address, std::uint16_t dataPort);
 
     /** Ends the server at once and closes its sockets, so that connections are refused from then on. */
     void crash();
@@ -52,6 +68,9 @@
     /** Sets the time from which a new flow violates the drain invariant. */
     void setDrainDeadline(std::chrono::steady_clock::time_point deadline);
 
+    /** Sets the failure domain that the server states in its entry from now on. */
+    void setFailureDomain(const std::string &failureDomain);
+
     /** Returns whether the server is running and has the open flow from @p client to @p service with that first sequence number. */
     bool holdsFlow(Endpoint client, Endpoint service, std::uint32_t openingSequence) const;
     bool isRunning() const;
@@ -60,6 +79,10 @@
     std::int64_t startedAt() const;
     const std::string &id() const;
     const std::string &service() const;
+    const std::string &failureDomain() const;
+
+    /** Returns since when the server has been in its failure domain. */
+    std::chrono::steady_clock::time_point failureDomainSince() const;
     Endpoint address() const;
 
 private:
@@ -74,23 +97,26 @@
 
     using FlowKey = std::pair<Endpoint, Endpoint>;
 
-    SoakServer(asio::any_io_executor executor, InvariantChecker &checker, RandomSource &random, std::string id, std::string service,
-        Endpoint address, std::uint16_t dataPort);
+    SoakServer(asio::any_io_executor executor, InvariantChecker &checker, FlowObserver &observer, RandomSource &random, std::string id,
+        std::string service, Endpoint address, std::uint16_t dataPort);
 
     asio::awaitable<void> receive(std::shared_ptr<SoakServer> self);
     asio::awaitable<void> accept(std::shared_ptr<SoakServer> self);
     asio::awaitable<void> respond(std::shared_ptr<SoakServer> self, FlowKey key, SoakPayload payload);
-    void handlePacket(std::string_view bytes);
+    void handlePacket(std::string_view bytes, Endpoint instance);
     void handleData(const FlowKey &key, Flow &flow, const Segment &segment);
     void reply(const FlowKey &key, const Flow &flow, std::uint8_t flags, std::uint32_t sequence, std::string data = {});
     void send(const Segment &segment);
 
     asio::any_io_executor m_executor;
     InvariantChecker &m_checker;
+    FlowObserver &m_observer;
     RandomSource &m_random;
     std::string m_id;
     std::uint64_t m_number;
     std::string m_service;
+    std::string m_failureDomain;
+    std::chrono::steady_clock::time_point m_failureDomainSince;
     Endpoint m_address;
     std::uint16_t m_dataPort;
     std::int64_t m_startedAt;
--- a/tests/soak/invariantcheckertests.cpp
+++ b/tests/soak/invariantcheckertests.cpp
@@ -66,3 +66,18 @@
     checker.recordOlderVersion("entry-1", 5, dueAt + milliseconds(1), dueAt, slack);
     CHECK(checker.violations().size() == 1);
 }
+
+TEST_CASE("a new flow in an evacuated domain violates an invariant once the evacuation had to be known", "[soak][invariantchecker]")
+{
+    // Guards against a soak that passes although an instance ignores evacuations, or that blames it for a fault of the store.
+    InvariantChecker checker;
+    const Time begunAt = Time() + milliseconds(10000);
+    const auto record = [&](milliseconds afterBegin, Time disturbedAt) {
+        checker.recordFlowInEvacuatedDomain("i-1", "d0", begunAt + afterBegin, begunAt, disturbedAt);
+        return checker.violations().size();
+    };
+    CHECK(record(milliseconds(5000), Time()) == 0);
+    CHECK(record(milliseconds(5001), begunAt + milliseconds(1)) == 0);
+    CHECK(record(milliseconds(5002), begunAt + milliseconds(1)) == 1);
+    CHECK(record(milliseconds(5001), Time()) == 1); // reported once for each server
+}
