--- a/src/shortage/flowadmission.cpp
+++ b/src/shortage/flowadmission.cpp
@@ -368,7 +368,9 @@
 
 void FlowAdmission::writeMetrics(MetricWriter &writer) const
 {
-    for (const auto &[name, service] : m_services) {
+    for (const auto &entry : m_services) {
+        const std::string &name = entry.first;
+        const ServiceLoadState &service = entry.second;
         writer.gauge("samphirepitch_service_short", "1 if the requests in flight use up the slots of a service, otherwise 0, by service.",
             { { "service", name } }, service.monitor.isShort(m_clock.now()) ? 1 : 0);
         writer.gauge("samphirepitch_service_usable_slots", "Requests that the usable servers of a service can run at a time, by service.",
--- a/src/shortage/requestqueue.cpp
+++ b/src/shortage/requestqueue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace Samphirepitch
 {
@@ -20,7 +19,7 @@
 
 void RequestQueue::push(WaitingRequest request)
 {
-    m_requests.push_back(std::move(request));
+    m_requests.push_back(request);
 }
 
 std::optional<WaitingRequest> RequestQueue::pop(TimePoint now)
@@ -30,7 +29,7 @@
     if (first == m_requests.end()) {
         return std::nullopt;
     }
-    WaitingRequest request = std::move(*first);
+    const WaitingRequest request = *first;
     m_requests.erase(first);
     return request;
 }
@@ -46,7 +45,7 @@
     if (first == m_requests.end()) {
         return std::nullopt;
     }
-    WaitingRequest request = std::move(*first);
+    const WaitingRequest request = *first;
     m_requests.erase(first);
     return request;
 }
@@ -72,7 +71,7 @@
                 last = candidate;
             }
         }
-        excess.push_back(std::move(*last));
+        excess.push_back(*last);
         m_requests.erase(last);
     }
     return excess;
