--- a/src/daemon/settingstable.cpp
+++ b/src/daemon/settingstable.cpp
@@ -94,7 +94,8 @@
             "Maximum wait time of a long poll for evacuations; also bounds how long a silent connection goes unnoticed.")),
         keyRow<&Fields::exchangesLoadReports>({ .key = "load.reports",
             .defaultValue = false,
-            .documentation = "Whether stream instances tell each other about the load and the response times that they see." }),
+            .documentation = "Whether stream instances tell each other about the load and the response times that they see, and hold back "
+                             "less urgent requests while a service is short." }),
         keyRow<&Fields::metricsAddress>({ .key = "metrics.address",
             .defaultValue = Endpoint(),
             .documentation = "TCP address of GET /metrics and /healthz; empty for none." }),
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -322,7 +322,10 @@
         return false;
     }
     applyChanges(*changes);
-    m_admission.applyConfiguration(m_view.configuration());
+    // Without reports, an instance can't tell a shortage of a service from a moment of its own.
+    if (m_loadView != nullptr) {
+        m_admission.applyConfiguration(m_view.configuration());
+    }
     m_coldShares.applyConfiguration(m_view.configuration());
     const auto hasNoRoute = [this](const StreamFlow &flow) { return m_view.configuration().find(flow.service) == nullptr; };
     m_lifecycle.resetAll(m_flows.removeMatching(hasNoRoute, m_clock.now()), StreamOutcome::RouteRemoved);
--- a/tests/stream/streamforwardertests.cpp
+++ b/tests/stream/streamforwardertests.cpp
@@ -1,3 +1,4 @@
+#include "loadreport/loadview.h"
 #include "stream/routerfixture.h"
 #include "stream/streamforwarder.h"
 
@@ -50,6 +51,16 @@
     }
 };
 
+/** Has no reports. */
+class EmptyLoadView : public LoadView
+{
+public:
+    std::optional<ServiceLoadEstimate> serviceLoad(const std::string &, TimePoint) const override
+    {
+        return std::nullopt;
+    }
+};
+
 /** A forwarder whose router has one server, a socket of the test. */
 class ForwarderFixture : public RouterFixture
 {
@@ -114,6 +125,7 @@
     asio::io_context context;
     asio::cancellation_signal cancel;
     bool ended = false;
+    EmptyLoadView loadView;
 
 private:
     OpeningCodec m_codec;
@@ -161,6 +173,7 @@
         route.timeLimit = std::chrono::seconds(20);
         route.targetLatency = std::chrono::seconds(20);
     }
+    router.useLoadView(loadView);
     router.applyConfiguration(configuration);
     advanceClock(std::chrono::milliseconds(25));
     router.tick(); // counts the slots; the window of a starting instance lets eight requests pass
