Reset no open flow whose route a newer version may have again

Instances that lived reset open flows that others had opened after the route was back, some with a request under way that may not be repeated.

Cause: an older version of the configuration counted as proof that a route was gone. route() reset packets of open flows if a version had removed the route in the last 60 s, and applyConfiguration() reset all tracked flows without a route in the new version. Neither asked whether that version was still the newest when the flow was opened. For up to a second after many instances died, the others have different versions, and a change of the rotation moves nearly all flows to other instances.

Change: a missing route proves a removal only for flows that were open before the configuration was last confirmed as the newest, less the 2 s by which a confirmation may be late. All unknown versions were written later, so such a flow can't have been opened by one of them. Packets of other flows without a route are dropped; UnroutedFlows keeps the flows until a later confirmation proves the removal, and they are reset, or until the route is back. The version in force proves nothing while the store, back from an older copy, doesn't hold it. Nothing is served on a missing route, proven or not.

Tests that expected resets without any confirmation now confirm the configuration first, as each reader does with each answer of the store; they expect the same resets.

--- a/src/stream/flowtracker.cpp
+++ b/src/stream/flowtracker.cpp
@@ -1,30 +1,15 @@
 #include "stream/flowtracker.h"
 
 #include "routing/flowkey.h"
+#include "stream/sequencenumber.h"
 
 #include <utility>
 
 namespace Samphirepitch
 {
 
-namespace
-{
-
-/** Returns whether one sequence number comes after another; sequence numbers wrap around. */
-bool isAfter(std::uint32_t left, std::uint32_t right)
-{
-    return static_cast<std::int32_t>(left - right) > 0;
-}
-
-// Ends of a flow accept numbers at most this far from the last ones that they know.
-constexpr std::uint32_t maxNumberDistance = 76'800; // bytes
-
-bool isOutsideWindow(std::uint32_t left, std::uint32_t right)
-{
-    return (isAfter(left, right) ? left - right : right - left) > maxNumberDistance;
-}
-
-} // namespace
+using SequenceNumber::isAfter;
+using SequenceNumber::isOutsideWindow;
 
 FlowTracker::FlowTracker(std::size_t maxFlows)
     : m_maxFlows(maxFlows)
@@ -39,8 +24,12 @@
 
 bool FlowTracker::isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow)
 {
-    return flow.open && (flow.token != token || flow.finished)
-        && (isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged));
+    return flow.open && (flow.token != token || flow.finished) && hasOtherNumbers(packet, flow);
+}
+
+bool FlowTracker::hasOtherNumbers(const StreamPacket &packet, const StreamFlow &flow)
+{
+    return isOutsideWindow(packet.sequence, flow.nextSequence) || isOutsideWindow(packet.acknowledgement, flow.acknowledged);
 }
 
 bool FlowTracker::mayOpen(const StreamPacket &packet, const StreamFlow &flow, TimePoint now)
--- a/src/stream/flowtracker.h
+++ b/src/stream/flowtracker.h
@@ -99,6 +99,9 @@
      */
     static bool isOfLaterFlow(const StreamPacket &packet, std::uint32_t token, const StreamFlow &flow);
 
+    /** Returns whether the numbers of a packet that is not an opening packet are too far from those of an open flow to belong to it. */
+    static bool hasOtherNumbers(const StreamPacket &packet, const StreamFlow &flow);
+
     /**
      * Returns whether a packet that is not an opening packet begins a request: it contains new data and no request of its flow is waiting
      * for a response. A packet of a flow that isn't tracked begins one if it has data.
--- a/src/stream/storeview.cpp
+++ b/src/stream/storeview.cpp
@@ -36,12 +36,6 @@
         return std::nullopt;
     }
     const StreamConfiguration previous = std::exchange(m_configuration, std::move(configuration));
-    for (const auto &[address, route] : previous.routes) {
-        if (m_configuration.find(address) == nullptr) {
-            m_removedRoutes.insert_or_assign(address, m_clock.now() + ServerDirectory::retention);
-        }
-    }
-    std::erase_if(m_removedRoutes, [this](const auto &entry) { return m_configuration.find(entry.first) != nullptr; });
     advanceCheckedPosition(m_configuration.position);
     m_events.record(EventSeverity::Info, "configuration_in_force",
         { { "version", number(m_configuration.version) }, { "before", number(previous.version) },
@@ -182,9 +176,12 @@
     return m_configuration;
 }
 
-bool StoreView::wasRouteRemoved(Endpoint address) const
+TimePoint StoreView::routeRemovalsProvenUntil() const
 {
-    return m_removedRoutes.contains(address);
+    // A store that returned from an older copy may hold a version that has the route.
+    const bool isInStore = m_configuration.position.era() == m_configurationCheckedPosition.era();
+    const bool isConfirmed = m_configurationAge.confirmed() != TimePoint();
+    return isInStore && isConfirmed ? m_configurationAge.confirmed() - maxConfirmationDelay : TimePoint();
 }
 
 TimePoint StoreView::confirmationGapEnd() const
@@ -237,11 +234,6 @@
     m_lastTick = now;
 }
 
-void StoreView::expireRemovedRoutes()
-{
-    std::erase_if(m_removedRoutes, [now = m_clock.now()](const auto &entry) { return entry.second <= now; });
-}
-
 void StoreView::recordFlowEvent(
     EventSeverity severity, std::string_view name, Endpoint client, Endpoint service, std::vector<EventField> fields) const
 {
--- a/src/stream/storeview.h
+++ b/src/stream/storeview.h
@@ -11,7 +11,6 @@
 #include "stream/viewage.h"
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +32,12 @@
     /** Two calls to the store take this long. If the list of servers is unconfirmed for longer, entries may have expired in this gap. */
     static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
 
+    /**
+     * The state of the store that a confirmation describes is at most this much older than the confirmation says: the response to a long
+     * poll takes up to 1.6 s, and messages between instances take the rest.
+     */
+    static constexpr std::chrono::milliseconds maxConfirmationDelay { 2000 };
+
     /** An evacuation has to be in force this long after the store has acknowledged it. */
     static constexpr std::chrono::milliseconds evacuationDelay { 5000 };
     /** Other instances send two rounds of gossip in this time, by which an instance hears of evacuations after a stall. */
@@ -75,9 +80,6 @@
     /** Records a call of StreamRouter::tick(), and a stall of the process if the last one is too long ago. */
     void recordTick();
 
-    /** Forgets removed routes that no flow can be left on. */
-    void expireRemovedRoutes();
-
     /** Returns the earliest time at which a message may have arrived; see StreamRouter::earliestArrival(). */
     TimePoint earliestArrival(TimePoint after) const;
 
@@ -87,8 +89,13 @@
     /** Returns whether a configuration, a list of servers and, if they are used, the evacuations are known. */
     bool isReady() const;
 
-    /** Returns whether a configuration has removed the route of @p address and flows may be left on it. */
-    bool wasRouteRemoved(Endpoint address) const;
+    /**
+     * Returns the time until which a missing route is proof: if the configuration in force lacks the route of a flow that was open at that
+     * time, the route was removed. For later flows it proves nothing: a newer configuration, which this instance doesn't know yet, may
+     * have the route, and another instance may have opened the flow by it.
+     * @return the time, before which the store held nothing newer than the configuration in force; TimePoint() if there is no such time
+     */
+    TimePoint routeRemovalsProvenUntil() const;
 
     /** Returns whether the list is confirmed and entries that expired in the last gap are back. */
     bool isContinuous() const;
@@ -121,7 +128,6 @@
     ServerDirectory m_directory;
     EvacuationView m_evacuations;
     StreamConfiguration m_configuration;
-    std::map<Endpoint, TimePoint> m_removedRoutes; // addresses of removed routes, and when no flow can be left on them
     ViewAge m_configurationAge;
     ViewAge m_serversAge;
     StorePosition m_configurationCheckedPosition;
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -34,6 +34,7 @@
     , m_observer(dependencies.observer)
     , m_view(dependencies.clock, dependencies.events)
     , m_flows(maxFlows)
+    , m_unroutedFlows(maxFlows)
     , m_lifecycle({ dependencies.clock, dependencies.random, dependencies.events, m_view, m_flows, m_counters }, failureDomain)
     , m_evacuationPolicy(m_view.evacuations())
     , m_coldShares(dependencies.clock.now())
@@ -52,13 +53,22 @@
     }
     const StreamRoute *const route = m_view.configuration().find(packet.service);
     if (route == nullptr) {
-        // The route may be newer than the configuration in force, and another instance may have opened the flow.
-        const bool mayBeOpen = !packet.opens && !m_view.wasRouteRemoved(packet.service);
-        return mayBeOpen ? drop(packet, StreamOutcome::NoRoute) : refuse(packet, StreamOutcome::NoRoute);
+        return routeUnrouted(packet);
     }
     return packet.opens ? routeOpening(packet, *route) : routeSubsequent(packet, *route);
 }
 
+StreamDecision StreamRouter::routeUnrouted(const StreamPacket &packet)
+{
+    if (packet.opens || packet.resets) {
+        m_unroutedFlows.remove(packet.client, packet.service);
+        return refuse(packet, StreamOutcome::NoRoute);
+    }
+    const StreamFlow *const flow = m_unroutedFlows.record(packet, m_clock.now());
+    const bool hasEnded = flow != nullptr && flow->ended;
+    return hasEnded ? refuse(packet, StreamOutcome::RouteRemoved) : drop(packet, StreamOutcome::NoRoute);
+}
+
 StreamDecision StreamRouter::routeOpening(const StreamPacket &packet, const StreamRoute &route)
 {
     const StreamFlow *const flow = m_flows.find(packet.client, packet.service);
@@ -287,7 +297,7 @@
     m_nextExpiry = now + expiryInterval;
     const auto idleTimeout = m_view.configuration().idleTimeout.count() > 0 ? m_view.configuration().idleTimeout : defaultIdleTimeout;
     m_flows.expire(now, idleTimeout);
-    m_view.expireRemovedRoutes();
+    m_unroutedFlows.expire(now, idleTimeout);
     m_view.evacuations().expire();
     m_lifecycle.expire();
     forgetServers();
@@ -308,6 +318,8 @@
     writer.counter("samphirepitch_flow_server_changes_total",
         "Packets of open flows whose token names another server than the packet before.", {}, m_serverChanges);
     writer.gauge("samphirepitch_stream_flows", "Flows that this instance tracks.", {}, static_cast<double>(m_flows.size()));
+    writer.gauge("samphirepitch_stream_flows_unrouted", "Flows for whose packets the configuration in force has no route.", {},
+        static_cast<double>(m_unroutedFlows.size()));
     writer.gauge("samphirepitch_servers_slow", "Backend servers that respond much later than others.", {},
         static_cast<double>(m_placement.slowCount()));
     m_view.writeMetrics(writer);
@@ -327,11 +339,21 @@
         m_admission.applyConfiguration(m_view.configuration());
     }
     m_coldShares.applyConfiguration(m_view.configuration());
+    m_unroutedFlows.removeRouted(m_view.configuration());
     const auto hasNoRoute = [this](const StreamFlow &flow) { return m_view.configuration().find(flow.service) == nullptr; };
-    m_lifecycle.resetAll(m_flows.removeMatching(hasNoRoute, m_clock.now()), StreamOutcome::RouteRemoved);
+    for (const StreamFlow &flow : m_flows.removeMatching(hasNoRoute, m_clock.now())) {
+        m_admission.recordEnd(flow.client, flow.service);
+        m_unroutedFlows.add(flow);
+    }
+    endUnroutedFlows();
     return true;
 }
 
+void StreamRouter::endUnroutedFlows()
+{
+    m_lifecycle.resetAll(m_unroutedFlows.endOpenAt(m_view.routeRemovalsProvenUntil(), m_clock.now()), StreamOutcome::RouteRemoved);
+}
+
 void StreamRouter::replaceServers(
     const std::vector<StreamServer> &servers, const std::vector<std::string> &unreadable, StorePosition position, TimePoint confirmedAt)
 {
@@ -373,24 +395,10 @@
     }
 }
 
-TimePoint StreamRouter::earliestArrival(TimePoint after) const
-{
-    return m_view.earliestArrival(after);
-}
-
-void StreamRouter::confirmServers(TimePoint time)
-{
-    m_view.confirmServers(time);
-}
-
 void StreamRouter::confirmConfiguration(StorePosition position, TimePoint time)
 {
     m_view.confirmConfiguration(position, time);
-}
-
-ViewStatus StreamRouter::viewStatus() const
-{
-    return m_view.viewStatus();
+    endUnroutedFlows();
 }
 
 std::vector<EndedServer> StreamRouter::takeEndedServers()
@@ -449,11 +457,6 @@
     m_loadView = &loadView;
 }
 
-const FlowAdmission &StreamRouter::admission() const
-{
-    return m_admission;
-}
-
 void StreamRouter::tickAdmission()
 {
     const TimePoint now = m_clock.now();
@@ -467,19 +470,4 @@
     m_admission.tick(m_instanceCount, m_loadView, [this](std::uint32_t token) { return m_placement.serverUse(token); });
 }
 
-bool StreamRouter::isReady() const
-{
-    return m_view.isReady();
-}
-
-const StreamConfiguration &StreamRouter::configuration() const
-{
-    return m_view.configuration();
-}
-
-const ServerDirectory &StreamRouter::directory() const
-{
-    return m_view.directory();
-}
-
 } // namespace Samphirepitch
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -19,6 +19,7 @@
 #include "stream/streamconfiguration.h"
 #include "stream/streamcounters.h"
 #include "stream/streamobserver.h"
+#include "stream/unroutedflows.h"
 
 #include <limits>
 #include <string>
@@ -76,7 +77,8 @@
     void recordUnreadable(std::size_t size);
 
     /**
-     * Puts a configuration in force and resets the flows that have no route in it.
+     * Puts a configuration in force. The flows that have no route in it are no longer forwarded; each is reset once it is proven that its
+     * route was removed, see StoreView::routeRemovalsProvenUntil().
      * @return false if the configuration is not newer than the one in force, which then stays in force
      */
     bool applyConfiguration(StreamConfiguration configuration);
@@ -110,16 +112,25 @@
      * process, so that what it says about other instances or the store is older than it seems.
      * @param after a time at which it had not arrived yet
      */
-    TimePoint earliestArrival(TimePoint after) const;
+    TimePoint earliestArrival(TimePoint after) const
+    {
+        return m_view.earliestArrival(after);
+    }
 
     /** Records that the list of servers was complete at @p time, according to the store or to an instance that has read it. */
-    void confirmServers(TimePoint time);
+    void confirmServers(TimePoint time)
+    {
+        m_view.confirmServers(time);
+    }
 
     /** Records that at @p time the store, up to @p position, held no configuration newer than the one in force. */
     void confirmConfiguration(StorePosition position, TimePoint time);
 
     /** Returns how recent the views of the store are, for other instances. */
-    ViewStatus viewStatus() const;
+    ViewStatus viewStatus() const
+    {
+        return m_view.viewStatus();
+    }
 
     /** Returns the servers whose end this instance has detected since the last call. */
     std::vector<EndedServer> takeEndedServers();
@@ -165,7 +176,10 @@
     }
 
     /** Returns the load of the services with several priorities. */
-    const FlowAdmission &admission() const;
+    const FlowAdmission &admission() const
+    {
+        return m_admission;
+    }
 
     /** Returns the evacuated failure domains, to whose servers no new flow is sent. They are off until they are enabled. */
     EvacuationView &evacuations()
@@ -174,10 +188,20 @@
     }
 
     /** Returns whether a configuration, a list of servers and, if they are enabled, the evacuations are known. */
-    bool isReady() const;
+    bool isReady() const
+    {
+        return m_view.isReady();
+    }
 
-    const StreamConfiguration &configuration() const;
-    const ServerDirectory &directory() const;
+    const StreamConfiguration &configuration() const
+    {
+        return m_view.configuration();
+    }
+
+    const ServerDirectory &directory() const
+    {
+        return m_view.directory();
+    }
 
     const FlowTracker &flows() const
     {
@@ -197,6 +221,7 @@
     void writeMetrics(MetricWriter &writer) const override;
 
 private:
+    StreamDecision routeUnrouted(const StreamPacket &packet);
     StreamDecision routeOpening(const StreamPacket &packet, const StreamRoute &route);
     StreamDecision routeSubsequent(const StreamPacket &packet, const StreamRoute &route);
     StreamDecision place(const StreamPacket &packet, const StreamRoute &route, bool isRetransmission);
@@ -206,6 +231,7 @@
     StreamDecision drop(const StreamPacket &packet, StreamOutcome outcome);
     StreamDecision forward(const DirectoryRecord &record, StreamOutcome outcome);
     void trackPacket(const StreamPacket &packet, std::uint32_t token);
+    void endUnroutedFlows();
     void applyChanges(const DirectoryChanges &changes);
     void forgetServers();
     void tickAdmission();
@@ -216,6 +242,7 @@
     StreamObserver &m_observer;
     StoreView m_view;
     FlowTracker m_flows;
+    UnroutedFlows m_unroutedFlows;
     StreamCounters m_counters;
     ServerLifecycle m_lifecycle;
     EvacuationPolicy m_evacuationPolicy;
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -254,6 +254,7 @@
     }
     SECTION("the route is removed")
     {
+        router.confirmConfiguration({ 0, 5 }, clock.now());
         StreamConfiguration next = configuration(6);
         next.routes.clear();
         router.applyConfiguration(next);
@@ -976,6 +977,8 @@
     StreamConfiguration same = configuration(6);
     CHECK(router.applyConfiguration(same));
     CHECK(router.takeResets().empty());
+    advanceClock(StoreView::maxConfirmationDelay);
+    router.confirmConfiguration({ 0, 7 }, clock.now());
     StreamConfiguration without = configuration(8);
     without.routes.clear();
     CHECK(router.applyConfiguration(without));
@@ -1183,6 +1186,8 @@
     CHECK(router.route({ .client = client, .service = unsafeService, .opens = true }).action == Action::Reset);
     router.applyConfiguration(withRoute(6));
     CHECK(sendData().action == Action::Forward);
+    advanceClock(StoreView::maxConfirmationDelay);
+    router.confirmConfiguration({ 0, 7 }, clock.now());
     router.applyConfiguration(configuration(8));
     CHECK(router.takeResets().size() == 1);
     CHECK(sendData().action == Action::Reset);
