Reset no open flow because its route can't be read

What callers would see: a route is written in a form that this build can't read, such as an address of another kind. decodeConfiguration() leaves the route out, and its open flows were reset on every instance as those of a removed route. The same held after a version that drops a route while the newest version, which may have it again, can't be read at all.

What was left out as unreadable looked like what the operator had removed.

Change: StreamConfiguration::hasUnreadableRoutes is set by the decoder, passed on between instances as a trailing field, and ends the proof: flows without a route are dropped and not reset. A version that can't be read marks the configuration in force at the newer position, so that other instances learn it too. An earlier build can't read a state with the field, which is sent only if there are such routes.

Measured: "a version with routes that can't be read is no proof that a route was removed" fails without the check in routeRemovalsProvenUntil() and passes with it.

--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -286,6 +286,7 @@
 {
     if (read.fault) {
         recordFault("configuration_refused", *read.fault);
+        m_router.recordUnreadableConfiguration(read.position);
     }
     if (read.configuration) {
         recordIgnored(*read.configuration, read.ignored);
--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -210,13 +210,16 @@
     const WireTime time(now);
     WireState wire { state.deployment, state.sender, toWire(state.view, time), state.baseRevision, toWire(state.changes, time),
         state.configuration.version, static_cast<std::uint64_t>(state.configuration.idleTimeout.count()), {}, state.records,
-        toWire(state.evacuations, state.view, time), {} };
+        toWire(state.evacuations, state.view, time), {}, {} };
     for (const auto &[address, route] : state.configuration.routes) {
         wire.routes.push_back(toWire(route));
     }
     if (!state.configuration.services.empty()) {
         wire.services.emplace();
     }
+    if (state.configuration.hasUnreadableRoutes) {
+        wire.unreadable = WireUnreadable { true };
+    }
     for (const auto &[name, limits] : state.configuration.services) {
         wire.services->list.push_back({ name, std::bit_cast<std::uint64_t>(limits.coldFlowsPerSecond) });
     }
@@ -259,6 +262,7 @@
     for (const WireRoute &route : wire->routes) {
         state.configuration.routes.emplace(route.address, fromWire(route));
     }
+    state.configuration.hasUnreadableRoutes = wire->unreadable.value_or(WireUnreadable()).routes;
     for (const WireService &service : wire->services.value_or(WireServices()).list) {
         state.configuration.services.emplace(service.name, ServiceLimits { coldLimitFromBits(service.coldFlowsPerSecond) });
     }
--- a/src/stream/internal/gossipwire.h
+++ b/src/stream/internal/gossipwire.h
@@ -155,6 +155,11 @@
     std::vector<WireService> list;
 };
 
+/** What of a configuration could not be read. */
+struct WireUnreadable {
+    bool routes = false;
+};
+
 /** The encoded form of an Evacuation. */
 struct WireEvacuation {
     std::string domain;
@@ -206,6 +211,7 @@
     std::vector<PeerRecord> records;
     std::optional<WireEvacuations> evacuations; /**< not set if the sender knows none */
     std::optional<WireServices> services; /**< with limits; not set if there are none */
+    std::optional<WireUnreadable> unreadable; /**< not set if all of the configuration could be read */
 };
 
 template<typename Visitor, MaybeConst<WireView> Value>
@@ -268,6 +274,12 @@
     visitor.list(value.list, GossipCodec::maxServices, eachRecord);
 }
 
+template<typename Visitor, MaybeConst<WireUnreadable> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor.boolean(value.routes);
+}
+
 template<typename Visitor, MaybeConst<WireEvacuation> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -324,6 +336,7 @@
     visitor.list(value.records, GossipCodec::maxInstances, eachRecord);
     visitor.trailing(value.evacuations);
     visitor.trailing(value.services);
+    visitor.trailing(value.unreadable);
 }
 
 } // namespace GossipWire
--- a/src/stream/storeview.cpp
+++ b/src/stream/storeview.cpp
@@ -180,8 +180,9 @@
 {
     // A store that returned from an older copy may hold a version that has the route.
     const bool isInStore = m_configuration.position.era() == m_configurationCheckedPosition.era();
-    const bool isConfirmed = m_configurationAge.confirmed() != TimePoint();
-    return isInStore && isConfirmed ? m_configurationAge.confirmed() - maxConfirmationDelay : TimePoint();
+    const bool provesRemovals = isInStore && !m_configuration.hasUnreadableRoutes;
+    const TimePoint confirmed = m_configurationAge.confirmed();
+    return provesRemovals && confirmed != TimePoint() ? confirmed - maxConfirmationDelay : TimePoint();
 }
 
 TimePoint StoreView::confirmationGapEnd() const
--- a/src/stream/streamconfiguration.h
+++ b/src/stream/streamconfiguration.h
@@ -48,6 +48,7 @@
     std::map<Endpoint, StreamRoute> routes; /**< by address */
     std::map<std::string, ServiceLimits> services; /**< by name; a service without limits may be missing */
     std::chrono::milliseconds idleTimeout { 0 }; /**< a flow may be dropped after this long without a packet */
+    bool hasUnreadableRoutes = false; /**< whether routes were left out that can't be read; any missing route may then be one of them */
 
     /** Returns the route of @p address, or nullptr. */
     const StreamRoute *find(Endpoint address) const
--- a/src/stream/streamrouter.cpp
+++ b/src/stream/streamrouter.cpp
@@ -349,6 +349,16 @@
     return true;
 }
 
+void StreamRouter::recordUnreadableConfiguration(StorePosition position)
+{
+    StreamConfiguration configuration = m_view.configuration();
+    if (!configuration.position.isUnset()) {
+        configuration.position = position;
+        configuration.hasUnreadableRoutes = true;
+        applyConfiguration(std::move(configuration));
+    }
+}
+
 void StreamRouter::endUnroutedFlows()
 {
     m_lifecycle.resetAll(m_unroutedFlows.endOpenAt(m_view.routeRemovalsProvenUntil(), m_clock.now()), StreamOutcome::RouteRemoved);
--- a/src/stream/streamrouter.h
+++ b/src/stream/streamrouter.h
@@ -83,6 +83,12 @@
      */
     bool applyConfiguration(StreamConfiguration configuration);
 
+    /**
+     * Records that the store, at @p position, holds a newer configuration that can't be read. The routes in force stay, but one that they
+     * lack may be in the newer configuration. Other instances learn this with the configuration in force.
+     */
+    void recordUnreadableConfiguration(StorePosition position);
+
     /**
      * Replaces the list of servers. A list of an earlier era of the store than the known one is ignored. The first list of a later era
      * counts as the end of a gap in the confirmations, because it may be an older copy.
--- a/tests/adapter/objectdecodertests.cpp
+++ b/tests/adapter/objectdecodertests.cpp
@@ -300,6 +300,7 @@
     }
     const auto decoded = decodeConfiguration({ "main", { 0, 9 } }, JsonText(text));
     REQUIRE(decoded.has_value());
+    CHECK(decoded->configuration.hasUnreadableRoutes == !hasRoute);
     CHECK_FALSE(decoded->ignored.empty());
     const StreamRoute *const route = decoded->configuration.find(Endpoint(0xc6120001, 8443));
     CHECK((route != nullptr) == hasRoute);
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -304,6 +304,27 @@
     CHECK(router.configuration().position.revision() == 12);
 }
 
+TEST_CASE_METHOD(WatcherFixture, "while the newest configuration can't be read, a missing route counts as one of its routes",
+    "[stream][discoverywatcher][odd]")
+{
+    // Guards against resets of open flows whose route is back in a version that only newer builds can read.
+    discovery.reads.push_back(ConfigurationRead { configuration(4), {}, { 0, 10 } });
+    discovery.reads.push_back(ConfigurationRead { {}, DiscoveryFault { "main", "no routes" }, { 0, 11 } });
+    SECTION("it stays the newest")
+    {
+        watchConfiguration();
+        CHECK(router.configuration().routes == configuration(4).routes);
+        CHECK(router.configuration().hasUnreadableRoutes);
+        CHECK(router.configuration().position == StorePosition(0, 11));
+    }
+    SECTION("one that can be read follows")
+    {
+        discovery.reads.push_back(ConfigurationRead { configuration(12), {}, { 0, 12 } });
+        watchConfiguration();
+        CHECK(router.configuration() == configuration(12));
+    }
+}
+
 TEST_CASE_METHOD(WatcherFixture,
     "the parts of a configuration that can't be used are counted and logged once a version, with a bounded number of lines",
     "[stream][discoverywatcher][odd]")
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -220,6 +220,17 @@
     CHECK(without.size() + 3 * 9 < GossipCodec::encode(state, sent).size());
 }
 
+TEST_CASE("a configuration with routes that can't be read is one on each instance", "[stream][gossipcodec][odd]")
+{
+    // Guards against resets by instances that got the configuration from a peer and take the routes that it left out for removed ones.
+    PeerState state { .sender = record("entry-1"), .view = view(sent) };
+    state.configuration = RouterFixture::configuration(38);
+    state.configuration.hasUnreadableRoutes = GENERATE(true, false);
+    const auto read = GossipCodec::decodeState(GossipCodec::encode(state, sent), received);
+    REQUIRE(read.has_value());
+    CHECK(read->configuration == state.configuration);
+}
+
 TEST_CASE("a state without the fields of this build is read", "[stream][gossipcodec]")
 {
     // The bytes were encoded by the build of 2026-12-06 that had no limits of services. Guards against a rolling update in which no
--- a/tests/stream/removedroutetests.cpp
+++ b/tests/stream/removedroutetests.cpp
@@ -220,3 +220,42 @@
         CHECK(router.takeResets().empty());
     }
 }
+
+TEST_CASE_METHOD(RemovedRouteFixture, "a version with routes that can't be read is no proof that a route was removed",
+    "[stream][router][removedroute][odd]")
+{
+    // Guards against resets of open flows whose route exists: another build wrote it in a form that this one doesn't know.
+    sendData();
+    advanceClock(milliseconds(5000));
+    confirm();
+    SECTION("some routes of the version can't be read")
+    {
+        removed.hasUnreadableRoutes = true;
+        router.applyConfiguration(removed);
+        CHECK(router.takeResets().empty());
+        CHECK(sendData().action == Action::Drop);
+        CHECK(open(Endpoint(0x64400009, 1)).action == Action::Reset);
+    }
+    SECTION("a newer version can't be read at all")
+    {
+        router.applyConfiguration(removed);
+        router.takeResets();
+        const Endpoint other(0x64400009, 1);
+        send(token, 101, 900, 55, other);
+        router.recordUnreadableConfiguration({ 0, 200 });
+        advanceClock(milliseconds(5000));
+        confirm();
+        CHECK(router.takeResets().empty());
+        CHECK(router.viewStatus().configurationPosition == StorePosition(0, 200)); // other instances fetch what has changed
+        StreamConfiguration readable = configuration(210);
+        readable.routes.clear();
+        CHECK(router.applyConfiguration(readable));
+        CHECK(router.takeResets().size() == 1);
+    }
+    SECTION("no version can be read after the start")
+    {
+        StreamRouter started({ clock, random, events, selector, times }, "a", 1000);
+        started.recordUnreadableConfiguration({ 0, 200 });
+        CHECK(started.viewStatus().configurationPosition.isUnset());
+    }
+}
