End no evacuation by an answer from before it was written

What callers would see: new flows go to a failure domain that an operator has just evacuated, for up to 3.4 s, and on all instances.

A store that doesn't know the kind yet answers 404, without a revision. If another instance had read the first evacuation and passed it on before this answer was processed, EvacuationView::clear() ended the evacuation and moved the view to the next revision, by which all other instances took that over until the next list.

Change: the answer counts only if the view is still at the position at which the call began.

Measured: "a late answer that the store doesn't know evacuations ends none that another instance has read since" fails without the check (3 assertions) and passes with it.

--- a/src/stream/discoverywatcher.cpp
+++ b/src/stream/discoverywatcher.cpp
@@ -214,6 +214,7 @@
 {
     ++m_evacuations.calls;
     const TimePoint callStart = m_clock.now();
+    const StorePosition known = m_router.viewStatus().evacuationsPosition;
     const Result<EvacuationList> list = co_await m_discovery.listEvacuations(callStart + readTimeout);
     if (!list) {
         recordFailure(m_evacuations, list.error());
@@ -229,6 +230,9 @@
         m_coordinator.publishEvacuations(view.replaceAll(list->evacuations, list->position, callStart));
         co_return;
     }
+    if (view.position() != known) {
+        co_return; // another instance has read evacuations since the call, so the store knows the kind by now
+    }
     m_coordinator.publishEvacuations(view.clear(list->position.era(), callStart));
     m_evacuations.historyGone = true; // a watch would be answered like this call, without a wait
     co_await m_timer.waitUntil(m_clock.now() + unknownKindInterval);
--- a/tests/stream/discoverywatchertests.cpp
+++ b/tests/stream/discoverywatchertests.cpp
@@ -60,6 +60,9 @@
     asio::awaitable<Result<EvacuationList>> listEvacuations(TimePoint) override
     {
         calls.push_back("list");
+        if (onWatch) {
+            onWatch();
+        }
         co_return next(evacuationLists);
     }
 
@@ -78,7 +81,7 @@
     std::vector<std::string> calls;
     milliseconds lastWait { -1 };
     std::vector<milliseconds> evacuationWaits;
-    std::function<void()> onWatch; // called while a call for changes of servers is under way
+    std::function<void()> onWatch; // called while a call for changes of servers or for all evacuations is under way
 
 private:
     template<typename Value>
@@ -557,6 +560,31 @@
     CHECK(discovery.calls.back() == "watch 10");
 }
 
+TEST_CASE_METHOD(WatcherFixture, "a late answer that the store doesn't know evacuations ends none that another instance has read since",
+    "[stream][discoverywatcher][evacuation]")
+{
+    // Guards against new flows to an evacuated domain: the first evacuation was written after the store had answered this instance.
+    router.evacuations().enable();
+    EvacuationList unknown { .position = { 1, 0 } };
+    unknown.isUnknownKind = true;
+    discovery.evacuationLists.push_back(unknown);
+    discovery.evacuationUpdates.push_back(EvacuationUpdates { { { "a", true, { 1, 9 } } }, {}, { 1, 9 } });
+    discovery.onWatch = [this] { router.evacuations().merge({ .count = 1, .evacuations = { { "a", { 1, 7 } } } }, { 1, 7 }, clock.now()); };
+    SECTION("the evacuation is in force")
+    {
+        discovery.evacuationUpdates.clear();
+        watchEvacuations();
+        CHECK(router.evacuations().isEvacuated("a", clock.now()));
+        CHECK(router.evacuations().position() == StorePosition(1, 7));
+    }
+    SECTION("the evacuation is withdrawn later")
+    {
+        watchEvacuations();
+        CHECK_FALSE(router.evacuations().isEvacuated("a", clock.now()));
+    }
+    CHECK(discovery.calls[1] == "watch 7");
+}
+
 TEST_CASE_METHOD(WatcherFixture, "an odd evacuation entry is logged once, and the number of lines is bounded",
     "[stream][discoverywatcher][evacuation][odd]")
 {
