Take no entry without a start time for a server

What callers saw: another writer copied a server's entry without `born`.

Cause: decodeServer() gave such an entry the start time 0. The three rules that protect a server from copies of its entry need a start time and passed over this one: findTwin() at the removal, the drain of one entry of a process, and isAddressReused() after an accepted connection.

Change: an entry without `born`, or with 0, names no server. The same holds for entries that a peer of an earlier build passes on.

"an entry that shows no start time names no server" fails without the change and passes with it.

--- a/src/stream/gossipcodec.cpp
+++ b/src/stream/gossipcodec.cpp
@@ -105,10 +105,10 @@
         change.position = { era, server.revision };
         if (server.service.empty()) {
             change.unlisted = server.id;
-        } else if (server.number > 0) {
+        } else if (server.number > 0 && server.startedAt > 0) {
             change.listed = fromWire(server, era, time);
         } else {
-            continue; // an earlier build took an entry for a server that doesn't show which one it is
+            continue; // an earlier build took an entry for a server that shows neither which one it is nor which start
         }
         changes.push_back(std::move(change));
     }
--- a/tests/adapter/objectdecodertests.cpp
+++ b/tests/adapter/objectdecodertests.cpp
@@ -63,7 +63,7 @@
 
 TEST_CASE("a server's entry with a missing field or a field of a wrong type is refused", "[adapter][objectdecoder]")
 {
-    const auto *key = GENERATE("service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence");
+    const auto *key = GENERATE("service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence", "born");
     CAPTURE(key);
     Json missing = serverSpec();
     missing.erase(key);
@@ -93,6 +93,23 @@
     CHECK_FALSE(decodeSpec(serverMeta, Json()).has_value());
 }
 
+TEST_CASE("an entry that shows no start time names no server", "[adapter][objectdecoder][odd]")
+{
+    // Guards against a copy of an entry by another writer: without a start time it looks like a server of its own. New flows went to a
+    // server that drains, and its open flows were reset when the copy was removed.
+    for (const Json &value : { Json(nullptr), Json(0), Json("1780000000123") }) {
+        Json spec = serverSpec();
+        spec["born"] = value;
+        CAPTURE(spec.dump());
+        CHECK_FALSE(decodeSpec(serverMeta, spec).has_value());
+    }
+    Json missing = serverSpec();
+    missing.erase("born");
+    const auto refused = decodeSpec(serverMeta, missing);
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().detail().find("born") != std::string::npos);
+}
+
 TEST_CASE("an entry whose id ends in the number of any server names no server", "[adapter][objectdecoder][odd]")
 {
     // Guards against requests that a server of another service runs: behind the number 0, each server accepts a packet.
--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -160,7 +160,7 @@
     static std::string serverSpec()
     {
         return R"({"service":"pond","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":2,"state":"ready",)"
-               R"("cold_remaining_ms":0,"sequence":4})";
+               R"("cold_remaining_ms":0,"sequence":4,"born":1780000000123})";
     }
 
     static std::string configurationSpec()
--- a/tests/stream/gossipcodectests.cpp
+++ b/tests/stream/gossipcodectests.cpp
@@ -233,13 +233,18 @@
 
 TEST_CASE("an entry that an earlier build took for a server names none", "[stream][gossipcodec][odd]")
 {
-    // Guards against entries of another writer that reach an instance through a peer: the number 0 addresses any server.
+    // Guards against entries of another writer that reach an instance through a peer: the number 0 addresses any server, and without a
+    // start time nothing shows which process the entry describes.
     PeerState state { .sender = record("entry-1"), .view = view(sent) };
     StreamServer odd = RouterFixture::server(2);
     SECTION("without a number")
     {
         odd.number = 0;
     }
+    SECTION("without a start time")
+    {
+        odd.startedAt = 0;
+    }
     state.changes = { { .listed = RouterFixture::server(1), .unlisted = {}, .fault = {}, .position = { 0, 5 } },
         { .listed = odd, .unlisted = {}, .fault = {}, .position = { 0, 5 } },
         { .listed = {}, .unlisted = "i-3", .fault = {}, .position = { 0, 5 } } };
