Keep flow exceptions of services that are not known yet

What callers would see (instances behind a PROXY header): established flows of moved buckets are placed on another server when a member that has just started, or is behind, becomes their owner.

Router dropped the keys of a service that its generation lacks, and they were acknowledged all the same, so that the sender took them for delivered. An older generation without a service doesn't show that there is none.

Change: updates of a later generation are kept, 256 at most, and added with the generation that has the service. Those of an earlier one are dropped.

Measured: "flow exceptions that arrive before the configuration with their service are kept" fails without the change in two of three sections and passes with it. Found by reading; not seen in a run.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Samphirepitch
 {
@@ -58,6 +59,9 @@
         return;
     }
     m_services = ServiceTable::build(generation, *m_services, m_servers, now);
+    for (const FlowExceptionUpdate &update : std::exchange(m_earlyUpdates, {})) {
+        flowExceptionsReceived(update, now);
+    }
     const auto &services = m_services->services();
     const bool movesBuckets = std::any_of(services.begin(), services.end(), [newGeneration](const auto &entry) {
         return !entry.second->changes.empty() && entry.second->changes.front().generation == newGeneration;
@@ -92,6 +96,13 @@
 void Router::flowExceptionsReceived(const FlowExceptionUpdate &update, TimePoint now)
 {
     const RoutedService *service = m_services->service(ServerRegistry::serviceId(update.service));
+    if (!service && update.generation > m_services->generation()) {
+        const bool isKept = m_earlyUpdates.size() < maxEarlyUpdates;
+        m_counters.exceptionsLost += isKept ? 0 : update.keys.size();
+        if (isKept) {
+            m_earlyUpdates.push_back(update);
+        }
+    }
     if (!service) {
         return;
     }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -45,6 +45,7 @@
 public:
     static constexpr std::uint8_t maxHops = 2; /**< maximum number of times that a packet is forwarded between instances */
     static constexpr std::chrono::seconds expiryInterval { 10 }; /**< interval between removals of expired flow exceptions */
+    static constexpr std::size_t maxEarlyUpdates = 256; /**< kept updates for services that are not known yet; 8 MB at the most */
 
     /**
      * @param settings id of this instance and limits
@@ -69,7 +70,10 @@
      */
     void activate(std::uint64_t generation);
 
-    /** Adds flow exceptions that another instance sent to this one as owner or successor of moved buckets. */
+    /**
+     * Adds flow exceptions that another instance sent to this one as owner or successor of moved buckets. Those of a service that this
+     * instance doesn't know yet are added with the generation that has the service.
+     */
     void flowExceptionsReceived(const FlowExceptionUpdate &update, TimePoint now);
 
     /** Marks the update @p sequence as acknowledged by @p instance. */
@@ -133,6 +137,7 @@
     ServerHealth m_health;
     FlowTable m_flows;
     FlowExceptionTable m_exceptions;
+    std::vector<FlowExceptionUpdate> m_earlyUpdates; /**< of later generations than that in use, for services that it lacks */
     std::shared_ptr<const ServiceTable> m_services;
     std::shared_ptr<const MemberView> m_view;
     RouterCounters m_counters;
--- a/tests/routing/routertests.cpp
+++ b/tests/routing/routertests.cpp
@@ -120,3 +120,48 @@
     CHECK(unknown > 400);
     CHECK(unknown < 600);
 }
+
+TEST_CASE("flow exceptions that arrive before the configuration with their service are kept", "[routing][router]")
+{
+    // Guards against moving established flows: an owner that had just started, or that had an older generation, acknowledged the exceptions
+    // and dropped them, because it didn't know their service.
+    ManualClock clock;
+    Router router({ "i1", 1000 }, nullptr);
+    const auto servers = SamplePools::servers(6);
+    const std::uint64_t key = flowKeyOf(1);
+    Router reference({ "i2", 1000 }, nullptr);
+    reference.configurationChanged(SamplePools::generation(4, servers), clock.now());
+    const Endpoint computed = reference.servers().server(reference.route(sampleService(reference), key, clock.now(), 0).server).address;
+    const Endpoint holder = servers[computed == servers[0].address ? 1 : 0].address;
+    const auto serverOf = [&] { return router.servers().server(router.route(sampleService(router), key, clock.now(), 0).server).address; };
+    router.flowExceptionsReceived({ 1, "svc", 4, holder, "a", { key } }, clock.now());
+    SECTION("the generation of the sender follows")
+    {
+        router.configurationChanged(SamplePools::generation(4, servers), clock.now());
+        CHECK(serverOf() == holder);
+    }
+    SECTION("an earlier generation without the service comes first")
+    {
+        router.configurationChanged({ { 3, {} }, std::make_shared<const ConfigSet>(ConfigSet::Fields()) }, clock.now());
+        router.configurationChanged(SamplePools::generation(4, servers), clock.now());
+        CHECK(serverOf() == holder);
+    }
+    SECTION("the service was removed in the generation of this instance")
+    {
+        router.configurationChanged({ { 5, {} }, std::make_shared<const ConfigSet>(ConfigSet::Fields()) }, clock.now());
+        router.flowExceptionsReceived({ 2, "svc", 4, holder, "a", { key } }, clock.now());
+        CHECK(router.exceptionCount() == 0);
+        router.configurationChanged(SamplePools::generation(6, servers), clock.now());
+        CHECK(serverOf() == computed);
+    }
+}
+
+TEST_CASE("the memory for flow exceptions of unknown services is bounded", "[routing][router]")
+{
+    ManualClock clock;
+    Router router({ "i1", 1000 }, nullptr);
+    for (std::uint64_t sequence = 0; sequence < Router::maxEarlyUpdates + 5; ++sequence) {
+        router.flowExceptionsReceived({ sequence, "svc", 4, Endpoint(0x7f001400, 9000), "a", { 1, 2 } }, clock.now());
+    }
+    CHECK(router.counters().exceptionsLost == 10);
+}
