Deliver the answers of a service that was removed meanwhile

What callers would see (instances behind a PROXY header): a request under way while its service is removed ends as "unknown" at its deadline, although its answer arrived in time.

PacketEngine looked the service of a response up in the newest generation and dropped the response if that has no such service.

Change: ServiceTable keeps a removed service for the request timeout of its policy, for responses that match a pending request only. Nothing new is sent.

--- a/src/data/packetengine.cpp
+++ b/src/data/packetengine.cpp
@@ -40,7 +40,10 @@
         return;
     }
     const RoutedService *service = m_router.services().service(header->destination());
-    if (!service && header->hops() > 0 && m_router.services().service(header->source())) {
+    const auto isOfKnownService = [this, now](Endpoint address) {
+        return m_router.services().service(address) != nullptr || m_router.services().removedService(address, now) != nullptr;
+    };
+    if (!service && header->hops() > 0 && isOfKnownService(header->source())) {
         handleInstanceResponse(*header, payload, sender);
         return;
     }
@@ -124,11 +127,15 @@
         return;
     }
     const RoutedService *service = m_router.services().service(header->source());
+    const ServerIndex server = service ? m_router.servers().find(service->id, sender) : noServer;
+    if (server == noServer && m_router.services().removedService(header->source(), now)) {
+        handleLateResponse(*header, payload, sender, now);
+        return;
+    }
     if (!service) {
         ++m_counters.unknownService;
         return;
     }
-    const ServerIndex server = m_router.servers().find(service->id, sender);
     if (server == noServer) {
         ++m_counters.foreignSender;
         return;
@@ -140,6 +147,23 @@
     handleResponsePacket(*service, server, *header, payload, now);
 }
 
+/** Delivers the response to a request that was sent before its service was removed. Nothing else of that service is passed on. */
+void PacketEngine::handleLateResponse(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender, TimePoint now)
+{
+    const RoutedService &service = *m_router.services().removedService(header.source(), now);
+    const ServerIndex server = m_router.servers().find(service.id, sender);
+    if (server == noServer) {
+        ++m_counters.foreignSender;
+        return;
+    }
+    const auto envelope = RpcEnvelope::decode(payload);
+    if (service.service.protocol() == Protocol::Opaque || !envelope || envelope->kind != RpcKind::Response) {
+        ++m_counters.unknownService;
+        return;
+    }
+    m_requestHandler.handleResponse(service, server, { header.destination(), header.source(), envelope->id }, *envelope, payload, now);
+}
+
 void PacketEngine::handleResponsePacket(
     const RoutedService &service, ServerIndex server, const ProxyHeader &header, std::span<const std::uint8_t> payload, TimePoint now)
 {
--- a/src/data/packetengine.h
+++ b/src/data/packetengine.h
@@ -67,6 +67,7 @@
         std::span<const std::uint8_t> payload, Endpoint sender, TimePoint now);
     void handleResponsePacket(
         const RoutedService &service, ServerIndex server, const ProxyHeader &header, std::span<const std::uint8_t> payload, TimePoint now);
+    void handleLateResponse(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender, TimePoint now);
     void handleInstanceResponse(const ProxyHeader &header, std::span<const std::uint8_t> payload, Endpoint sender);
     void sendToCaller(const ProxyHeader &header, std::span<const std::uint8_t> payload);
 
--- a/src/routing/servicetable.cpp
+++ b/src/routing/servicetable.cpp
@@ -123,6 +123,7 @@
     auto table = std::make_shared<ServiceTable>(previous);
     table->m_generation = generation.head.generation;
     table->m_set = generation.set;
+    std::erase_if(table->m_removed, [now](const auto &entry) { return entry.second.deadline <= now; });
     const ConfigSet emptySet;
     const ConfigSet &previousSet = previous.m_set ? *previous.m_set : emptySet;
     const NameSet changedPools = changedNames(previousSet.pools(), generation.set->pools());
@@ -154,6 +155,8 @@
         const auto known = previous.m_byId.find(ServerRegistry::serviceId(name));
         if (known != previous.m_byId.end() && !generation.set->service(name)) {
             markAbsentServersRemoved(*known->second, {}, servers, now);
+            table->m_removed.insert_or_assign(addressKey(known->second->service.address()),
+                RemovedService { known->second, now + known->second->policy.requestTimeout() });
             table->remove(*known->second);
         }
     }
@@ -188,6 +191,12 @@
     return found == m_byId.end() ? nullptr : found->second.get();
 }
 
+const RoutedService *ServiceTable::removedService(Endpoint address, TimePoint now) const
+{
+    const auto found = m_removed.find(addressKey(address));
+    return found == m_removed.end() || found->second.deadline <= now ? nullptr : found->second.service.get();
+}
+
 std::uint64_t ServiceTable::generation() const
 {
     return m_generation;
--- a/src/routing/servicetable.h
+++ b/src/routing/servicetable.h
@@ -34,10 +34,22 @@
     /** Returns the service with the id @p id, or null. */
     const RoutedService *service(std::uint64_t id) const;
 
+    /**
+     * Returns the service that had an address in an earlier generation and was removed, or null. It is kept until all requests have ended
+     * that were sent to its servers before the removal.
+     */
+    const RoutedService *removedService(Endpoint address, TimePoint now) const;
+
     std::uint64_t generation() const;
     const std::unordered_map<std::uint64_t, std::shared_ptr<const RoutedService>> &services() const;
 
 private:
+    /** A service that a generation has removed. */
+    struct RemovedService {
+        std::shared_ptr<const RoutedService> service;
+        TimePoint deadline {}; /**< of the last request that was sent to it */
+    };
+
     void add(std::shared_ptr<const RoutedService> service);
     void remove(const RoutedService &service);
 
@@ -45,6 +57,7 @@
     std::shared_ptr<const ConfigSet> m_set;
     std::unordered_map<std::uint64_t, std::shared_ptr<const RoutedService>> m_byId;
     std::unordered_map<std::uint64_t, const RoutedService *> m_byAddress;
+    std::unordered_map<std::uint64_t, RemovedService> m_removed; // by address
 };
 
 } // namespace Samphirepitch
--- a/tests/data/requesthandlertests.cpp
+++ b/tests/data/requesthandlertests.cpp
@@ -166,3 +166,73 @@
     fixture.respond(fixture.sent.back().receiver, PacketEngineFixture::refusalBytes(2, "not_run"));
     CHECK(recorder.times == std::vector<std::chrono::nanoseconds> { 7ms });
 }
+
+TEST_CASE("the response to a request reaches its caller although the service was removed meanwhile", "[data][requesthandler]")
+{
+    // Guards against answers that a planned change loses: the generation without the service is no proof that nobody waits for one.
+    PacketEngineFixture fixture;
+    const ConfigGeneration without { { 2, {} }, std::make_shared<const ConfigSet>(ConfigSet::Fields()) };
+    const auto servers = SamplePools::servers(6);
+    const Protocol protocol = GENERATE(Protocol::Rpc, Protocol::Opaque);
+    fixture.engine.configurationChanged(SamplePools::generation(1, servers, Affinity::Flow, protocol));
+    fixture.request(1, "checkin");
+    REQUIRE(fixture.sent.size() == 1);
+    const Endpoint server = fixture.sent[0].receiver;
+    fixture.engine.configurationChanged(without);
+    if (protocol == Protocol::Opaque) {
+        fixture.respond(server, { 1, 2, 3 });
+        CHECK(fixture.count(Target::Fabric) == 0); // a removed service serves no flow
+        return;
+    }
+    SECTION("in time")
+    {
+        fixture.respond(server, PacketEngineFixture::responseBytes(1, "done"));
+        CHECK(fixture.lastResponseContains("done"));
+        fixture.respond(server, PacketEngineFixture::responseBytes(1, "done"));
+        CHECK(fixture.count(Target::Fabric) == 1);
+        CHECK(fixture.engine.requestHandler().pendingCount() == 0);
+    }
+    SECTION("a new request is not sent any more")
+    {
+        fixture.request(2, "checkin");
+        CHECK(fixture.count(Target::Server) == 1);
+    }
+    SECTION("from a server that did not get the request")
+    {
+        const Endpoint other = server == servers[0].address ? servers[1].address : servers[0].address;
+        fixture.respond(other, PacketEngineFixture::responseBytes(1, "crossed"));
+        fixture.respond(Endpoint(0x7f00ff01, 9000), PacketEngineFixture::responseBytes(1, "foreign"));
+        CHECK(fixture.count(Target::Fabric) == 0);
+    }
+    SECTION("after its deadline")
+    {
+        fixture.clock.advance(3s);
+        fixture.engine.tick(fixture.clock.now());
+        CHECK(fixture.count(Target::Fabric) == 1); // the outcome is unknown
+        fixture.respond(server, PacketEngineFixture::responseBytes(1, "late"));
+        CHECK(fixture.count(Target::Fabric) == 1);
+    }
+}
+
+TEST_CASE("the owner of a request learns its answer although the service was removed meanwhile", "[data][requesthandler]")
+{
+    // Guards against a repeated request whose outcome counts as unknown because a generation without the service was in force for a while.
+    PacketEngineFixture owner("i0");
+    const Endpoint other(0x7f000101, 6000);
+    owner.engine.configurationChanged(SamplePools::generation(1, SamplePools::servers(6)));
+    owner.engine.memberViewChanged(std::make_shared<const MemberView>(
+        std::vector<Member> { Member({ .id = "i0", .failureDomain = "a", .dataAddress = Endpoint(0x7f000100, 6000) }),
+            Member({ .id = "i1", .failureDomain = "a", .dataAddress = other }) }));
+    owner.clock.advance(60s); // past the quarantine after the start
+    std::uint32_t id = 0;
+    while (owner.count(Target::Server) == 0) {
+        owner.request(++id, "checkin");
+    }
+    owner.engine.configurationChanged({ { 2, {} }, std::make_shared<const ConfigSet>(ConfigSet::Fields()) });
+    const ProxyHeader header({ .source = SamplePools::serviceAddress(), .destination = PacketEngineFixture::caller(), .hops = 1 });
+    const auto answer = PacketEngineFixture::bytesOf(header, PacketEngineFixture::responseBytes(id, "done"));
+    owner.engine.handleFrontendDatagram(answer, other, owner.clock.now());
+    owner.engine.configurationChanged(SamplePools::generation(3, SamplePools::servers(6)));
+    owner.request(id, "checkin");
+    CHECK(owner.lastResponseContains("done"));
+}
