--- a/tests/adapter/storediscoverytests.cpp
+++ b/tests/adapter/storediscoverytests.cpp
@@ -345,6 +345,46 @@
     CHECK(read->ignored.size() == 1);
 }
 
+TEST_CASE_METHOD(StoreFixture, "the configuration is found among any number of other objects of its kind", "[adapter][storediscovery][odd]")
+{
+    // Guards against an instance that takes a version that it knows for the newest, because the first page has none.
+    const std::string others = object("a", 4, "{}") + "," + object("b", 5, "7");
+    const std::string main = object("main", 6, configurationSpec());
+    SECTION("on a later page")
+    {
+        store.answer("/v1/objects/config", R"({"items":[)" + others + R"(],"has_more":true,"store_revision":30})");
+        store.answer("/v1/objects/config?after=b", R"({"items":[)" + main + R"(],"has_more":true,"store_revision":33})");
+        const auto read = configuration();
+        REQUIRE(read.has_value());
+        REQUIRE(read->configuration.has_value());
+        CHECK(read->configuration->position == StorePosition(0, 6));
+        CHECK(read->position == StorePosition(0, 30));
+    }
+    SECTION("before one whose name can't be read")
+    {
+        const std::string items = others + "," + main + R"(,{"meta":{"name":7}})";
+        store.answer("/v1/objects/config", R"({"items":[)" + items + R"(],"has_more":false,"store_revision":30})");
+        const auto read = configuration();
+        REQUIRE(read.has_value());
+        CHECK(read->configuration.has_value());
+        CHECK_FALSE(read->fault.has_value());
+    }
+    SECTION("the list can't be continued")
+    {
+        store.answer("/v1/objects/config", R"({"items":[{"meta":{"name":7}}],"has_more":true,"store_revision":30})");
+        const auto read = configuration();
+        REQUIRE_FALSE(read.has_value());
+        CHECK(read.error().kind() == ErrorKind::Malformed);
+    }
+    SECTION("none")
+    {
+        store.answer("/v1/objects/config", R"({"items":[],"has_more":false,"store_revision":30})");
+        const auto read = configuration();
+        REQUIRE(read.has_value());
+        CHECK_FALSE(read->configuration.has_value());
+    }
+}
+
 TEST_CASE_METHOD(StoreFixture, "changes of servers are returned in order", "[adapter][storediscovery]")
 {
     store.answer("/v1/objects/servers?watch=30&wait_ms=4000",
