Send no flow by an outdated copy of a server's entry

Cause: entries with the same address and number reach one process, whatever their start. One with an earlier start was only doubted, and only if the later entry was also later in the store, which a store that returned from an older copy had in the other order.

Change: of listed entries with one address and number, those with the latest start take flows, and the removal of an earlier one proves no end.

"an outdated copy of an entry takes no flows" and "the removal of an outdated copy ends no flow of the server that started again" fail without the change and pass with it.

--- a/src/stream/serverdirectory.cpp
+++ b/src/stream/serverdirectory.cpp
@@ -261,6 +261,15 @@
     return twin == end ? nullptr : twin->second;
 }
 
+bool ServerDirectory::hasLaterEntry(const DirectoryRecord &record) const
+{
+    const auto [begin, end] = m_byAddress.equal_range(record.server.address);
+    return std::any_of(begin, end, [&record](const auto &owner) {
+        const StreamServer &other = owner.second->server;
+        return owner.second->listed && other.number == record.server.number && other.startedAt > record.server.startedAt;
+    });
+}
+
 const std::vector<const DirectoryRecord *> &ServerDirectory::listed(const std::string &service) const
 {
     return serversOf(m_byService, service);
@@ -486,17 +495,25 @@
     m_byService.clear();
     m_byDomain.clear();
     m_unlisted.clear();
-    // The copy of an entry, made by another writer before its server began to drain, must not keep the server in use.
+    // The copy of an entry, made by another writer before its server began to drain or started again, must not keep the server in use.
     std::set<std::tuple<Endpoint, std::uint64_t, std::int64_t>> draining;
+    std::map<std::pair<Endpoint, std::uint64_t>, std::int64_t> latestStarts; // of listed entries, by address and number
     for (const auto &[id, record] : m_records) {
         const StreamServer &server = record->server;
+        if (record->listed) {
+            std::int64_t &latest = latestStarts[{ server.address, server.number }];
+            latest = std::max(latest, server.startedAt);
+        }
         if (server.phase == ServerPhase::Draining && server.startedAt != 0) {
             draining.emplace(server.address, server.number, server.startedAt);
         }
     }
     for (auto &[id, record] : m_records) {
         const StreamServer &server = record->server;
-        record->takesFlows = server.phase == ServerPhase::Ready && !draining.contains({ server.address, server.number, server.startedAt });
+        const bool isDraining
+            = server.phase == ServerPhase::Draining || draining.contains({ server.address, server.number, server.startedAt });
+        const auto latest = latestStarts.find({ server.address, server.number });
+        record->takesFlows = !isDraining && (latest == latestStarts.end() || server.startedAt >= latest->second);
     }
     // The map is sorted by id, so of two servers with the same token every instance chooses the one with the smaller id.
     for (auto &[id, record] : m_records) {
--- a/src/stream/serverdirectory.h
+++ b/src/stream/serverdirectory.h
@@ -22,7 +22,8 @@
     std::uint32_t token = 0; /**< identifies this incarnation in packets; never 0 */
     std::vector<std::uint32_t> previousTokens; /**< tokens of earlier incarnations with the same id */
     bool listed = true; /**< whether discovery still lists it */
-    bool takesFlows = true; /**< whether neither this entry nor another one of the same incarnation is draining */
+    /** Whether neither this entry nor another one of the same incarnation is draining, and no other one has a later start. */
+    bool takesFlows = true;
     bool tokenTaken = false; /**< whether another server has the same token, so that this one gets no flows */
     TimePoint unlistedAt {}; /**< when discovery stopped listing it; valid only if it is not listed */
 };
@@ -128,6 +129,12 @@
     /** Returns another listed entry with the address, number and start time of a server, which its packets reach as well; or null. */
     const DirectoryRecord *findTwin(const DirectoryRecord &record) const;
 
+    /**
+     * Returns whether another listed entry has the address and number of a server and a later start. The packets of the server reach that
+     * incarnation, which answers them itself.
+     */
+    bool hasLaterEntry(const DirectoryRecord &record) const;
+
     /** Returns the listed servers of a service. */
     const std::vector<const DirectoryRecord *> &listed(const std::string &service) const;
 
--- a/src/stream/serverlifecycle.cpp
+++ b/src/stream/serverlifecycle.cpp
@@ -65,8 +65,7 @@
             if (!isCurrent || record.listed) {
                 break;
             }
-            if (m_failureDetector.isAddressClaimed(change.token) && m_view.isContinuous()
-                && m_view.directory().findTwin(record) == nullptr) {
+            if (m_failureDetector.isAddressClaimed(change.token) && m_view.isContinuous() && !isReachedByOther(record)) {
                 endReusedServer(record);
                 break;
             }
@@ -282,6 +281,11 @@
     fields.push_back({ "open_ms", age(openSince) });
 }
 
+bool ServerLifecycle::isReachedByOther(const DirectoryRecord &record) const
+{
+    return m_view.directory().findTwin(record) != nullptr || m_view.directory().hasLaterEntry(record);
+}
+
 void ServerLifecycle::recordLiveness(std::uint32_t token, TimePoint time)
 {
     if (const auto found = m_unconfirmedRemovals.find(token); found != m_unconfirmedRemovals.end()) {
@@ -294,7 +298,7 @@
     const TimePoint now = m_clock.now();
     for (auto &[token, lastAlive] : m_unconfirmedRemovals) {
         const DirectoryRecord *const record = m_view.directory().findToken(token);
-        if (record != nullptr && m_view.directory().findTwin(*record) != nullptr) {
+        if (record != nullptr && isReachedByOther(*record)) {
             lastAlive = now;
         }
     }
--- a/src/stream/serverlifecycle.h
+++ b/src/stream/serverlifecycle.h
@@ -108,6 +108,7 @@
     void endServer(const DirectoryRecord &record, std::string_view proof);
     void endReusedServer(const DirectoryRecord &record);
     const DirectoryRecord *findReferenceServer(const ProbeTarget &suspected);
+    bool isReachedByOther(const DirectoryRecord &record) const; // by the process of another listed entry, which answers itself
     bool isEndProven(std::uint32_t token) const;
     bool hasServerFailedSince(const StreamFlow &flow) const;
     bool mayRetry(const StreamFlow &flow) const;
--- a/tests/stream/serverdirectorytests.cpp
+++ b/tests/stream/serverdirectorytests.cpp
@@ -363,6 +363,37 @@
     CHECK(directory.findTwin(*directory.findId("i-1")) == nullptr);
 }
 
+TEST_CASE("an outdated copy of an entry takes no flows", "[stream][directory][odd]")
+{
+    // Guards against new flows in an evacuated domain: the copy still named the domain in which the server had run before it started again.
+    ServerDirectory directory;
+    StreamServer copy = RouterFixture::server(1);
+    copy.id = "copy-of-i-1";
+    StreamServer restarted = RouterFixture::server(1, "b");
+    restarted.startedAt = 5000;
+    SECTION("the copy is older in the store")
+    {
+        copy.position = { 0, 4 };
+    }
+    SECTION("the copy is newer in the store")
+    {
+        copy.position = { 0, 9 };
+    }
+    directory.replaceAll({ copy, restarted }, {}, { 0, 10 }, start);
+    CHECK_FALSE(directory.findId(copy.id)->takesFlows);
+    CHECK(directory.hasLaterEntry(*directory.findId(copy.id)));
+    CHECK(directory.findId("i-1")->takesFlows);
+    CHECK_FALSE(directory.hasLaterEntry(*directory.findId("i-1")));
+    // A server with another number at the address is another process, and an entry that is no longer listed says nothing.
+    StreamServer other = withRevision(RouterFixture::server(2), 11);
+    other.address = copy.address;
+    other.startedAt = 9000;
+    directory.update(other);
+    CHECK(directory.findId("i-1")->takesFlows);
+    directory.remove("i-1", { 0, 12 }, start);
+    CHECK(directory.findId(copy.id)->takesFlows);
+}
+
 TEST_CASE("a server that has moved no longer owns its previous address", "[stream][directory]")
 {
     // Guards the index of addresses: a new server at the previous address must not end the server that has moved.
--- a/tests/stream/streamroutertests.cpp
+++ b/tests/stream/streamroutertests.cpp
@@ -814,6 +814,38 @@
     CHECK(router.takeResets().size() == flowCount);
 }
 
+TEST_CASE_METHOD(RouterFixture, "the removal of an outdated copy ends no flow of the server that started again", "[stream][router][odd]")
+{
+    // Guards against resets of flows that reached the server through the copy before the new entry of the server was known.
+    StreamServer copy = server(1);
+    copy.id = "copy-of-i-1";
+    copy.position = { 0, 8 };
+    makeReady({ copy });
+    const std::uint32_t token = open().token;
+    send(token, 101, 0, 55);
+    StreamServer restarted = server(1);
+    restarted.startedAt = 5000;
+    restarted.position = { 0, 12 };
+    router.updateServer(restarted);
+    router.confirmServers(clock.now());
+    CHECK(open(Endpoint(0x64400009, 1)).server->id == "i-1");
+    const auto advanceConfirmed = [this](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            advanceClock(milliseconds(1000));
+            router.confirmServers(clock.now());
+            router.tick();
+        }
+    };
+    router.removeServer(copy.id, { 0, 13 });
+    advanceConfirmed(8);
+    CHECK(router.takeResets().empty());
+    CHECK(send(token, 101, 900, 55).action == Action::Forward);
+    // The removal of the server's own entry is evidence about the server.
+    router.removeServer("i-1", { 0, 20 });
+    advanceConfirmed(6);
+    CHECK(router.takeResets().size() == 1);
+}
+
 TEST_CASE_METHOD(RouterFixture, "a server takes flows once a configuration names its service", "[stream][router][odd]")
 {
     // Guards against entries that are lost because they were registered before the configuration that uses them.
