Remove a route in use and put it back in the fault soak

An operator removes a route that clients use, mostly for less than the time in which a version has to be in force, sometimes for longer, and puts it back. A reset of an open flow on it violates an invariant unless the route was removed after the flow began. A new flow on it violates one from 3 s after the store accepted the removal, or 4 s after the last fault of the store or of the instance that sent the flow.

In such runs some versions have only routes that can be read, since no removal is proven otherwise.

--- a/soak/evacuationoperator.cpp
+++ b/soak/evacuationoperator.cpp
@@ -34,9 +34,9 @@
     }
 }
 
-std::vector<EvacuationOperator::Step> EvacuationOperator::plan(milliseconds faultDuration, milliseconds lastFault)
+std::vector<ScheduledStep> EvacuationOperator::plan(milliseconds faultDuration, milliseconds lastFault)
 {
-    std::vector<Step> steps;
+    std::vector<ScheduledStep> steps;
     for (milliseconds at(m_random.below(maxSpacing)); at < faultDuration; at += milliseconds(m_random.below(maxSpacing))) {
         const bool isBrief = m_random.below(3) == 0;
         // Evacuations among the faults end before those after them begin, so that the latter are written anew.
@@ -70,7 +70,7 @@
     return found == m_requests.end() || found->second.count == 0 ? std::nullopt : std::optional(found->second.acceptedAt);
 }
 
-void EvacuationOperator::addSteps(std::vector<Step> &steps, Domains domains, milliseconds begin, milliseconds duration)
+void EvacuationOperator::addSteps(std::vector<ScheduledStep> &steps, Domains domains, milliseconds begin, milliseconds duration)
 {
     std::string names;
     for (const std::string &domain : domains) {
--- a/soak/evacuationoperator.h
+++ b/soak/evacuationoperator.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/random.h"
+#include "soak/scheduledstep.h"
 #include "soak/storestandin.h"
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,13 +22,6 @@
     /** How long the run lasts after the last fault, so that an evacuation after it is checked and the service returns. */
     static constexpr std::chrono::milliseconds observationTime { 12000 };
 
-    /** What the operator does at one time, counted from the begin of the schedule. */
-    struct Step {
-        std::chrono::milliseconds at {};
-        std::string description;
-        std::function<void()> action;
-    };
-
     /**
      * @param store must outlive the operator
      * @param random stream of random numbers of its own, so that the rest of a seed's schedule stays the same
@@ -43,7 +36,7 @@
      * @param lastFault time from which no fault begins
      * @return the steps, which refer to this operator
      */
-    std::vector<Step> plan(std::chrono::milliseconds faultDuration, std::chrono::milliseconds lastFault);
+    std::vector<ScheduledStep> plan(std::chrono::milliseconds faultDuration, std::chrono::milliseconds lastFault);
 
     /** Repeats all requests in force and withdraws all others, as a store that returned from an older copy may lack them. */
     void writeAgain();
@@ -59,7 +52,7 @@
         Time acceptedAt;
     };
 
-    void addSteps(std::vector<Step> &steps, Domains domains, std::chrono::milliseconds begin, std::chrono::milliseconds duration);
+    void addSteps(std::vector<ScheduledStep> &steps, Domains domains, std::chrono::milliseconds begin, std::chrono::milliseconds duration);
     Domains drawDomains();
     void begin(const Domains &domains);
     void end(const Domains &domains);
--- a/soak/invariantchecker.cpp
+++ b/soak/invariantchecker.cpp
@@ -58,6 +58,13 @@
     }
 }
 
+void InvariantChecker::recordFlowOnRemovedRoute(const std::string &server, Time at, Time removedAt, Time dueAt)
+{
+    if (at > dueAt) {
+        addViolationOnce("server " + server + " received a new flow on a removed route", at - removedAt);
+    }
+}
+
 void InvariantChecker::addViolationOnce(const std::string &what, std::chrono::steady_clock::duration age)
 {
     if (m_reported.insert(what).second) {
--- a/soak/invariantchecker.h
+++ b/soak/invariantchecker.h
@@ -59,6 +59,15 @@
      */
     void recordFlowInEvacuatedDomain(const std::string &server, const std::string &domain, Time at, Time begunAt, Time disturbedAt);
 
+    /**
+     * Records that a server accepted a new flow on a route that the newest configuration lacks. That is a violation later than @p dueAt.
+     * @param server id of the server
+     * @param at when the server accepted the flow
+     * @param removedAt when the store accepted the configuration without the route
+     * @param dueAt time from which the instance that sent the flow has to apply it
+     */
+    void recordFlowOnRemovedRoute(const std::string &server, Time at, Time removedAt, Time dueAt);
+
     /** Returns the newest version that @p process was seen to apply, or 0. */
     std::uint64_t appliedVersion(const std::string &process) const;
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_bool(foreign_entries, false, "another writer leaves sound entries of its own; the rest of the schedule stays the same");
 DEFINE_bool(reused_ports, false, "clients use ports again; the rest of the schedule stays the same");
 DEFINE_bool(evacuations, false, "an operator evacuates failure domains; the rest of the schedule stays the same");
+DEFINE_bool(restored_routes, false, "an operator removes a route and puts it back; the rest of the schedule stays the same");
 DEFINE_string(program, "", "samphirepitchd");
 DEFINE_string(folder, "", "folder for settings and logs of the instances");
 DEFINE_bool(schedule, false, "print the schedule even without violations");
@@ -35,6 +36,7 @@
     options.foreignEntries = FLAGS_foreign_entries;
     options.reusedPorts = FLAGS_reused_ports;
     options.evacuations = FLAGS_evacuations;
+    options.restoredRoutes = FLAGS_restored_routes;
     SoakRun run(options);
     const std::vector<std::string> violations = run.execute();
     if (FLAGS_schedule || !violations.empty()) {
@@ -47,7 +49,7 @@
     }
     std::cout << "soak: seed=" << FLAGS_seed << (options.peerLinks ? "+links" : "") << (options.storeRestores ? "+restore" : "")
               << (options.oddEntries ? "+odd" : "") << (options.foreignEntries ? "+foreign" : "") << (options.reusedPorts ? "+ports" : "")
-              << (options.evacuations ? "+evacuations" : "") << (violations.empty() ? " held" : " red") << " served=" << run.servedCount()
-              << " failed=" << run.failedCount() << '\n';
+              << (options.evacuations ? "+evacuations" : "") << (options.restoredRoutes ? "+routes" : "")
+              << (violations.empty() ? " held" : " red") << " served=" << run.servedCount() << " failed=" << run.failedCount() << '\n';
     return violations.empty() ? 0 : 1;
 }
--- a/soak/soakclient.cpp
+++ b/soak/soakclient.cpp
@@ -106,7 +106,8 @@
         if (flow.open && !isAcceptedReset(segment.sequence, flow.receiveNext)) {
             return; // of an earlier flow from this port
         }
-        if (!segment.checksumValid && flow.open && m_fabric.isResetViolation(segment.destination, segment.source, flow.openingSequence)) {
+        if (!segment.checksumValid && flow.open
+            && m_fabric.isResetViolation(segment.destination, segment.source, flow.openingSequence, flow.begunAt)) {
             m_checker.addViolation("open flow " + segment.destination.toString() + '>' + segment.source.toString()
                 + " was reset while its server still serves it");
         }
@@ -162,6 +163,7 @@
 {
     const auto first = static_cast<std::uint32_t>(m_random.next());
     flow.openingSequence = first;
+    flow.begunAt = std::chrono::steady_clock::now();
     flow.sendNext = first + 1;
     std::uint32_t attempt = 0;
     for (const milliseconds wait : openingTimeouts) {
--- a/soak/soakclient.h
+++ b/soak/soakclient.h
@@ -29,8 +29,10 @@
     /**
      * Returns whether a reset that the load balancer wrote violates an invariant on the open flow from @p client to @p service.
      * @param openingSequence sequence number of the flow's opening packet, which tells it from earlier flows from the same port
+     * @param begunAt when the client sent the opening packet
      */
-    virtual bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const = 0;
+    virtual bool isResetViolation(
+        Endpoint client, Endpoint service, std::uint32_t openingSequence, std::chrono::steady_clock::time_point begunAt) const = 0;
 };
 
 /** A service address and the kind of its requests. */
@@ -72,6 +74,7 @@
 
         Endpoint client;
         std::uint32_t openingSequence = 0;
+        std::chrono::steady_clock::time_point begunAt;
         std::uint32_t token = 0;
         std::uint32_t sendNext = 0; /**< sequence number of the next byte to send */
         std::uint32_t receiveNext = 0; /**< sequence number of the next byte to receive */
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -40,6 +40,7 @@
 constexpr std::uint32_t extraRouteHost = 3;
 constexpr std::uint32_t addedRouteHost = 4;
 constexpr std::uint32_t droppedRouteHost = 5;
+constexpr std::uint32_t restoredRouteHost = 6;
 
 constexpr std::uint32_t clientHosts = 6;
 constexpr std::uint32_t usersPerRoute = 2; // on each client host
@@ -60,6 +61,7 @@
 constexpr std::uint64_t oddEntrySpacing = 600; // milliseconds; upper bound between them
 constexpr std::uint64_t foreignEntryStream = 4; // the same for sound entries of another writer
 constexpr std::uint64_t evacuationStream = 5; // the same for evacuations
+constexpr std::uint64_t routeStream = 6; // the same for the route that is removed and put back
 constexpr std::uint64_t foreignEntrySpacing = 1200; // milliseconds; upper bound between them
 constexpr milliseconds reportInterval { 1200 }; // after which a server writes its entry again
 constexpr milliseconds restoreObservation { 9000 }; // after the last return; as long as the bound for a drain that is written again
@@ -135,6 +137,7 @@
     , m_oddWriter(m_store, SeededRandom(mix64(m_options.seed, oddEntryStream)))
     , m_foreignWriter(m_store, SeededRandom(mix64(m_options.seed, foreignEntryStream)))
     , m_evacuationOperator(m_store, SeededRandom(mix64(m_options.seed, evacuationStream)), m_options.failureDomains)
+    , m_routeOperator(SeededRandom(mix64(m_options.seed, routeStream)), [this] { writeConfiguration(); })
 {
     std::filesystem::create_directories(m_options.folder);
 }
@@ -147,6 +150,7 @@
         m_routes.push_back({ address(routeGroup, 1, static_cast<std::uint16_t>(443 + number)), "pond", number == 0 });
     }
     m_routes.push_back({ address(routeGroup, 2, 443), "tile", true });
+    m_restoredRoute = { address(routeGroup, restoredRouteHost, 443), "pond", false };
     writeConfiguration();
     createServers();
     createInstances();
@@ -250,6 +254,9 @@
         add("x-" + std::to_string(extraRoute), address(routeGroup, extraRouteHost, static_cast<std::uint16_t>(1000 + extraRoute)), "tile",
             true);
     }
+    if (m_options.restoredRoutes && !m_routeOperator.isRemoved()) {
+        add("restored", m_restoredRoute.address, m_restoredRoute.service, m_restoredRoute.idempotent);
+    }
     ++m_version;
     if (m_options.storeRestores) {
         // Each version adds one route and drops one, so that the routes of an instance show its version.
@@ -258,7 +265,9 @@
                 true);
         }
     }
-    if (m_options.oddEntries) {
+    // While a route can't be read, no missing one is taken for a removed one, so some versions have only routes that can be read.
+    const bool hasOddRoutes = !m_options.restoredRoutes || m_version % 4 == 0;
+    if (m_options.oddEntries && hasOddRoutes) {
         routes.push_back(
             { { "name", "odd-1" }, { "hostname", "pond.example" }, { "path_prefix", "/443/" }, { "kind", "safe" }, { "service", "pond" } });
         routes.push_back(
@@ -269,6 +278,7 @@
         { "limits", { { "idle_timeout_ms", 15000 } } } };
     m_store.put("config", "main", m_configuration);
     m_acknowledgedAt[m_version] = std::chrono::steady_clock::now();
+    m_routeOperator.recordVersion(m_acknowledgedAt[m_version]);
 }
 
 void SoakRun::startClients()
@@ -276,7 +286,11 @@
     for (std::uint32_t host = 1; host <= clientHosts; ++host) {
         m_clients.push_back(std::make_unique<SoakClient>(
             m_context.get_executor(), m_checker, m_random, *this, address(clientGroup, host, dataPort), m_options.reusedPorts));
-        for (const SoakRoute &route : m_routes) {
+        std::vector<SoakRoute> routes = m_routes;
+        if (m_options.restoredRoutes) {
+            routes.push_back(m_restoredRoute);
+        }
+        for (const SoakRoute &route : routes) {
             for (std::uint32_t user = 0; user < usersPerRoute; ++user) {
                 m_clients.back()->startUser(route);
             }
@@ -318,7 +332,12 @@
         scheduleForeignEntries();
     }
     if (m_options.evacuations) {
-        for (EvacuationOperator::Step &step : m_evacuationOperator.plan(m_options.faultDuration, m_lastFault)) {
+        for (ScheduledStep &step : m_evacuationOperator.plan(m_options.faultDuration, m_lastFault)) {
+            scheduleAction(step.at, step.description, std::move(step.action));
+        }
+    }
+    if (m_options.restoredRoutes) {
+        for (ScheduledStep &step : m_routeOperator.plan(m_options.faultDuration)) {
             scheduleAction(step.at, step.description, std::move(step.action));
         }
     }
@@ -535,11 +554,14 @@
     m_store.restore(age);
     m_storeAway = false;
     m_storeDisturbedAt = std::chrono::steady_clock::now();
+    m_routeOperator.recordStoreReturn(m_storeDisturbedAt);
     updateStoreAvailability();
     startTimer(operatorDelay, [this] {
         const std::uint64_t revision = m_store.revision();
         if (m_store.put("config", "main", m_configuration) != revision) {
             m_acknowledgedAt[m_version] = std::chrono::steady_clock::now();
+            m_routeOperator.recordStoreReturn(m_acknowledgedAt[m_version]);
+            m_routeOperator.recordVersion(m_acknowledgedAt[m_version]);
         }
         m_evacuationOperator.writeAgain();
     });
@@ -805,28 +827,39 @@
     return candidates[hash % candidates.size()]->data;
 }
 
-bool SoakRun::isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const
+bool SoakRun::isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence, Time begunAt) const
 {
+    // A flow may be reset if its route was removed after it began.
+    if (service == m_restoredRoute.address && m_routeOperator.wasRemovedSince(begunAt)) {
+        return false;
+    }
     return std::any_of(
         m_servers.begin(), m_servers.end(), [&](const auto &server) { return server->holdsFlow(client, service, openingSequence); });
 }
 
-void SoakRun::flowAccepted(const SoakServer &server, Endpoint instance)
+void SoakRun::flowAccepted(const SoakServer &server, Endpoint route, Endpoint instance)
 {
-    const auto acceptedAt = m_evacuationOperator.acceptedAt(server.failureDomain());
-    if (!acceptedAt) {
-        return;
-    }
     const Time now = std::chrono::steady_clock::now();
-    recordDisturbances(now);
-    Time disturbedAt = std::max(m_storeDisturbedAt, m_storeLinkDisturbedAt);
+    if (const auto removedAt = m_routeOperator.removedSince(); removedAt && route == m_restoredRoute.address) {
+        const Time dueAt = std::max(*removedAt + configurationBound, disturbedAt(instance) + stabilityWindow);
+        m_checker.recordFlowOnRemovedRoute(server.id(), now, *removedAt, dueAt);
+    }
+    if (const auto acceptedAt = m_evacuationOperator.acceptedAt(server.failureDomain())) {
+        m_checker.recordFlowInEvacuatedDomain(
+            server.id(), server.failureDomain(), now, std::max(*acceptedAt, server.failureDomainSince()), disturbedAt(instance));
+    }
+}
+
+SoakRun::Time SoakRun::disturbedAt(Endpoint instance)
+{
+    recordDisturbances(std::chrono::steady_clock::now());
+    Time disturbed = std::max(m_storeDisturbedAt, m_storeLinkDisturbedAt);
     for (const auto &node : m_nodes) {
         if (node->data == instance) {
-            disturbedAt = std::max(disturbedAt, node->disturbedAt);
+            disturbed = std::max(disturbed, node->disturbedAt);
         }
     }
-    m_checker.recordFlowInEvacuatedDomain(
-        server.id(), server.failureDomain(), now, std::max(*acceptedAt, server.failureDomainSince()), disturbedAt);
+    return disturbed;
 }
 
 void SoakRun::checkRecovery()
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -8,6 +8,7 @@
 #include "soak/instanceprocess.h"
 #include "soak/invariantchecker.h"
 #include "soak/oddwriter.h"
+#include "soak/routeoperator.h"
 #include "soak/routeprobe.h"
 #include "soak/soakclient.h"
 #include "soak/soakserver.h"
@@ -39,6 +40,7 @@
         = false; /**< whether another writer leaves sound entries at the addresses of servers, and copies of their entries */
     bool reusedPorts = false; /**< whether clients use the ports of closed flows again */
     bool evacuations = false; /**< whether an operator evacuates failure domains; adds some seconds to the run */
+    bool restoredRoutes = false; /**< whether an operator removes a route that clients use, and puts it back */
     std::string program; /**< path of samphirepitchd */
     std::string folder; /**< folder for settings and logs of the instances */
     std::uint32_t network = 0; /**< number of a /16 network from 127.64.0.0 on, 0 to 31; parallel runs need different ones */
@@ -48,6 +50,8 @@
 class SoakRun : public PacketFabric, public FlowObserver
 {
 public:
+    using Time = std::chrono::steady_clock::time_point;
+
     explicit SoakRun(SoakOptions options);
     ~SoakRun() override;
 
@@ -61,12 +65,11 @@
     std::uint64_t failedCount() const;
 
     Endpoint instanceFor(Endpoint client, Endpoint service) const override;
-    bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence) const override;
-    void flowAccepted(const SoakServer &server, Endpoint instance) override;
+    bool isResetViolation(Endpoint client, Endpoint service, std::uint32_t openingSequence, Time begunAt) const override;
+    void flowAccepted(const SoakServer &server, Endpoint route, Endpoint instance) override;
 
 private:
     struct Node;
-    using Time = std::chrono::steady_clock::time_point;
 
     Endpoint address(std::uint32_t group, std::uint32_t number, std::uint16_t port) const;
     Endpoint markerRoute(std::uint32_t host, std::uint64_t version) const;
@@ -102,6 +105,7 @@
     asio::awaitable<void> superviseInstances();
     asio::awaitable<void> checkReadiness(Node &node);
     void recordDisturbances(Time now);
+    Time disturbedAt(Endpoint instance);
     asio::awaitable<void> checkConfiguration(Node &node);
     asio::awaitable<void> checkVersion(Node &node, std::uint64_t version);
     void checkRecovery();
@@ -116,10 +120,12 @@
     OddWriter m_oddWriter;
     ForeignWriter m_foreignWriter;
     EvacuationOperator m_evacuationOperator;
+    RouteOperator m_routeOperator;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::shared_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakClient>> m_clients;
     std::vector<SoakRoute> m_routes;
+    SoakRoute m_restoredRoute; // that m_routeOperator removes and puts back
     std::vector<std::string> m_schedule;
     std::vector<std::unique_ptr<asio::steady_timer>> m_timers;
     std::map<std::string, nlohmann::json> m_serverSpecs; // by id: what each server wrote last
--- a/soak/soakserver.cpp
+++ b/soak/soakserver.cpp
@@ -185,7 +185,7 @@
         }
         Flow &flow = m_flows[key];
         if (found == m_flows.end()) {
-            m_observer.flowAccepted(*this, instance);
+            m_observer.flowAccepted(*this, segment->destination, instance);
             flow.openingSequence = segment->sequence;
             flow.receiveNext = segment->sequence + 1;
             flow.sendNext = static_cast<std::uint32_t>(m_random.next());
--- a/soak/soakserver.h
+++ b/soak/soakserver.h
@@ -39,9 +39,10 @@
 
     /**
      * @p server accepted the opening packet of a flow that it did not have.
+     * @param route address that the client sent the packet to
      * @param instance address that the packet came from
      */
-    virtual void flowAccepted(const SoakServer &server, Endpoint instance) = 0;
+    virtual void flowAccepted(const SoakServer &server, Endpoint route, Endpoint instance) = 0;
 };
 
 /** A backend server of the platform that supports requests and responses of one segment each. */
--- a/tests/soak/invariantcheckertests.cpp
+++ b/tests/soak/invariantcheckertests.cpp
@@ -81,3 +81,13 @@
     CHECK(record(milliseconds(5002), begunAt + milliseconds(1)) == 1);
     CHECK(record(milliseconds(5001), Time()) == 1); // reported once for each server
 }
+
+TEST_CASE("a new flow on a removed route violates an invariant once the removal is due", "[soak][invariantchecker]")
+{
+    // Guards against a soak that passes although an instance goes on to serve a route that was removed.
+    InvariantChecker checker;
+    checker.recordFlowOnRemovedRoute("i-1", appliedAt, appliedAt - milliseconds(3000), appliedAt);
+    CHECK(checker.violations().empty());
+    checker.recordFlowOnRemovedRoute("i-1", appliedAt + milliseconds(1), appliedAt - milliseconds(3000), appliedAt);
+    CHECK(checker.violations().size() == 1);
+}
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -3,7 +3,8 @@
 # of each line of a file (as CI does). Each seed determines a schedule of faults for a deployment of separate processes. A seed with
 # "+links" also has faults on the links of instances to each other, and one with "+restore" (after "+links" if it has both) a store that
 # returns from older copies; one with "+odd" has odd entries of another writer, one with "+foreign" sound ones, with "+ports" clients use their
-# ports again, and with "+evacuations" failure domains are evacuated, in this order. All seeds that are not from a file have these.
+# ports again, with "+evacuations" failure domains are evacuated, and with "+routes" a route is removed and put back, in this order. All seeds
+# that are not from a file have these.
 # Prints one line for each seed, and keeps the logs of the runs that violated an invariant in run/soak/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -14,10 +15,10 @@
     for seed in "${known[@]}"; do
         echo "known-red: soak seed $seed"
     done
-    mapfile -t seeds < <(grep -oE '^[0-9]+(\+links)?(\+restore)?(\+odd)?(\+foreign)?(\+ports)?(\+evacuations)?' "$1" | grep -vxFf <(printf '%s\n' "${known[@]}" none))
+    mapfile -t seeds < <(grep -oE '^[0-9]+(\+links)?(\+restore)?(\+odd)?(\+foreign)?(\+ports)?(\+evacuations)?(\+routes)?' "$1" | grep -vxFf <(printf '%s\n' "${known[@]}" none))
 else
     first="${2:-$(date +%s)}"
-    mapfile -t seeds < <(seq -f '%.0f+links+restore+odd+foreign+ports+evacuations' "$first" $((first + $1 - 1)))
+    mapfile -t seeds < <(seq -f '%.0f+links+restore+odd+foreign+ports+evacuations+routes' "$first" $((first + $1 - 1)))
 fi
 export bin="${BUILD_DIR:-build}/bin" logs="run/soak"
 mkdir -p "$logs"
@@ -32,7 +33,8 @@
         "--odd_entries=$([[ $seed == *+odd* ]] && echo true || echo false)" \
         "--foreign_entries=$([[ $seed == *+foreign* ]] && echo true || echo false)" \
         "--reused_ports=$([[ $seed == *+ports* ]] && echo true || echo false)" \
-        "--evacuations=$([[ $seed == *+evacuations ]] && echo true || echo false)" >"$folder.out" 2>&1; then
+        "--evacuations=$([[ $seed == *+evacuations* ]] && echo true || echo false)" \
+        "--restored_routes=$([[ $seed == *+routes ]] && echo true || echo false)" >"$folder.out" 2>&1; then
         rm -rf "$folder"
         tail -n 1 "$folder.out"
     else
