--- a/src/stream/storeview.h
+++ b/src/stream/storeview.h
@@ -33,8 +33,8 @@
     static constexpr std::chrono::milliseconds maxConfirmationGap { 3000 };
 
     /**
-     * The state of the store that a confirmation describes is at most this much older than the confirmation says: the response to a long
-     * poll takes up to 1.6 s, and messages between instances take the rest.
+     * The state of the store that a confirmation describes is at most this much older than the confirmation says: with the default wait,
+     * the response to a long poll takes up to 1.6 s, and messages between instances take the rest.
      */
     static constexpr std::chrono::milliseconds maxConfirmationDelay { 2000 };
 
